Add the design page and the Maven workspace

Cause: the repository was empty. The workspace holds the modules of docs/design.md with their dependencies, the shared types, the platform clients and the in-memory log that tests use.

--- /dev/null
+++ b/common/src/test/kotlin/io/greengageport/common/LayerRangeTest.kt
@@ -0,0 +1,30 @@
+package io.greengageport.common
+
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class LayerRangeTest {
+    @Nested
+    inner class CoversExactly {
+        @Test
+        fun `accepts ranges that join without gap or overlap`() {
+            val ranges = listOf(LayerRange(0, 4), LayerRange(4, 9), LayerRange(9, 12))
+            expectThat(LayerRange.coversExactly(ranges, layers = 12)).isEqualTo(true)
+        }
+
+        @Test
+        fun `rejects a gap, an overlap, a wrong order and a missing end`() {
+            val cases = listOf(
+                listOf(LayerRange(0, 4), LayerRange(5, 12)),
+                listOf(LayerRange(0, 5), LayerRange(4, 12)),
+                listOf(LayerRange(4, 12), LayerRange(0, 4)),
+                listOf(LayerRange(0, 4), LayerRange(4, 11)),
+                emptyList()
+            )
+            expectThat(cases.map { LayerRange.coversExactly(it, layers = 12) })
+                .isEqualTo(cases.map { false })
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/greengageport/standins/Main.kt
@@ -0,0 +1,6 @@
+package io.greengageport.standins
+
+/** Entry point of the program. */
+public fun main(args: Array<String>) {
+    println(args.size)
+}
--- /dev/null
+++ b/testkit/src/main/kotlin/io/greengageport/testkit/InMemoryLog.kt
@@ -0,0 +1,120 @@
+package io.greengageport.testkit
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.greengageport.common.Clock
+import io.greengageport.common.SystemClock
+import io.greengageport.platform.LogBatch
+import io.greengageport.platform.LogError
+import io.greengageport.platform.LogRecord
+import io.greengageport.platform.LogService
+import kotlin.time.Duration
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+
+/**
+ * An append-only log in memory that can be made to fail.
+ *
+ * ```
+ * val log = InMemoryLog()
+ * log.nextAppend = AppendFault.LOSE_ACKNOWLEDGEMENT
+ * ```
+ */
+public class InMemoryLog(private val clock: Clock = SystemClock) : LogService {
+    private class Stream {
+        var earliest = 1L
+        val records = ArrayDeque<LogRecord>()
+        val next get() = earliest + records.size
+    }
+
+    private val lock = Any()
+    private val streams = mutableMapOf<String, Stream>()
+    private val waiters = mutableListOf<Channel<Unit>>()
+
+    /** While true, each call fails with [LogError.Unavailable]. */
+    @Volatile
+    public var down: Boolean = false
+
+    /** Fault of the next append only. */
+    @Volatile
+    public var nextAppend: AppendFault = AppendFault.NONE
+
+    /** Number of appends that took effect. */
+    @Volatile
+    public var appends: Long = 0
+        private set
+
+    override suspend fun append(stream: String, payload: ByteArray): Result<Long, LogError> {
+        if (down) return Err(LogError.Unavailable("log is down"))
+        val fault = nextAppend
+        nextAppend = AppendFault.NONE
+        if (fault == AppendFault.DROP) return Err(LogError.Uncertain("append dropped"))
+        val offset = store(stream, payload)
+        return when (fault) {
+            AppendFault.LOSE_ACKNOWLEDGEMENT -> Err(LogError.Uncertain("acknowledgement lost"))
+            else -> Ok(offset)
+        }
+    }
+
+    override suspend fun read(
+        stream: String,
+        from: Long,
+        max: Int,
+        wait: Duration
+    ): Result<LogBatch, LogError> {
+        val signal = Channel<Unit>(Channel.CONFLATED)
+        synchronized(lock) { waiters += signal }
+        try {
+            withTimeoutOrNull(wait) {
+                while (!down && !hasRecord(stream, from)) signal.receive()
+            }
+        } finally {
+            synchronized(lock) { waiters -= signal }
+        }
+        if (down) return Err(LogError.Unavailable("log is down"))
+        return batch(stream, from, max)
+    }
+
+    /** Appends without any fault, as another writer would. */
+    public fun store(stream: String, payload: ByteArray): Long = synchronized(lock) {
+        val s = streams.getOrPut(stream) { Stream() }
+        val offset = s.next
+        s.records += LogRecord(offset, clock.wallMillis(), payload)
+        appends++
+        waiters.forEach { it.trySend(Unit) }
+        offset
+    }
+
+    /** Drops the records of [stream] before offset [earliest], as retention does. */
+    public fun truncate(stream: String, earliest: Long): Unit = synchronized(lock) {
+        val s = streams.getOrPut(stream) { Stream() }
+        while (s.earliest < earliest && s.records.isNotEmpty()) {
+            s.records.removeFirst()
+            s.earliest++
+        }
+    }
+
+    /** Drops the records of all streams that were appended before [wallMillis]. */
+    public fun expire(wallMillis: Long): Unit = synchronized(lock) {
+        for (s in streams.values) {
+            while (s.records.isNotEmpty() && s.records.first().appendedAtMillis < wallMillis) {
+                s.records.removeFirst()
+                s.earliest++
+            }
+        }
+    }
+
+    private fun hasRecord(stream: String, from: Long): Boolean = synchronized(lock) {
+        (streams[stream]?.next ?: 1L) > from
+    }
+
+    private fun batch(stream: String, from: Long, max: Int): Result<LogBatch, LogError> =
+        synchronized(lock) {
+            val s = streams.getOrPut(stream) { Stream() }
+            if (from < s.earliest) return Err(LogError.Truncated(s.earliest))
+            val skip = (from - s.earliest).coerceAtMost(s.records.size.toLong()).toInt()
+            val records = s.records.subList(skip, minOf(skip + max, s.records.size)).toList()
+            Ok(LogBatch(earliest = s.earliest, next = s.next, records = records))
+        }
+}
--- /dev/null
+++ b/testkit/src/main/kotlin/io/greengageport/testkit/ManualClock.kt
@@ -0,0 +1,28 @@
+package io.greengageport.testkit
+
+import io.greengageport.common.Clock
+
+/** A clock that moves only when a test moves it. */
+public class ManualClock(
+    private var monotonic: Long = 0,
+    private var wall: Long = START_WALL_MILLIS
+) : Clock {
+    @Synchronized
+    override fun monotonicMillis(): Long = monotonic
+
+    @Synchronized
+    override fun wallMillis(): Long = wall
+
+    /** Moves both clocks forward by [millis]. */
+    @Synchronized
+    public fun advance(millis: Long) {
+        require(millis >= 0) { "a clock moves forward, not by $millis ms" }
+        monotonic += millis
+        wall += millis
+    }
+
+    public companion object {
+        /** 2026-01-01T00:00:00Z. */
+        public const val START_WALL_MILLIS: Long = 1_767_225_600_000
+    }
+}
