--- a/common/src/main/kotlin/io/greengageport/common/LayerRange.kt
+++ b/common/src/main/kotlin/io/greengageport/common/LayerRange.kt
@@ -26,7 +26,7 @@
     override fun toString(): String = "[$from,$until)"
 
     public companion object {
-        /** Whether [ranges], in this order, run each of the layers `0 until layers` exactly once. */
+        /** Whether [ranges], in this order, run each of `0 until layers` exactly once. */
         public fun coversExactly(ranges: List<LayerRange>, layers: Int): Boolean {
             var next = 0
             for (r in ranges) {
