--- /dev/null
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -0,0 +1,289 @@
+package io.greengageport.standins
+
+import io.greengageport.common.RequestId
+import io.greengageport.platform.CancelRequest
+import io.greengageport.platform.GenerateRequest
+import io.greengageport.platform.LoadReport
+import io.greengageport.platform.OrderReply
+import io.greengageport.platform.OrderRequest
+import io.greengageport.platform.RouteHop
+import io.greengageport.platform.StageTrace
+import io.greengageport.platform.StepReply
+import io.greengageport.platform.StepRequest
+import io.greengageport.platform.TokenFrame
+import io.ktor.client.HttpClient
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import io.ktor.utils.io.writeStringUtf8
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+import kotlin.system.exitProcess
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.serialization.encodeToString
+
+/** Stands in for a model engine that holds a range of layers and works in continuous batches. */
+internal class EngineServer(private val settings: EngineSettings, private val client: HttpClient) {
+    private val bootId = Random.nextLong().toULong().toString(HEX)
+    private val scheduler = StepScheduler(settings.stepMillis, settings.batch)
+    private val cache = PrefixCache(settings.cacheTokens)
+    private val kvCache = ConcurrentHashMap<RequestId, Int>()
+    private val cancelled = ConcurrentHashMap.newKeySet<RequestId>()
+    private val running = AtomicInteger()
+    private val generates = AtomicLong()
+    private val steps = AtomicLong()
+    private val cancels = AtomicLong()
+    private val orders = AtomicLong()
+    private val fencing = AtomicLong()
+
+    @Volatile
+    private var version = ""
+
+    @Volatile
+    private var frozen = false
+
+    @Volatile
+    private var leaving = false
+
+    @Volatile
+    private var hopMillis = settings.hopMillis
+
+    fun start(scope: CoroutineScope): Unit = scheduler.start(scope)
+
+    /** The load report at this moment. */
+    fun load(): LoadReport = LoadReport(
+        runner = settings.id,
+        service = settings.service,
+        bootId = bootId,
+        reportedAtMillis = System.currentTimeMillis(),
+        running = running.get(),
+        queuedTokens = scheduler.queued.toLong(),
+        tokensPerSecond = scheduler.itemsPerSecond,
+        layers = settings.layers,
+        version = version,
+        leaving = leaving
+    )
+
+    val isLeaving: Boolean get() = leaving
+
+    /** Takes no new work from now on; streams that run go on. */
+    fun leave() {
+        leaving = true
+    }
+
+    val isIdle: Boolean get() = running.get() == 0
+
+    fun routes(route: Route): Unit = with(route) {
+        post("/v1/generate") { generate(call) }
+        post("/v1/step") {
+            thaw()
+            val s = json.decodeFromString<StepRequest>(call.receiveText())
+            val reply = step(s)
+            if (reply == null) call.badGateway() else call.json(json.encodeToString(reply))
+        }
+        post("/v1/cancel") {
+            val c = json.decodeFromString<CancelRequest>(call.receiveText())
+            cancelled += c.request
+            call.json("{}")
+        }
+        get("/v1/load") {
+            thaw()
+            call.json(json.encodeToString(load()))
+        }
+        post("/v1/orders") { order(call) }
+        get("/v1/cache/{request}") {
+            val tokens = kvCache[RequestId(call.parameters["request"].orEmpty())]
+            if (tokens == null) {
+                call.respondText("no cache", status = HttpStatusCode.NotFound)
+            } else {
+                call.json(tokens.toString())
+            }
+        }
+        put("/v1/cache/{request}") {
+            kvCache[RequestId(call.parameters["request"].orEmpty())] = call.receiveText().toInt()
+            call.json("{}")
+        }
+        get("/v1/cache-events") {
+            val from = call.request.queryParameters["from"]?.toLongOrNull() ?: 1
+            call.json(json.encodeToString(cache.eventsFrom(from)))
+        }
+        put("/control") { control(call) }
+        get("/counters") {
+            call.json(
+                json.encodeToString(
+                    EngineCounters(
+                        generates = generates.get(),
+                        steps = steps.get(),
+                        running = running.get(),
+                        cancelled = cancels.get(),
+                        fencing = fencing.get(),
+                        ordersAccepted = orders.get(),
+                        version = version
+                    )
+                )
+            )
+        }
+    }
+
+    private suspend fun generate(call: ApplicationCall) {
+        thaw()
+        val g = json.decodeFromString<GenerateRequest>(call.receiveText())
+        generates.incrementAndGet()
+        val hop = g.route.firstOrNull()
+        if (leaving || hop == null || hop.runner != settings.id || hop.layers !in settings.layers) {
+            if (leaving) call.response.header("Greengage-Leaving", "true")
+            call.respondText("refused, not run", status = HttpStatusCode.ServiceUnavailable)
+            return
+        }
+        running.incrementAndGet()
+        try {
+            if (settings.crashMarker != null && settings.crashMarker in g.prompt) crash()
+            call.respondBytesWriter(ContentType("application", "x-ndjson")) {
+                var previous = g.delivered.lastOrNull().orEmpty()
+                for (i in g.firstIndex until g.maxTokens) {
+                    if (cancelled.remove(g.request)) {
+                        cancels.incrementAndGet()
+                        break
+                    }
+                    val frame = token(g, i, previous) ?: break
+                    previous = frame.text
+                    writeStringUtf8(json.encodeToString(frame) + "\n")
+                    flush()
+                }
+            }
+        } finally {
+            running.decrementAndGet()
+            kvCache.remove(g.request)
+        }
+    }
+
+    private suspend fun token(g: GenerateRequest, index: Int, previous: String): TokenFrame? {
+        thaw()
+        val tokens = ModelFunction.promptTokens(g.prompt) + g.delivered.size
+        val first = index == g.firstIndex
+        val prefill = if (first) tokens - cache.use(g.prompt) else 0
+        val reply = step(
+            StepRequest(
+                request = g.request,
+                attempt = g.attempt,
+                index = index,
+                activation = ModelFunction.start(g.prompt, index, previous),
+                promptTokens = prefill,
+                priority = g.priority,
+                route = g.route,
+                position = 0
+            )
+        ) ?: return null
+        return TokenFrame(
+            request = g.request,
+            attempt = g.attempt,
+            index = index,
+            text = ModelFunction.text(reply.activation),
+            layers = reply.layers,
+            last = index == g.maxTokens - 1,
+            hopMicros = reply.hopMicros
+        )
+    }
+
+    private suspend fun step(s: StepRequest): StepReply? {
+        val hop = s.route[s.position]
+        if (hop.runner != settings.id || hop.layers !in settings.layers) return null
+        steps.incrementAndGet()
+        val prefillSteps = when {
+            s.promptTokens <= 0 || kvCache.containsKey(s.request) -> 0
+            else -> (s.promptTokens - 1) / settings.prefillTokensPerStep
+        }
+        scheduler.run(s.priority, items = 1 + prefillSteps)
+        kvCache[s.request] = s.index + 1
+        val trace = StageTrace(settings.id, hop.from, hop.until)
+        val activation = ModelFunction.run(s.activation, hop.from, hop.until)
+        if (s.position == s.route.lastIndex) {
+            return StepReply(s.request, s.attempt, s.index, activation, listOf(trace))
+        }
+        val next = s.copy(activation = activation, position = s.position + 1)
+        return forward(s.route[next.position], next)?.let {
+            it.reply.copy(
+                layers = listOf(trace) + it.reply.layers,
+                hopMicros = listOf(it.micros) + it.reply.hopMicros
+            )
+        }
+    }
+
+    private class Forwarded(val reply: StepReply, val micros: Long)
+
+    private suspend fun forward(to: RouteHop, s: StepRequest): Forwarded? {
+        val start = System.nanoTime()
+        if (hopMillis > 0) delay(hopMillis)
+        return try {
+            val r = client.post("http://${to.address}/v1/step") {
+                setBody(json.encodeToString(s))
+            }
+            if (r.status != HttpStatusCode.OK) return null
+            val reply = json.decodeFromString<StepReply>(r.bodyAsText())
+            Forwarded(reply, (System.nanoTime() - start) / NANOS_PER_MICRO)
+        } catch (e: java.io.IOException) {
+            null
+        }
+    }
+
+    private suspend fun order(call: ApplicationCall) {
+        thaw()
+        val o = json.decodeFromString<OrderRequest>(call.receiveText())
+        val highest = fencing.accumulateAndGet(o.fencing) { a, b -> maxOf(a, b) }
+        if (settings.checksFencing && o.fencing < highest) {
+            call.json(
+                json.encodeToString(OrderReply(accepted = false, fencing = highest)),
+                HttpStatusCode.Conflict
+            )
+            return
+        }
+        delay(settings.loadMillis)
+        version = o.order.version
+        orders.incrementAndGet()
+        call.json(json.encodeToString(OrderReply(accepted = true, fencing = highest)))
+    }
+
+    private suspend fun control(call: ApplicationCall) {
+        val c = json.decodeFromString<EngineControl>(call.receiveText())
+        c.frozen?.let { frozen = it }
+        c.slowdown?.let { scheduler.slowdown = it }
+        c.hopMillis?.let { hopMillis = it }
+        c.leaving?.let { leaving = it }
+        call.json("{}")
+        if (c.crash) crash()
+    }
+
+    private suspend fun thaw() {
+        while (frozen) delay(FROZEN_POLL_MILLIS)
+    }
+
+    /** Ends the process as a crash does, without closing streams in order. */
+    private fun crash(): Nothing {
+        Runtime.getRuntime().halt(CRASH_STATUS)
+        exitProcess(CRASH_STATUS)
+    }
+
+    private companion object {
+        const val HEX = 16
+        const val NANOS_PER_MICRO = 1_000L
+        const val FROZEN_POLL_MILLIS = 20L
+        const val CRASH_STATUS = 134
+    }
+}
+
+private suspend fun ApplicationCall.badGateway() =
+    respondText("next stage failed", status = HttpStatusCode.BadGateway)
--- /dev/null
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
@@ -0,0 +1,51 @@
+package io.greengageport.standins
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What a model engine stand-in is and how fast it works. */
+internal data class EngineSettings(
+    val id: RunnerId,
+    val service: ServiceName,
+    val dataCentre: DataCentre,
+    val layers: LayerRange,
+    val modelLayers: Int,
+    val accelerator: String = "standard",
+    val stepMillis: Long = 0,
+    val batch: Int = 16,
+    val prefillTokensPerStep: Int = 256,
+    val hopMillis: Long = 0,
+    val cacheTokens: Int = 4_096,
+    val checksFencing: Boolean = true,
+    val loadMillis: Long = 200,
+    val crashMarker: String? = null,
+    val reportMillis: Long = 250
+)
+
+/** Faults that a test sets with `PUT /control` of an engine; absent fields stay as they are. */
+@Serializable
+internal data class EngineControl(
+    /** Neither answers nor closes connections while true. */
+    val frozen: Boolean? = null,
+    val slowdown: Double? = null,
+    @SerialName("hop_ms") val hopMillis: Long? = null,
+    val leaving: Boolean? = null,
+    val crash: Boolean = false
+)
+
+/** What an engine stand-in did so far. */
+@Serializable
+internal data class EngineCounters(
+    val generates: Long,
+    val steps: Long,
+    val running: Int,
+    val cancelled: Long,
+    @SerialName("tokens_after_cancel") val tokensAfterCancel: Long = 0,
+    val fencing: Long,
+    @SerialName("orders_accepted") val ordersAccepted: Long,
+    val version: String
+)
--- /dev/null
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
@@ -0,0 +1,215 @@
+package io.greengageport.standins
+
+import com.github.michaelbull.result.fold
+import io.greengageport.common.InstanceId
+import io.greengageport.common.RunnerId
+import io.greengageport.platform.AppendReply
+import io.greengageport.platform.InstanceListing
+import io.greengageport.platform.ListedInstance
+import io.greengageport.platform.ListedRunner
+import io.greengageport.platform.LoadReport
+import io.greengageport.platform.LogError
+import io.greengageport.platform.LogPage
+import io.greengageport.platform.TruncatedReply
+import io.greengageport.testkit.AppendFault
+import io.greengageport.testkit.InMemoryLog
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receive
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+
+/** Times of the platform stand-in, in milliseconds. */
+public data class PlatformTimes(
+    val listLagMillis: Long = 500,
+    val loadLagMillis: Long = 300,
+    val registrationTtlMillis: Long = 3_000,
+    val retentionMillis: Long = 3_600_000
+)
+
+/** Faults that a test sets with `PUT /control`; absent fields are left as they are. */
+@Serializable
+public data class PlatformControl(
+    @SerialName("log_down") val logDown: Boolean? = null,
+    @SerialName("append_delay_ms") val appendDelayMillis: Long? = null,
+    @SerialName("lose_next_acknowledgement") val loseNextAcknowledgement: Boolean = false,
+    @SerialName("list_down") val listDown: Boolean? = null,
+    @SerialName("truncate_stream") val truncateStream: String? = null,
+    @SerialName("truncate_before") val truncateBefore: Long = 0
+)
+
+/** Counters of the platform stand-in. */
+@Serializable
+public data class PlatformCounters(val appends: Long, val reads: Long)
+
+/**
+ * Stands in for the platform: the append-only log, the lagging instance list, load reports.
+ *
+ * Runners and instances register with `PUT /v1/instances/...` again and again; an entry without a
+ * renewal for the registration's time to live disappears.
+ */
+public class PlatformServer(
+    private val times: PlatformTimes = PlatformTimes(),
+    private val log: InMemoryLog = InMemoryLog()
+) {
+    private class Registered<T>(val value: T, val at: Long)
+
+    private val runners = ConcurrentHashMap<RunnerId, Registered<ListedRunner>>()
+    private val instances = ConcurrentHashMap<InstanceId, Registered<ListedInstance>>()
+    private val loads = ConcurrentHashMap<RunnerId, LoadReport>()
+
+    @Volatile
+    private var listing = InstanceListing()
+
+    @Volatile
+    private var loadPage: List<LoadReport> = emptyList()
+
+    @Volatile
+    private var appendDelayMillis = 0L
+
+    @Volatile
+    private var listDown = false
+
+    @Volatile
+    private var reads = 0L
+
+    /** Publishes the list and the load reports with their lags until [scope] ends. */
+    public fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (isActive) {
+                val now = nowMillis()
+                val next = InstanceListing(
+                    runners = runners.values.filter { fresh(it, now) }.map { it.value }
+                        .sortedBy { it.id },
+                    instances = instances.values.filter { fresh(it, now) }.map { it.value }
+                        .sortedBy { it.id }
+                )
+                delay(times.listLagMillis)
+                listing = next
+            }
+        }
+        scope.launch {
+            while (isActive) {
+                val next = loads.values.sortedBy { it.runner }
+                delay(times.loadLagMillis)
+                loadPage = next
+            }
+        }
+        scope.launch {
+            while (isActive) {
+                delay(RETENTION_PERIOD_MILLIS)
+                log.expire(System.currentTimeMillis() - times.retentionMillis)
+            }
+        }
+    }
+
+    /** Installs the HTTP routes. */
+    public fun routes(route: Route): Unit = with(route) {
+        post("/v1/log/{stream}") { append(call) }
+        get("/v1/log/{stream}") { read(call) }
+        get("/v1/instances") {
+            if (listDown) call.unavailable() else call.json(json.encodeToString(listing))
+        }
+        get("/v1/load") {
+            if (listDown) call.unavailable() else call.json(json.encodeToString(loadPage))
+        }
+        put("/v1/instances/runners") {
+            val r = json.decodeFromString<ListedRunner>(call.receiveText())
+            runners[r.id] = Registered(r, nowMillis())
+            call.json("{}")
+        }
+        delete("/v1/instances/runners/{id}") {
+            runners.remove(RunnerId(call.parameters["id"].orEmpty()))
+            call.json("{}")
+        }
+        put("/v1/instances/entries") {
+            val i = json.decodeFromString<ListedInstance>(call.receiveText())
+            instances[i.id] = Registered(i, nowMillis())
+            call.json("{}")
+        }
+        put("/v1/load") {
+            val l = json.decodeFromString<LoadReport>(call.receiveText())
+            loads[l.runner] = l
+            call.json("{}")
+        }
+        put("/control") { control(call) }
+        get("/counters") { call.json(json.encodeToString(PlatformCounters(log.appends, reads))) }
+    }
+
+    private suspend fun append(call: ApplicationCall) {
+        val stream = call.parameters["stream"].orEmpty()
+        val payload = call.receive<ByteArray>()
+        if (appendDelayMillis > 0) delay(appendDelayMillis)
+        log.append(stream, payload).fold(
+            success = { call.json(json.encodeToString(AppendReply(it))) },
+            failure = { call.logError(it) }
+        )
+    }
+
+    private suspend fun read(call: ApplicationCall) {
+        val q = call.request.queryParameters
+        reads++
+        log.read(
+            stream = call.parameters["stream"].orEmpty(),
+            from = q["from"]?.toLongOrNull() ?: 1,
+            max = (q["max"]?.toIntOrNull() ?: PAGE).coerceIn(1, PAGE),
+            wait = (q["wait_ms"]?.toLongOrNull() ?: 0).coerceIn(0, MAX_WAIT_MILLIS).milliseconds
+        ).fold(
+            success = { call.json(json.encodeToString(LogPage.of(it))) },
+            failure = { call.logError(it) }
+        )
+    }
+
+    private suspend fun control(call: ApplicationCall) {
+        val c = json.decodeFromString<PlatformControl>(call.receiveText())
+        c.logDown?.let { log.down = it }
+        c.appendDelayMillis?.let { appendDelayMillis = it }
+        c.listDown?.let { listDown = it }
+        if (c.loseNextAcknowledgement) log.nextAppend = AppendFault.LOSE_ACKNOWLEDGEMENT
+        c.truncateStream?.let { log.truncate(it, c.truncateBefore) }
+        call.json("{}")
+    }
+
+    private fun fresh(r: Registered<*>, now: Long) = now - r.at < times.registrationTtlMillis
+
+    private fun nowMillis() = System.nanoTime() / NANOS_PER_MILLI
+
+    private companion object {
+        const val PAGE = 1_000
+        const val MAX_WAIT_MILLIS = 30_000L
+        const val RETENTION_PERIOD_MILLIS = 500L
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
+
+private suspend fun ApplicationCall.unavailable() =
+    respondText("down", status = HttpStatusCode.ServiceUnavailable)
+
+private suspend fun ApplicationCall.logError(e: LogError) = when (e) {
+    is LogError.Unavailable -> unavailable()
+
+    is LogError.Uncertain -> respondText(e.reason, status = HttpStatusCode.GatewayTimeout)
+
+    is LogError.Rejected -> respondText(e.reason, status = HttpStatusCode.BadRequest)
+
+    is LogError.Truncated -> respondText(
+        json.encodeToString(TruncatedReply(e.earliest)),
+        ContentType.Application.Json,
+        HttpStatusCode.Gone
+    )
+}
