Add the public API of routing decisions

Requests need a chain of runners, load and link estimates, outlier ejection, suspect marks, a retry budget, frame checks and the fleet's bound.

--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/AnswerAssembler.kt
@@ -0,0 +1,127 @@
+package io.greengageport.routing
+
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+
+/**
+ * Assembles the answer of one request from the frames of its attempts.
+ *
+ * A frame counts only if request and attempt are current, its index is the next one and its layer
+ * trace covers `[0, layers)` exactly once and in order. Other frames are dropped and counted; a
+ * wrong trace ends the attempt. The answer is complete only with a frame that is the last one. Not
+ * thread-safe: one coroutine handles a request.
+ *
+ * ```
+ * val assembler = AnswerAssembler(id, layers = 48)
+ * val resume = assembler.nextAttempt()
+ * when (val outcome = assembler.accept(frame)) {
+ *     is FrameOutcome.Token -> send(outcome.text)
+ *     is FrameOutcome.Dropped -> Unit
+ *     is FrameOutcome.WrongTrace -> startNextAttempt()
+ * }
+ * ```
+ */
+public class AnswerAssembler(private val request: RequestId, private val layers: Int) {
+    private val tokens = ArrayList<String>()
+    private val drops = IntArray(DropReason.entries.size)
+    private var open = false
+
+    /** The current attempt; 0 before the first one. */
+    public var attempt: Int = 0
+        private set
+
+    /** Whether the last frame was accepted. */
+    public var isComplete: Boolean = false
+        private set
+
+    /** Texts of the accepted tokens. */
+    public val delivered: List<String> get() = tokens.toList()
+
+    init {
+        require(layers > 0) { "a model has at least one layer, not $layers" }
+    }
+
+    /** Starts the next attempt, which goes on after the tokens delivered so far. */
+    public fun nextAttempt(): AttemptStart {
+        check(!isComplete) { "the answer of $request is complete" }
+        attempt++
+        open = true
+        return AttemptStart(attempt, tokens.size, delivered)
+    }
+
+    /** Ends the current attempt: its later frames are dropped. */
+    public fun endAttempt() {
+        open = false
+    }
+
+    /** Checks one frame. */
+    public fun accept(frame: AnswerFrame): FrameOutcome {
+        dropReason(frame)?.let { return drop(it) }
+        if (!LayerRange.coversExactly(frame.layers.map { it.layers }, layers)) {
+            open = false
+            return FrameOutcome.WrongTrace(frame.layers)
+        }
+        tokens += frame.text
+        if (frame.last) {
+            isComplete = true
+            open = false
+        }
+        return FrameOutcome.Token(frame.index, frame.text, frame.last)
+    }
+
+    /** Number of dropped frames for each reason that occurred. */
+    public fun dropped(): Map<DropReason, Int> =
+        DropReason.entries.associateWith { drops[it.ordinal] }.filterValues { it > 0 }
+
+    private fun dropReason(frame: AnswerFrame): DropReason? = when {
+        frame.request != request -> DropReason.OTHER_REQUEST
+        frame.attempt != attempt -> DropReason.OTHER_ATTEMPT
+        frame.index < tokens.size -> DropReason.DUPLICATE
+        !open -> DropReason.ATTEMPT_ENDED
+        frame.index > tokens.size -> DropReason.OUT_OF_ORDER
+        else -> null
+    }
+
+    private fun drop(reason: DropReason): FrameOutcome {
+        drops[reason.ordinal]++
+        return FrameOutcome.Dropped(reason)
+    }
+}
+
+/** A reply frame: one token and the stages that computed it. */
+public data class AnswerFrame(
+    val request: RequestId,
+    val attempt: Int,
+    val index: Int,
+    val text: String,
+    val layers: List<TracedStage>,
+    val last: Boolean = false
+)
+
+/** One stage of a frame's layer trace. */
+public data class TracedStage(val runner: RunnerId, val layers: LayerRange)
+
+/** What the first stage of a new attempt is told. */
+public data class AttemptStart(val attempt: Int, val firstIndex: Int, val delivered: List<String>)
+
+/** Why a frame was dropped. */
+public enum class DropReason {
+    OTHER_REQUEST,
+    OTHER_ATTEMPT,
+    DUPLICATE,
+    ATTEMPT_ENDED,
+    OUT_OF_ORDER
+}
+
+/** The result of checking a frame. */
+public sealed interface FrameOutcome {
+    /** The next token of the answer. */
+    public data class Token(val index: Int, val text: String, val last: Boolean) : FrameOutcome
+
+    /** The frame isn't part of the answer. */
+    public data class Dropped(val reason: DropReason) : FrameOutcome
+
+    /** The frame skips, repeats or reorders layers; the attempt is over. */
+    public data class WrongTrace(val trace: List<TracedStage>) : FrameOutcome
+}
--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -0,0 +1,138 @@
+package io.greengageport.routing
+
+import io.greengageport.common.Clock
+import kotlin.random.Random
+
+/**
+ * Bounds retries and resumes to a share of the requests admitted.
+ *
+ * Each admitted request adds [share] of a token, which lapses after [WINDOW_MILLIS]; a retry takes
+ * one. Over any 10 s that end with a retry, calls to backend servers therefore stay at or below
+ * `1 + share` times the requests admitted. Ranks that aren't urgent leave [urgentReserve] of the
+ * tokens to urgent ones. [minimum] retries per window are allowed in any case; with the default of
+ * 0, fewer than 10 requests in 10 s allow no retry. Thread-safe.
+ *
+ * ```
+ * when (val retry = budget.tryRetry(attempt = 1, urgent = true)) {
+ *     is RetryDecision.Allowed -> delay(retry.delayMillis)
+ *     is RetryDecision.Denied -> answerWithError()
+ * }
+ * ```
+ */
+public class RetryBudget(
+    private val clock: Clock,
+    private val random: Random,
+    private val share: Double = DEFAULT_SHARE,
+    private val urgentReserve: Double = DEFAULT_URGENT_RESERVE,
+    private val minimum: Int = 0,
+    private val backoff: Backoff = Backoff()
+) {
+    private val admitted = SlidingCount()
+    private val retries = SlidingCount()
+
+    init {
+        require(share >= 0) { "the share of retries is not negative: $share" }
+        require(urgentReserve in 0.0..1.0) { "the reserve is a share in 0..1: $urgentReserve" }
+    }
+
+    /** Counts an admitted request. */
+    @Synchronized
+    public fun admitted() {
+        admitted.add(clock.monotonicMillis())
+    }
+
+    /** Asks for a retry or resume after [attempt] attempts; an allowed one is counted. */
+    @Synchronized
+    public fun tryRetry(attempt: Int, urgent: Boolean): RetryDecision {
+        val now = clock.monotonicMillis()
+        // Whole slots only for what is admitted, part slots too for retries: never too many.
+        val earned = admitted.inWholeSlots(now) * share
+        val usable = if (urgent) earned else earned * (1 - urgentReserve)
+        val used = retries.inAllSlots(now)
+        if (used + 1 > maxOf(usable + ROUNDING, minimum.toDouble())) {
+            return RetryDecision.Denied(used, earned)
+        }
+        retries.add(now)
+        return RetryDecision.Allowed(backoff.delayMillis(attempt, random))
+    }
+
+    public companion object {
+        public const val DEFAULT_SHARE: Double = 0.1
+        public const val DEFAULT_URGENT_RESERVE: Double = 0.5
+        public const val WINDOW_MILLIS: Long = 10_000
+
+        /** Keeps ten times 0.1 from being less than one. */
+        private const val ROUNDING = 1e-9
+    }
+}
+
+/** Whether a retry may be made. */
+public sealed interface RetryDecision {
+    /** The retry may be made after [delayMillis]. */
+    public data class Allowed(val delayMillis: Long) : RetryDecision
+
+    /** [used] retries of the window's [earned] were made. */
+    public data class Denied(val used: Long, val earned: Double) : RetryDecision
+}
+
+/** Exponential backoff with full jitter: a uniform delay below a bound that doubles. */
+public class Backoff(
+    private val baseMillis: Long = DEFAULT_BASE_MILLIS,
+    private val maxMillis: Long = DEFAULT_MAX_MILLIS
+) {
+    init {
+        require(baseMillis > 0) { "the first bound is positive: $baseMillis ms" }
+        require(maxMillis >= baseMillis) { "the last bound is below the first: $maxMillis ms" }
+    }
+
+    /** Delay before the retry that follows [attempt] attempts, in milliseconds. */
+    public fun delayMillis(attempt: Int, random: Random): Long {
+        require(attempt > 0) { "a retry follows at least one attempt, not $attempt" }
+        val doublings = minOf(attempt - 1, MAX_DOUBLINGS)
+        val bound = if (baseMillis >
+            maxMillis shr doublings
+        ) {
+            maxMillis
+        } else {
+            baseMillis shl doublings
+        }
+        return random.nextLong(bound + 1)
+    }
+
+    public companion object {
+        public const val DEFAULT_BASE_MILLIS: Long = 20
+        public const val DEFAULT_MAX_MILLIS: Long = 2_000
+        private const val MAX_DOUBLINGS = 40
+    }
+}
+
+/** Counts events of the last 10 s in slots of 100 ms. */
+private class SlidingCount {
+    private val counts = LongArray(SLOTS)
+    private val slotNumbers = LongArray(SLOTS) { -1 }
+
+    fun add(nowMillis: Long) {
+        val number = nowMillis / SLOT_MILLIS
+        val i = (number % SLOTS).toInt()
+        if (slotNumbers[i] != number) {
+            slotNumbers[i] = number
+            counts[i] = 0
+        }
+        counts[i]++
+    }
+
+    /** Events of slots that lie in the last 10 s as a whole, and of the current slot. */
+    fun inWholeSlots(nowMillis: Long): Long = since(nowMillis / SLOT_MILLIS - WHOLE_SLOTS + 1)
+
+    /** Events of all slots of which any part lies in the last 10 s. */
+    fun inAllSlots(nowMillis: Long): Long = since(nowMillis / SLOT_MILLIS - WHOLE_SLOTS)
+
+    private fun since(number: Long): Long =
+        counts.indices.sumOf { if (slotNumbers[it] >= number) counts[it] else 0L }
+
+    private companion object {
+        const val SLOT_MILLIS = 100L
+        const val WHOLE_SLOTS = (RetryBudget.WINDOW_MILLIS / SLOT_MILLIS).toInt()
+        const val SLOTS = WHOLE_SLOTS + 1
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/RoutingDecision.kt
@@ -0,0 +1,83 @@
+package io.greengageport.routing
+
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import java.util.Locale
+
+/** A chosen chain of stages, or one stage without layers for a plain service. */
+public data class RoutingDecision(
+    val request: RequestId,
+    val attempt: Int,
+    val service: ServiceName,
+    val planner: String,
+    val stages: List<PlannedStage>,
+    val candidates: Int
+) {
+    /** Expected time until the last token, in milliseconds. */
+    public val expectedMillis: Double get() = stages.sumOf { it.totalMillis }
+
+    /** The line of the decision log; the `explain` command prints the same text. */
+    public fun logLine(): String = "routing: request=$request attempt=$attempt service=$service " +
+        "planner=$planner expected=${millis(expectedMillis)} candidates=$candidates " +
+        "chain=" + stages.joinToString(" -> ") { it.describe() }
+}
+
+/** One stage of a decision; the times explain why it was chosen. */
+public data class PlannedStage(
+    val runner: Runner,
+    val layers: LayerRange?,
+    val workTokens: Double,
+    val waitMillis: Double,
+    val serviceMillis: Double,
+    val linkMillis: Double,
+    val savedTokens: Double
+) {
+    public val id: RunnerId get() = runner.id
+
+    /** Wait, service and link time together. */
+    public val totalMillis: Double get() = waitMillis + serviceMillis + linkMillis
+
+    internal fun describe(): String = "$id${layers ?: ""}(wait=${millis(waitMillis)}" +
+        " run=${millis(serviceMillis)} link=${millis(linkMillis)}" +
+        (if (savedTokens > 0) " cached=${savedTokens.toLong()}t" else "") + ")"
+}
+
+/** Why no chain or runner was chosen. */
+public sealed interface RoutingFailure {
+    /** The line of the decision log. */
+    public fun logLine(request: RoutingRequest): String
+
+    /** The service has no runner at all. */
+    public data class NoRunners(val service: ServiceName) : RoutingFailure {
+        override fun logLine(request: RoutingRequest): String =
+            failed(request, "the service has no runner")
+    }
+
+    /**
+     * No eligible runner holds layers [gap]. [excluded] says whether a runner that is leaving,
+     * excluded or busy with a marked request holds them, so that a later retry may succeed.
+     */
+    public data class UncoveredLayers(val gap: LayerRange, val excluded: Boolean) :
+        RoutingFailure {
+        override fun logLine(request: RoutingRequest): String = failed(
+            request,
+            "no live runner for layers $gap" + if (excluded) ", some are excluded" else ""
+        )
+    }
+
+    /** Every runner of a plain service is leaving, excluded or busy with a marked request. */
+    public data class AllExcluded(val service: ServiceName, val runners: Int) : RoutingFailure {
+        override fun logLine(request: RoutingRequest): String =
+            failed(request, "all $runners runners are excluded")
+    }
+
+    private companion object {
+        fun failed(request: RoutingRequest, reason: String) =
+            "routing: request=${request.id} attempt=${request.attempt} " +
+                "service=${request.service} failed: $reason"
+    }
+}
+
+internal fun millis(value: Double): String = String.format(Locale.ROOT, "%.1fms", value)
--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/Runner.kt
@@ -0,0 +1,36 @@
+package io.greengageport.routing
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+
+/**
+ * A backend server as routing sees it.
+ *
+ * [layers] is null for a plain service. [tokensPerSecond] is the nominal service rate for the whole
+ * layer range (requests per second for a plain service); a load report replaces it. A runner that
+ * joined at [joinedAtMillis] (monotonic clock) is warmed up by [SlowStart]; null means that it was
+ * already running when this instance started.
+ */
+public data class Runner(
+    val id: RunnerId,
+    val service: ServiceName,
+    val dataCentre: DataCentre,
+    val layers: LayerRange? = null,
+    val tokensPerSecond: Double = DEFAULT_RATE,
+    val joinedAtMillis: Long? = null,
+    val address: String = "",
+    val bootId: String = "",
+    val version: String = "",
+    val leaving: Boolean = false
+) {
+    init {
+        require(tokensPerSecond > 0) { "the service rate of $id is positive: $tokensPerSecond" }
+    }
+
+    public companion object {
+        /** Tokens per second assumed of a runner of which neither list nor report states a rate. */
+        public const val DEFAULT_RATE: Double = 1_000.0
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/ServiceFleet.kt
@@ -0,0 +1,43 @@
+package io.greengageport.routing
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.LayerRange
+import io.greengageport.common.ServiceName
+
+/**
+ * The runners of one service with the indexes of chain selection; immutable.
+ *
+ * The distinct ends of the runners' ranges cut the layers into segments, so that each runner holds
+ * a segment wholly or not at all: [holders] lists the positions in [runners] per segment.
+ */
+public class ServiceFleet internal constructor(
+    public val service: ServiceName,
+    public val layers: Int,
+    public val runners: List<Runner>
+) {
+    /** Whether the service is a plain service, which has no layers. */
+    public val isPlain: Boolean get() = layers == 0
+
+    internal val dataCentres: List<DataCentre> = runners.map { it.dataCentre }.distinct()
+    internal val dataCentreOf: IntArray =
+        IntArray(runners.size) { dataCentres.indexOf(runners[it].dataCentre) }
+    internal val boundaries: IntArray = boundaries()
+    internal val holders: Array<IntArray> = Array(maxOf(0, boundaries.size - 1)) { segment ->
+        val range = LayerRange(boundaries[segment], boundaries[segment + 1])
+        runners.indices.filter { runners[it].layers?.contains(range) == true }.toIntArray()
+    }
+
+    /** Positions of interchangeable runners: the same range in the same data centre. */
+    internal val groups: List<IntArray> = runners.indices
+        .groupBy { runners[it].layers to runners[it].dataCentre }
+        .values.map { it.toIntArray() }
+
+    private fun boundaries(): IntArray {
+        if (layers == 0) return IntArray(0)
+        val ends = sortedSetOf(0, layers)
+        for (r in runners) r.layers?.let { ends += listOf(it.from, it.until) }
+        return ends.filter { it <= layers }.toIntArray()
+    }
+
+    internal fun segment(index: Int) = LayerRange(boundaries[index], boundaries[index + 1])
+}
--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
@@ -0,0 +1,205 @@
+package io.greengageport.routing
+
+import com.github.michaelbull.result.Result
+import io.greengageport.common.LayerRange
+import kotlin.random.Random
+
+/**
+ * The chain with the least expected time, by dynamic programming over layer boundaries.
+ *
+ * The state is the last stage and the boundary reached. A stage either runs on to the next boundary
+ * or hands over to a runner that holds the next segment. Hop times depend on data centres but for a
+ * few pairs of runners, so the best predecessor is looked up per data centre; this makes the cost
+ * (segments x holders x data centres) instead of (segments x holders squared).
+ *
+ * Of groups of more than [sampleAbove] interchangeable runners only [samples] random ones are
+ * candidates. Instances that all see the same lagged reports would otherwise all send to the same
+ * runner until the next report.
+ */
+public class ShortestChain(
+    private val costs: CostModel,
+    private val random: Random,
+    private val sampleAbove: Int = DEFAULT_SAMPLE_ABOVE,
+    private val samples: Int = DEFAULT_SAMPLES
+) : ChainPlanner {
+    override val name: String get() = "shortest-chain"
+
+    init {
+        require(samples in 1..sampleAbove) { "samples $samples is in 1..$sampleAbove" }
+    }
+
+    override fun plan(
+        fleet: ServiceFleet,
+        request: RoutingRequest
+    ): Result<RoutingDecision, RoutingFailure> {
+        val eligible = Chains.eligible(fleet, request)
+        Chains.failure(fleet, eligible)?.let { return Chains.fail(it) }
+        for (group in fleet.groups) sample(group, eligible)
+        val search = ChainSearch(fleet, costs, request, eligible)
+        val chain = if (fleet.isPlain) search.bestRunner() else search.bestChain()
+        return Chains.decide(
+            this,
+            costs,
+            request,
+            Chains.withoutRepeats(chain),
+            eligible.count { it }
+        )
+    }
+
+    /** Keeps [samples] random ones of the eligible runners of a large group. */
+    private fun sample(group: IntArray, eligible: BooleanArray) {
+        if (group.size <= sampleAbove) return
+        val live = group.filter { eligible[it] }.toIntArray()
+        if (live.size <= sampleAbove) return
+        for (i in 0 until samples) {
+            val j = random.nextInt(i, live.size)
+            live[i] = live[j].also { live[j] = live[i] }
+        }
+        for (i in samples until live.size) eligible[live[i]] = false
+    }
+
+    public companion object {
+        public const val DEFAULT_SAMPLE_ABOVE: Int = 2
+        public const val DEFAULT_SAMPLES: Int = 2
+    }
+}
+
+/** One run of the dynamic programme; not reused. */
+internal class ChainSearch(
+    private val fleet: ServiceFleet,
+    private val costs: CostModel,
+    private val request: RoutingRequest,
+    private val eligible: BooleanArray
+) {
+    private val size = fleet.runners.size
+    private val runnerCosts =
+        Array(size) { if (eligible[it]) costs.runnerCost(fleet.runners[it], request) else null }
+    private val centres = fleet.dataCentres.size
+    private val hops = DoubleArray(centres * centres) {
+        val (from, to) = fleet.dataCentres[it / centres] to fleet.dataCentres[it % centres]
+        costs.linkMillis(costs.links.hopMillis(from, to), request)
+    }
+    private val deviations = Array(size) {
+        if (eligible[it]) costs.links.deviationsInto(fleet.runners[it].id) else emptyMap()
+    }
+
+    /** The runner of a plain service with the least expected time. */
+    fun bestRunner(): List<Pair<Runner, LayerRange?>> {
+        val best = fleet.runners.indices.filter { eligible[it] }.minBy { entryCost(it) }
+        return listOf(fleet.runners[best] to null)
+    }
+
+    /** Expected time until the first layer is done, if the chain starts at runner [i]. */
+    private fun entryCost(i: Int): Double {
+        val cost = checkNotNull(runnerCosts[i])
+        val hop = costs.links.hopMillis(request.dataCentre, fleet.runners[i].dataCentre)
+        return cost.waitMillis + costs.linkMillis(hop, request) +
+            if (fleet.isPlain) cost.millisPerLayer else 0.0
+    }
+
+    fun bestChain(): List<Pair<Runner, LayerRange?>> {
+        val segments = fleet.holders.size
+        val from = Array(segments) { IntArray(size) }
+        var reached = DoubleArray(size) { Double.POSITIVE_INFINITY }
+        for (segment in 0 until segments) {
+            val next = DoubleArray(size) { Double.POSITIVE_INFINITY }
+            val heads = if (segment == 0) null else CentreHeads(reached, fleet.holders[segment - 1])
+            for (i in fleet.holders[segment]) {
+                if (eligible[i]) step(i, segment, heads, reached, next, from[segment])
+            }
+            reached = next
+        }
+        return trace(reached, from)
+    }
+
+    private fun step(
+        i: Int,
+        segment: Int,
+        heads: CentreHeads?,
+        reached: DoubleArray,
+        next: DoubleArray,
+        from: IntArray
+    ) {
+        val cost = checkNotNull(runnerCosts[i])
+        var best = reached[i]
+        from[i] = i
+        if (heads == null) {
+            best = entryCost(i)
+            from[i] = ENTRY
+        } else {
+            val previous = predecessor(i, segment, heads, reached)
+            val entered = reached[previous] + hop(previous, i) + cost.waitMillis
+            if (entered < best) {
+                best = entered
+                from[i] = previous
+            }
+        }
+        val layers = fleet.boundaries[segment + 1] - fleet.boundaries[segment]
+        next[i] = best + cost.millisPerLayer * layers
+    }
+
+    private fun predecessor(i: Int, segment: Int, heads: CentreHeads, reached: DoubleArray): Int =
+        if (deviations[i].isEmpty()) {
+            heads.best(i)
+        } else {
+            fleet.holders[segment - 1].filter { eligible[it] }.minBy { reached[it] + hop(it, i) }
+        }
+
+    private fun hop(from: Int, to: Int): Double {
+        val deviating = deviations[to]
+        if (deviating.isNotEmpty()) {
+            deviating[fleet.runners[from].id]?.let { return costs.linkMillis(it, request) }
+        }
+        return hops[fleet.dataCentreOf[from] * centres + fleet.dataCentreOf[to]]
+    }
+
+    private fun trace(
+        reached: DoubleArray,
+        from: Array<IntArray>
+    ): List<Pair<Runner, LayerRange?>> {
+        val chain = ArrayDeque<Pair<Runner, LayerRange?>>()
+        var current = reached.indices.minBy { reached[it] }
+        var until = fleet.layers
+        for (segment in from.indices.reversed()) {
+            val previous = from[segment][current]
+            if (previous == current) continue
+            val start = fleet.boundaries[segment]
+            chain.addFirst(fleet.runners[current] to LayerRange(start, until))
+            until = start
+            current = previous
+        }
+        return chain
+    }
+
+    /** The cheapest last stage per data centre at a boundary. */
+    private inner class CentreHeads(private val reached: DoubleArray, holders: IntArray) {
+        private val heads = IntArray(centres) { NONE }
+
+        init {
+            for (i in holders) {
+                if (!eligible[i]) continue
+                val centre = fleet.dataCentreOf[i]
+                if (heads[centre] == NONE || reached[i] < reached[heads[centre]]) heads[centre] = i
+            }
+        }
+
+        fun best(to: Int): Int {
+            var best = NONE
+            var least = Double.POSITIVE_INFINITY
+            for (head in heads) {
+                if (head == NONE) continue
+                val total = reached[head] + hop(head, to)
+                if (total < least || best == NONE) {
+                    least = total
+                    best = head
+                }
+            }
+            return best
+        }
+    }
+
+    private companion object {
+        const val NONE = -1
+        const val ENTRY = -2
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -0,0 +1,185 @@
+package io.greengageport.routing
+
+import io.greengageport.common.Clock
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+
+/**
+ * Finds requests that crash the runners they run on, and keeps them from more runners.
+ *
+ * A runner has crashed if a connection to it was lost and a new one is then refused, or if it
+ * reports a new boot id; a runner that announced that it leaves has not. The requests in flight on
+ * it are suspects: those with a mark get one more, and only if there are none, all get their first.
+ * So a request that shares a runner with a marked one is not punished for it. Thread-safe.
+ *
+ * ```
+ * if (!suspects.tryStart(id, fingerprint, chain)) planAgain(markedBusy = suspects.markedBusy())
+ * suspects.connectionRefused(runner).forEach { gossip(it) }
+ * ```
+ */
+public class SuspectRequests(
+    private val clock: Clock,
+    private val maxFingerprints: Int = DEFAULT_MAX_FINGERPRINTS
+) {
+    private class Flight(
+        val fingerprint: Fingerprint,
+        val runners: List<RunnerId>,
+        val startedAtMillis: Long
+    )
+
+    /** Requests that were in flight on a runner when the connection to it was lost. */
+    private class Lost(val fingerprints: Set<Fingerprint>, val atMillis: Long)
+
+    private val states = LinkedHashMap<Fingerprint, SuspectState>()
+    private val flights = HashMap<RequestId, Flight>()
+    private val lost = HashMap<RunnerId, Lost>()
+    private val boots = HashMap<RunnerId, String>()
+    private val crashedBoots = HashMap<RunnerId, String>()
+    private val leaving = HashSet<RunnerId>()
+
+    /** Whether requests with this fingerprint may run. */
+    @Synchronized
+    public fun verdict(fingerprint: Fingerprint): SuspectVerdict =
+        states[fingerprint]?.verdict(clock.wallMillis()) ?: SuspectVerdict.CLEAR
+
+    /** Runners on which this instance runs a marked request. */
+    @Synchronized
+    public fun markedBusy(): Set<RunnerId> = flights.values
+        .filter { verdict(it.fingerprint) != SuspectVerdict.CLEAR }.flatMap { it.runners }.toSet()
+
+    /**
+     * Registers a request that is about to run on [runners]. Returns false, and registers nothing,
+     * if the request is blocked or if it is marked and one of the runners runs a marked one.
+     */
+    @Synchronized
+    public fun tryStart(
+        request: RequestId,
+        fingerprint: Fingerprint,
+        runners: List<RunnerId>
+    ): Boolean {
+        val allowed = when (verdict(fingerprint)) {
+            SuspectVerdict.CLEAR -> true
+            SuspectVerdict.MARKED -> markedBusy().let { busy -> runners.none { it in busy } }
+            SuspectVerdict.BLOCKED -> false
+        }
+        if (allowed) flights[request] = Flight(fingerprint, runners, clock.wallMillis())
+        return allowed
+    }
+
+    /** The request got its complete answer; returns the state to gossip if that cleared a mark. */
+    @Synchronized
+    public fun completed(request: RequestId): SuspectState? {
+        val fingerprint = flights.remove(request)?.fingerprint ?: return null
+        val now = clock.wallMillis()
+        if (verdict(fingerprint) == SuspectVerdict.CLEAR) return null
+        return store(SuspectState(fingerprint, completedAtMillis = now))
+    }
+
+    /** The request, or its attempt, ended without a complete answer. */
+    @Synchronized
+    public fun ended(request: RequestId) {
+        flights.remove(request)
+    }
+
+    /** A connection to the runner was lost; call this before [ended] of the requests on it. */
+    @Synchronized
+    public fun connectionLost(runner: RunnerId) {
+        val now = clock.wallMillis()
+        val earlier = lost[runner]?.takeIf { now - it.atMillis < EVIDENCE_MILLIS }
+        val all = earlier?.fingerprints.orEmpty() + inFlight(runner, now)
+        lost[runner] = Lost(all, now)
+    }
+
+    /** A new connection was refused. This alone is no crash: the runner may have stopped. */
+    @Synchronized
+    public fun connectionRefused(runner: RunnerId): List<SuspectState> {
+        val record = lost.remove(runner) ?: return emptyList()
+        val now = clock.wallMillis()
+        if (runner in leaving || now - record.atMillis >= EVIDENCE_MILLIS) return emptyList()
+        val boot = boots[runner].orEmpty()
+        if (boot.isNotEmpty()) crashedBoots[runner] = boot
+        return crashed(runner, boot, record.fingerprints, now)
+    }
+
+    /** The runner has announced that it leaves, so a refused connection is no crash. */
+    @Synchronized
+    public fun leaving(runner: RunnerId) {
+        leaving += runner
+        lost.remove(runner)
+    }
+
+    /** The runner reported [bootId] at [atMillis] of the wall clock. */
+    @Synchronized
+    public fun bootId(runner: RunnerId, bootId: String, atMillis: Long): List<SuspectState> {
+        if (bootId.isEmpty()) return emptyList()
+        val previous = boots.put(runner, bootId)
+        if (previous == bootId) {
+            // The process survived the lost connection.
+            lost[runner]?.takeIf { atMillis > it.atMillis }?.let { lost.remove(runner) }
+            return emptyList()
+        }
+        val planned = leaving.remove(runner)
+        val record = lost.remove(runner)
+        if (previous == null || planned || crashedBoots.remove(runner) == previous) {
+            return emptyList()
+        }
+        val recent = record?.takeIf { clock.wallMillis() - it.atMillis < EVIDENCE_MILLIS }
+        val suspects = recent?.fingerprints ?: inFlight(runner, atMillis)
+        return crashed(runner, previous, suspects, clock.wallMillis())
+    }
+
+    /** Takes in a state from gossip; returns the state to publish if this instance knows more. */
+    @Synchronized
+    public fun merge(state: SuspectState): SuspectState? {
+        if (state.isExpired(clock.wallMillis())) return null
+        return store(state).takeIf { it != state }
+    }
+
+    /** Drops states that say nothing any more; returns how many are left. */
+    @Synchronized
+    public fun expire(): Int {
+        val now = clock.wallMillis()
+        states.values.removeIf { it.isExpired(now) }
+        return states.size
+    }
+
+    /** Drops what is known of a runner that left the fleet for good. */
+    @Synchronized
+    public fun forget(runner: RunnerId) {
+        lost.remove(runner)
+        boots.remove(runner)
+        crashedBoots.remove(runner)
+        leaving.remove(runner)
+    }
+
+    private fun inFlight(runner: RunnerId, untilMillis: Long): Set<Fingerprint> = flights.values
+        .filter { runner in it.runners && it.startedAtMillis <= untilMillis }
+        .map { it.fingerprint }.toSet()
+
+    private fun crashed(
+        runner: RunnerId,
+        bootId: String,
+        suspects: Set<Fingerprint>,
+        now: Long
+    ): List<SuspectState> {
+        val marked = suspects.filter { verdict(it) != SuspectVerdict.CLEAR }
+        val guilty = marked.ifEmpty { suspects }
+        val mark = SuspectMark(runner, bootId, now)
+        return guilty.sorted().map { store(SuspectState(it, listOf(mark))) }
+    }
+
+    private fun store(state: SuspectState): SuspectState {
+        val known = states.remove(state.fingerprint) ?: SuspectState(state.fingerprint)
+        val merged = known.merge(state)
+        if (states.size >= maxFingerprints) states.remove(states.keys.first())
+        states[state.fingerprint] = merged
+        return merged
+    }
+
+    public companion object {
+        public const val DEFAULT_MAX_FINGERPRINTS: Int = 10_000
+
+        /** Time after a lost connection in which a refused one or a new boot id shows a crash. */
+        public const val EVIDENCE_MILLIS: Long = 30_000
+    }
+}
