--- a/routing/src/main/kotlin/io/greengageport/routing/ChainPlanner.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ChainPlanner.kt
@@ -29,6 +29,17 @@
     fun eligible(fleet: ServiceFleet, request: RoutingRequest): BooleanArray =
         BooleanArray(fleet.runners.size) { request.allows(fleet.runners[it]) }
 
+    /** Plans with each version of the model and takes the least expected time. */
+    fun perVersion(
+        fleet: ServiceFleet,
+        plan: (ServiceFleet) -> Result<RoutingDecision, RoutingFailure>
+    ): Result<RoutingDecision, RoutingFailure> {
+        if (fleet.versions.size == 1) return plan(fleet)
+        val results = fleet.versions.map(plan)
+        return results.filter { it.isOk }.minByOrNull { it.value.expectedMillis }
+            ?: results.first()
+    }
+
     /** The failure that [eligible] implies, or null if some chain or plain runner exists. */
     fun failure(fleet: ServiceFleet, eligible: BooleanArray): RoutingFailure? = when {
         fleet.runners.isEmpty() -> RoutingFailure.NoRunners(fleet.service)
--- a/routing/src/main/kotlin/io/greengageport/routing/FirstFit.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/FirstFit.kt
@@ -35,6 +35,15 @@
         fleet: ServiceFleet,
         request: RoutingRequest,
         choose: (List<Runner>) -> Runner
+    ): Result<RoutingDecision, RoutingFailure> =
+        Chains.perVersion(fleet) { planVersion(planner, costs, it, request, choose) }
+
+    private fun planVersion(
+        planner: ChainPlanner,
+        costs: CostModel,
+        fleet: ServiceFleet,
+        request: RoutingRequest,
+        choose: (List<Runner>) -> Runner
     ): Result<RoutingDecision, RoutingFailure> {
         val eligible = Chains.eligible(fleet, request)
         Chains.failure(fleet, eligible)?.let { return Chains.fail(it) }
--- a/routing/src/main/kotlin/io/greengageport/routing/FleetBound.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/FleetBound.kt
@@ -22,7 +22,8 @@
  * layers) to segments (throughput times layers) that saturates all segments. The largest such
  * throughput is found by Newton steps over minimum cuts. With link capacities the result is also
  * bounded by a flow of tokens through (boundary, data centre) nodes, in which a runner may use its
- * whole rate in each segment; both are upper bounds, and exact for ranges that don't overlap.
+ * whole rate in each segment; both are upper bounds, and exact for ranges that don't overlap. The
+ * bounds of several versions of a model add up.
  *
  * ```
  * FleetBound.of(fleet.service(service), rate = { it.tokensPerSecond }).share(measured)
@@ -35,6 +36,17 @@
         excluded: Set<RunnerId> = emptySet(),
         rate: (Runner) -> Double = { it.tokensPerSecond },
         linkTokensPerSecond: ((DataCentre, DataCentre) -> Double)? = null
+    ): ThroughputBound {
+        val parts = fleet.versions.map { ofVersion(it, excluded, rate, linkTokensPerSecond) }
+        if (parts.size == 1) return parts.single()
+        return ThroughputBound(parts.sumOf { it.tokensPerSecond }, parts.flatMap { it.bottleneck })
+    }
+
+    private fun ofVersion(
+        fleet: ServiceFleet,
+        excluded: Set<RunnerId>,
+        rate: (Runner) -> Double,
+        linkTokensPerSecond: ((DataCentre, DataCentre) -> Double)?
     ): ThroughputBound {
         val live = fleet.runners.map { it.id !in excluded && !it.leaving }
         val rates = DoubleArray(fleet.runners.size) {
--- a/routing/src/main/kotlin/io/greengageport/routing/ServiceFleet.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ServiceFleet.kt
@@ -39,5 +39,20 @@
         return ends.filter { it <= layers }.toIntArray()
     }
 
+    /**
+     * The runners of each version of the model by themselves. A chain uses one version only: the
+     * activations of one version mean nothing to another.
+     */
+    internal val versions: List<ServiceFleet> by lazy {
+        val parts = if (isPlain) emptyMap() else runners.groupBy { it.version }
+        if (parts.size <=
+            1
+        ) {
+            listOf(this)
+        } else {
+            parts.values.map { ServiceFleet(service, layers, it) }
+        }
+    }
+
     internal fun segment(index: Int) = LayerRange(boundaries[index], boundaries[index + 1])
 }
--- a/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
@@ -31,6 +31,12 @@
     override fun plan(
         fleet: ServiceFleet,
         request: RoutingRequest
+    ): Result<RoutingDecision, RoutingFailure> =
+        Chains.perVersion(fleet) { planVersion(it, request) }
+
+    private fun planVersion(
+        fleet: ServiceFleet,
+        request: RoutingRequest
     ): Result<RoutingDecision, RoutingFailure> {
         val eligible = Chains.eligible(fleet, request)
         Chains.failure(fleet, eligible)?.let { return Chains.fail(it) }
