Add the settings schema, publish rule, store and publisher

Other modules need an API for settings. The publish rule is a pure fold over the log stream; the store follows the log and peers, the publisher reads a change's fate back.

--- /dev/null
+++ b/settings/src/main/kotlin/io/greengageport/settings/PeerSync.kt
@@ -0,0 +1,204 @@
+package io.greengageport.settings
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import io.greengageport.common.Clock
+import io.greengageport.common.Gossip
+import io.greengageport.common.InstanceId
+import io.greengageport.common.Members
+import io.greengageport.common.PeerCalls
+import io.greengageport.common.PeerHandlers
+import kotlin.random.Random
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import org.tinylog.kotlin.Logger
+
+/**
+ * Spreads (version, hash) by gossip, serves the state to peers in parts, and pulls a newer one.
+ *
+ * Proof that a version is the newest travels as one item for the whole fleet, so that its cost
+ * does not grow with the number of instances.
+ */
+internal class PeerSync(
+    private val holder: StateHolder,
+    private val members: Members,
+    private val calls: PeerCalls,
+    private val gossip: Gossip,
+    private val clock: Clock,
+    private val config: SettingsStoreConfig,
+    private val random: Random
+) {
+    /** An item with the monotonic time that it is good for. */
+    private class Timed<T>(val item: T, val atMillis: Long)
+
+    @Volatile
+    private var announced: Timed<Announcement>? = null
+
+    @Volatile
+    private var proof: Timed<Proof>? = null
+
+    private var published = -1L
+    private val served = ServedSnapshot()
+
+    fun register(handlers: PeerHandlers) {
+        handlers.handle(CHANNEL) { _, payload -> serve(payload) }
+        gossip.subscribe(TREE_TOPIC) { _, _, payload -> onAnnouncement(payload) }
+        gossip.subscribe(PROOF_TOPIC) { _, _, payload -> onProof(payload) }
+    }
+
+    /** Whether a newer version was announced long enough ago that the log should have had it. */
+    fun isBehind(): Boolean {
+        val a = announced ?: return false
+        val waited = clock.monotonicMillis() - a.atMillis
+        return a.item.version > holder.state.version &&
+            waited >= config.pullAfter.inWholeMilliseconds
+    }
+
+    /** Monotonic time as of which a live peer showed that the version here is the newest. */
+    fun provenAtMillis(): Long? {
+        val p = proof ?: return null
+        val isOwn = p.item.version <= holder.state.version
+        val isLive = members.live().any { it.id == p.item.by }
+        return p.atMillis.takeIf { isOwn && isLive }
+    }
+
+    /** Publishes the version held here, and [ownProofMillis] if the fleet has no newer proof. */
+    @Synchronized
+    fun publish(ownProofMillis: Long?) {
+        val s = holder.state
+        if (s.version > published) {
+            published = s.version
+            val item = Announcement(s.version, s.hash, members.self)
+            gossip.publish(TREE_TOPIC, KEY, s.version, encode(Announcement.serializer(), item))
+        }
+        if (ownProofMillis == null) return
+        val every = config.proofEvery.inWholeMilliseconds
+        proof?.let { if (ownProofMillis - it.atMillis < every) return }
+        val age = clock.monotonicMillis() - ownProofMillis
+        val item = Proof(s.version, clock.wallMillis() - age, members.self)
+        proof = Timed(item, ownProofMillis)
+        gossip.publish(PROOF_TOPIC, KEY, item.wallMillis, encode(Proof.serializer(), item))
+    }
+
+    /** Frees the snapshot kept for peers when none has asked for a while. */
+    fun expire(): Unit = served.expire(clock.monotonicMillis())
+
+    /** Tries peers, the announcing one first; returns whether a newer state was taken. */
+    suspend fun pull(): Boolean {
+        val others = members.live().map { it.id }.filter { it != members.self }.shuffled(random)
+        val source = announced?.item?.source
+        val order = others.sortedBy { it != source }.take(MAX_PEERS)
+        for (peer in order) if (pullFrom(peer)) return true
+        return false
+    }
+
+    private suspend fun pullFrom(peer: InstanceId): Boolean {
+        repeat(RESTARTS) {
+            val assembler = SnapshotAssembler()
+            var part = ask(peer, "", 0) ?: return false
+            while (true) {
+                if (part.through <= holder.state.through) return false
+                val state = assembler.add(part)
+                if (state != null) return take(peer, state)
+                if (part.index + 1 >= part.count) return false
+                val next = ask(peer, part.hash, part.index + 1) ?: break
+                part = next
+            }
+        }
+        return false
+    }
+
+    private fun take(peer: InstanceId, state: SettingsState): Boolean {
+        val a = announced?.item
+        if (a != null && a.version == state.version && a.hash != state.hash) {
+            Logger.warn { "settings: state of $peer at ${state.version} does not fit its hash" }
+            return false
+        }
+        val taken = holder.offer(state)
+        if (taken) {
+            holder.ready.value = true
+            Logger.info { "settings: took version ${state.version} from $peer" }
+        }
+        return taken
+    }
+
+    private suspend fun ask(peer: InstanceId, hash: String, index: Int): SnapshotPart? {
+        val request = encode(PullRequest.serializer(), PullRequest(hash, index))
+        val reply = calls.call(peer, CHANNEL, request, config.pullTimeout).getOrElse {
+            Logger.debug { "settings: pull from $peer failed: $it" }
+            return null
+        }
+        return RecordCodec.decode(PullReply.serializer(), reply).get()?.part
+    }
+
+    private fun serve(payload: ByteArray): ByteArray {
+        val request = RecordCodec.decode(PullRequest.serializer(), payload).get()
+        val part = request?.let { served.part(it, holder, clock.monotonicMillis()) }
+        return encode(PullReply.serializer(), PullReply(part))
+    }
+
+    private fun onAnnouncement(payload: ByteArray) {
+        val a = RecordCodec.decode(Announcement.serializer(), payload).get() ?: return
+        if (a.version <= (announced?.item?.version ?: -1)) return
+        announced = Timed(a, clock.monotonicMillis())
+    }
+
+    private fun onProof(payload: ByteArray) {
+        val p = RecordCodec.decode(Proof.serializer(), payload).get() ?: return
+        if (p.by == members.self || p.wallMillis <= (proof?.item?.wallMillis ?: 0)) return
+        val age = maxOf(0, clock.wallMillis() - p.wallMillis)
+        proof = Timed(p, clock.monotonicMillis() - age)
+    }
+
+    private fun <T> encode(s: KSerializer<T>, value: T) = RecordCodec.encode(s, value)
+
+    @Serializable
+    private class Announcement(val version: Long, val hash: TreeHash, val source: InstanceId)
+
+    @Serializable
+    private class Proof(val version: Long, val wallMillis: Long, val by: InstanceId)
+
+    private companion object {
+        const val CHANNEL = "settings.state"
+        const val TREE_TOPIC = "settings.version"
+        const val PROOF_TOPIC = "settings.proof"
+        const val KEY = "tree"
+        const val MAX_PEERS = 3
+        const val RESTARTS = 3
+    }
+}
+
+/** Asks for one part of the snapshot with [hash], or of the newest one if the hash is empty. */
+@Serializable
+internal class PullRequest(val hash: String, val index: Int)
+
+/** [part] is null if the peer has no state or no longer the snapshot asked for. */
+@Serializable
+internal class PullReply(val part: SnapshotPart?)
+
+/** The snapshot that peers are pulling at present; encoding it for each part would cost much. */
+internal class ServedSnapshot {
+    private var parts: List<SnapshotPart> = emptyList()
+    private var usedAtMillis = 0L
+
+    @Synchronized
+    fun part(request: PullRequest, holder: StateHolder, nowMillis: Long): SnapshotPart? {
+        val state = holder.state
+        if (request.hash.isEmpty()) {
+            if (state.through == 0L) return null
+            if (parts.firstOrNull()?.through != state.through) parts = Snapshot.split(state)
+        }
+        usedAtMillis = nowMillis
+        return parts.getOrNull(request.index)
+            ?.takeIf { request.hash.isEmpty() || it.hash == request.hash }
+    }
+
+    @Synchronized
+    fun expire(nowMillis: Long) {
+        if (nowMillis - usedAtMillis > KEEP_MILLIS) parts = emptyList()
+    }
+
+    private companion object {
+        const val KEEP_MILLIS = 30_000L
+    }
+}
--- /dev/null
+++ b/settings/src/main/kotlin/io/greengageport/settings/Problem.kt
@@ -0,0 +1,48 @@
+package io.greengageport.settings
+
+import kotlinx.serialization.Serializable
+
+/**
+ * A fault in a settings document or file.
+ *
+ * [field] is the place inside the document, such as `model.layers`, and empty for the document
+ * itself; [line] is present for files only.
+ */
+@Serializable
+public data class Problem(
+    val kind: ProblemKind,
+    val path: SettingsPath,
+    val field: String,
+    val found: String,
+    val allowed: String,
+    val line: Int? = null
+) : Comparable<Problem> {
+    override fun compareTo(other: Problem): Int = ORDER.compare(this, other)
+
+    override fun toString(): String = buildString {
+        if (line != null) append("line $line: ")
+        append(path)
+        if (field.isNotEmpty()) append(" $field")
+        append(": found $found, allowed: $allowed")
+    }
+
+    private companion object {
+        val ORDER = compareBy<Problem>({ it.line ?: 0 }, { it.path.value }, { it.field })
+            .thenBy { it.found }
+    }
+}
+
+/** What is wrong. */
+@Serializable
+public enum class ProblemKind {
+    MALFORMED_FILE,
+    UNKNOWN_KEY,
+    MISSING_KEY,
+    WRONG_TYPE,
+    OUT_OF_RANGE,
+    DANGLING_REFERENCE,
+    DUPLICATE,
+    FLOORS_EXCEED_CAPACITY,
+    NO_ADMINISTRATOR,
+    MISPLACED
+}
--- /dev/null
+++ b/settings/src/main/kotlin/io/greengageport/settings/SettingsTree.kt
@@ -0,0 +1,59 @@
+package io.greengageport.settings
+
+import io.greengageport.common.OrganisationName
+import io.greengageport.common.RankName
+import io.greengageport.common.ServiceName
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+
+/**
+ * The documents of all paths with their indexes, immutable and sharing structure between versions.
+ *
+ * A tree made by [replace] without problems is valid as a whole.
+ */
+internal class SettingsTree(
+    val documents: PersistentMap<SettingsPath, SettingsDocument>,
+    val children: PersistentMap<SettingsPath, PersistentSet<SettingsPath>>,
+    val services: PersistentMap<ServiceName, SettingsPath>,
+    val organisations: PersistentMap<OrganisationName, SettingsPath>,
+    val callerKeys: PersistentMap<KeyHash, SettingsPath>,
+    val serviceUses: PersistentMap<ServiceName, Int>,
+    val rankUses: PersistentMap<RankName, Int>,
+    val hash: TreeHash
+) {
+    /** Documents at or below [path], in the order of their paths. */
+    fun under(path: SettingsPath): Map<SettingsPath, SettingsDocument> {
+        val found = sortedMapOf<SettingsPath, SettingsDocument>()
+        collect(path, found)
+        return found
+    }
+
+    /** Whether a document lies at or below [path]. */
+    fun has(path: SettingsPath): Boolean = path in documents || path in children
+
+    /** Replaces all that lies at or below [at] and checks what the change can affect. */
+    fun replace(at: SettingsPath, replacement: Map<SettingsPath, SettingsDocument>): TreeChange =
+        TreeEditor(this).replace(at, replacement)
+
+    private fun collect(path: SettingsPath, into: MutableMap<SettingsPath, SettingsDocument>) {
+        documents[path]?.let { into[path] = it }
+        children[path]?.forEach { collect(it, into) }
+    }
+
+    companion object {
+        val EMPTY = SettingsTree(
+            documents = persistentHashMapOf(),
+            children = persistentHashMapOf(),
+            services = persistentHashMapOf(),
+            organisations = persistentHashMapOf(),
+            callerKeys = persistentHashMapOf(),
+            serviceUses = persistentHashMapOf(),
+            rankUses = persistentHashMapOf(),
+            hash = TreeHash.EMPTY
+        )
+    }
+}
+
+/** A changed tree; it is valid if [problems] is empty. */
+internal class TreeChange(val tree: SettingsTree, val problems: List<Problem>)
--- /dev/null
+++ b/settings/src/main/kotlin/io/greengageport/settings/Snapshot.kt
@@ -0,0 +1,128 @@
+package io.greengageport.settings
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.serialization.Serializable
+
+/**
+ * A state as bytes, a pure function of the state: maps without order are sorted, so that all
+ * writers of the snapshot as of one offset produce the same parts.
+ */
+internal object Snapshot {
+    /** Leaves room for the header of a part within [RecordCodec.MAX_RECORD_BYTES]. */
+    const val PART_BYTES = RecordCodec.MAX_RECORD_BYTES - 512
+
+    fun split(state: SettingsState): List<SnapshotPart> {
+        val bytes = encode(state)
+        val hash = sha256(bytes).toHex()
+        val count = (bytes.size + PART_BYTES - 1) / PART_BYTES
+        return List(count) { i ->
+            val end = minOf((i + 1) * PART_BYTES, bytes.size)
+            val slice = bytes.copyOfRange(i * PART_BYTES, end)
+            SnapshotPart(state.through, hash, i, count, slice)
+        }
+    }
+
+    fun encode(s: SettingsState): ByteArray = RecordCodec.encode(
+        Body.serializer(),
+        Body(
+            version = s.version,
+            through = s.through,
+            hash = s.hash,
+            documents = s.tree.documents.toSortedMap(),
+            marks = s.versions.marks.toSortedMap(),
+            removed = s.versions.removed.toList(),
+            forgotten = s.versions.forgotten,
+            fates = s.ids.fates.toMap(),
+            horizon = s.ids.horizon,
+            history = s.history.entries
+        )
+    )
+
+    /** The state, or null if the bytes are malformed or the documents do not fit their hash. */
+    fun decode(bytes: ByteArray): SettingsState? {
+        val b = RecordCodec.decode(Body.serializer(), bytes).getOrElse { return null }
+        // The documents are in force whatever the checks of this program version say.
+        val tree = SettingsTree.EMPTY.replace(SettingsPath.ROOT, b.documents).tree
+        if (tree.hash != b.hash) return null
+        return SettingsState(
+            tree = tree,
+            version = b.version,
+            through = b.through,
+            versions = PathVersions(
+                b.marks.toPersistentHashMap(),
+                persistentSetOf<SettingsPath>().addAll(b.removed),
+                b.forgotten
+            ),
+            ids = ChangeIds(persistentMapOf<ChangeId, Fate>().putAll(b.fates), b.horizon),
+            history = History.of(b.history)
+        )
+    }
+
+    @Serializable
+    private class Body(
+        val version: Long,
+        val through: Long,
+        val hash: TreeHash,
+        val documents: Map<SettingsPath, SettingsDocument>,
+        val marks: Map<SettingsPath, PathVersions.Mark>,
+        val removed: List<SettingsPath>,
+        val forgotten: Long,
+        val fates: Map<ChangeId, Fate>,
+        val horizon: Long,
+        val history: List<HistoryEntry>
+    )
+}
+
+/**
+ * Puts snapshots together from parts that may come in any order, repeated, and interleaved with
+ * parts of other snapshots.
+ *
+ * When more than [maxBytes] are held, the snapshot of the lowest offset is dropped, so that of
+ * many incomplete ones the newest can always be completed.
+ */
+internal class SnapshotAssembler(private val maxBytes: Long = MAX_BYTES) {
+    private data class Key(val through: Long, val hash: String, val count: Int)
+
+    private val parts = sortedMapOf<Key, MutableMap<Int, ByteArray>>(
+        compareBy({ it.through }, { it.hash }, { it.count })
+    )
+    private var held = 0L
+
+    /** Adds a part; returns the state if it completes a snapshot that is intact. */
+    fun add(part: SnapshotPart): SettingsState? {
+        if (part.count !in 1..MAX_PARTS || part.index !in 0 until part.count) return null
+        val key = Key(part.through, part.hash, part.count)
+        val own = parts.getOrPut(key) { mutableMapOf() }
+        if (own.putIfAbsent(part.index, part.bytes) == null) held += part.bytes.size
+        if (own.size == part.count) {
+            drop(key)
+            return join(part, own)
+        }
+        while (held > maxBytes && parts.size > 1) drop(parts.firstKey())
+        return null
+    }
+
+    private fun join(part: SnapshotPart, own: Map<Int, ByteArray>): SettingsState? {
+        val bytes = ByteArray(own.values.sumOf { it.size })
+        var at = 0
+        for (i in 0 until part.count) {
+            val slice = own.getValue(i)
+            slice.copyInto(bytes, at)
+            at += slice.size
+        }
+        if (sha256(bytes).toHex() != part.hash) return null
+        return Snapshot.decode(bytes)?.takeIf { it.through == part.through }
+    }
+
+    private fun drop(key: Key) {
+        held -= parts.remove(key).orEmpty().values.sumOf { it.size.toLong() }
+    }
+
+    private companion object {
+        const val MAX_BYTES = 24L * 1024 * 1024
+        const val MAX_PARTS = 4_096
+    }
+}
--- /dev/null
+++ b/settings/src/main/kotlin/io/greengageport/settings/TreeEditor.kt
@@ -0,0 +1,213 @@
+package io.greengageport.settings
+
+import io.greengageport.common.OrganisationName
+import io.greengageport.common.RankName
+import io.greengageport.common.ServiceName
+import kotlinx.collections.immutable.persistentHashSetOf
+
+/**
+ * Applies one replacement to a valid tree, with checks limited to what it can affect.
+ *
+ * The cost grows with the number of documents replaced, not with the size of the tree, apart from
+ * the few ranks and access documents, which are checked together.
+ */
+internal class TreeEditor(private val base: SettingsTree) {
+    private val documents = base.documents.builder()
+    private val children = base.children.builder()
+    private val services = base.services.builder()
+    private val organisations = base.organisations.builder()
+    private val callerKeys = base.callerKeys.builder()
+    private val serviceUses = base.serviceUses.builder()
+    private val rankUses = base.rankUses.builder()
+    private var hash = base.hash
+    private val problems = mutableListOf<Problem>()
+
+    fun replace(at: SettingsPath, with: Map<SettingsPath, SettingsDocument>): TreeChange {
+        val removed = base.under(at)
+        removed.forEach { (p, d) -> remove(p, d) }
+        val sorted = with.toSortedMap()
+        for ((path, document) in sorted) {
+            if (isPlaced(at, path, document)) add(path, document)
+        }
+        sorted.forEach { (p, d) -> checkReferences(p, d) }
+        checkLostTargets(removed)
+        val kinds = (removed.values + with.values).mapTo(mutableSetOf()) { it.kind }
+        if (SettingsKind.RANKS in kinds) checkRanks()
+        if (SettingsKind.ACCESS in kinds) checkAccess()
+        return TreeChange(build(), problems.distinct().sorted())
+    }
+
+    private fun build() = SettingsTree(
+        documents.build(),
+        children.build(),
+        services.build(),
+        organisations.build(),
+        callerKeys.build(),
+        serviceUses.build(),
+        rankUses.build(),
+        hash
+    )
+
+    private fun isPlaced(at: SettingsPath, path: SettingsPath, d: SettingsDocument): Boolean {
+        val fits = at.covers(path) && path.isValid && path.isDocument && path.kind == d.kind
+        if (!fits) {
+            val segments = "segments like ${SettingsPath.NAME_PATTERN}"
+            val allowed = "documents at or below $at: ${shape(d.kind)}, $segments"
+            problems += Problem(ProblemKind.MISPLACED, path, "", "${d.kind} document", allowed)
+        }
+        return fits
+    }
+
+    private fun shape(kind: SettingsKind) =
+        if (kind.depth == 2) "${kind.segment}/<name>" else "${kind.segment}/<team>/<name>"
+
+    private fun remove(path: SettingsPath, document: SettingsDocument) {
+        documents.remove(path)
+        hash -= TreeHash.of(path, document)
+        unlink(path)
+        when (document) {
+            is ServiceSettings -> services.remove(ServiceName(path.name))
+
+            is OrganisationSettings -> {
+                organisations.remove(OrganisationName(path.name))
+                document.keyHashes.forEach { callerKeys.remove(it) }
+                document.services?.forEach { count(serviceUses, it, -1) }
+                document.ranks?.forEach { count(rankUses, it, -1) }
+            }
+
+            is RankSettings, is AccessSettings -> Unit
+        }
+    }
+
+    private fun add(path: SettingsPath, document: SettingsDocument) {
+        problems += DocumentChecks(path).check(document)
+        documents[path] = document
+        hash += TreeHash.of(path, document)
+        link(path)
+        when (document) {
+            is ServiceSettings -> {
+                val other = services.put(ServiceName(path.name), path)
+                if (other != null) duplicate(path, "", "service '${path.name}'", other)
+            }
+
+            is OrganisationSettings -> addOrganisation(path, document)
+
+            is RankSettings, is AccessSettings -> Unit
+        }
+    }
+
+    private fun addOrganisation(path: SettingsPath, document: OrganisationSettings) {
+        val other = organisations.put(OrganisationName(path.name), path)
+        if (other != null) duplicate(path, "", "organisation '${path.name}'", other)
+        for (key in document.keyHashes) {
+            val owner = callerKeys.put(key, path)
+            if (owner != null && owner != path) duplicate(path, "keyHashes", "key $key", owner)
+        }
+        document.services?.forEach { count(serviceUses, it, 1) }
+        document.ranks?.forEach { count(rankUses, it, 1) }
+    }
+
+    private fun duplicate(path: SettingsPath, field: String, what: String, other: SettingsPath) {
+        val found = "$what, also at $other"
+        problems += Problem(ProblemKind.DUPLICATE, path, field, found, "unique in the whole tree")
+    }
+
+    private fun checkReferences(path: SettingsPath, document: SettingsDocument) {
+        if (document !is OrganisationSettings) return
+        document.services?.filter { it !in services }?.forEach { dangling(path, "services", it) }
+        document.ranks?.filter { !isRank(it) }?.forEach { dangling(path, "ranks", it) }
+    }
+
+    private fun isRank(name: RankName) = SettingsPath.rank(name.value) in documents
+
+    /** Finds organisations that refer to a service or rank which is no longer there. */
+    private fun checkLostTargets(removed: Map<SettingsPath, SettingsDocument>) {
+        val lostServices = removed.filterValues { it is ServiceSettings }.keys
+            .map { ServiceName(it.name) }.filter { it !in services && it in serviceUses }
+        val lostRanks = removed.filterValues { it is RankSettings }.keys
+            .map { RankName(it.name) }.filter { !isRank(it) && it in rankUses }
+        if (lostServices.isEmpty() && lostRanks.isEmpty()) return
+        for ((path, d) in documents) {
+            if (d !is OrganisationSettings) continue
+            lostServices.filter { d.services?.contains(it) == true }
+                .forEach { dangling(path, "services", it) }
+            lostRanks.filter { d.ranks?.contains(it) == true }
+                .forEach { dangling(path, "ranks", it) }
+        }
+    }
+
+    private fun dangling(path: SettingsPath, field: String, name: Any) {
+        val found = quoted(name.toString())
+        val allowed = "a name in the tree's $field"
+        problems += Problem(ProblemKind.DANGLING_REFERENCE, path, field, found, allowed)
+    }
+
+    private fun checkRanks() {
+        val ranks = children[SettingsPath("ranks")].orEmpty().sorted()
+            .map { it to documents.getValue(it) as RankSettings }
+        val floors = ranks.sumOf { (_, r) -> r.floorShare }
+        if (floors > 1 + ROUNDING) {
+            problems += Problem(
+                ProblemKind.FLOORS_EXCEED_CAPACITY,
+                SettingsPath("ranks"),
+                "floorShare",
+                "a sum of $floors",
+                "a sum of at most 1"
+            )
+        }
+        for ((priority, same) in ranks.groupBy { (_, r) -> r.priority }) {
+            same.drop(1).forEach { (path, _) ->
+                duplicate(path, "priority", "priority $priority", same.first().first)
+            }
+        }
+    }
+
+    /** Once access is set, someone must be able to change it, or the tree is locked for good. */
+    private fun checkAccess() {
+        val all = children[SettingsPath("access")].orEmpty()
+            .map { documents.getValue(it) as AccessSettings }
+        val access = SettingsPath("access")
+        if (all.isNotEmpty() && all.none { a -> a.prefixes.any { it.covers(access) } }) {
+            problems += Problem(
+                ProblemKind.NO_ADMINISTRATOR,
+                access,
+                "prefixes",
+                "no prefix that covers 'access'",
+                "at least one team that may write 'access'"
+            )
+        }
+    }
+
+    private fun link(path: SettingsPath) {
+        var child = path
+        for (parent in path.ancestors()) {
+            val siblings = children[parent]
+            children[parent] = (siblings ?: persistentHashSetOf()).add(child)
+            if (siblings != null) return
+            child = parent
+        }
+    }
+
+    private fun unlink(path: SettingsPath) {
+        var child = path
+        for (parent in path.ancestors()) {
+            val rest = children[parent]?.remove(child) ?: return
+            if (rest.isNotEmpty()) {
+                children[parent] = rest
+                return
+            }
+            children.remove(parent)
+            child = parent
+        }
+    }
+
+    private fun <K> count(counts: MutableMap<K, Int>, key: K, by: Int) {
+        val n = (counts[key] ?: 0) + by
+        if (n == 0) counts.remove(key) else counts[key] = n
+    }
+
+    private companion object {
+        /** Tolerates the rounding of decimal fractions in a sum. */
+        const val ROUNDING = 1e-9
+    }
+}
