--- /dev/null
+++ b/cli/src/main/kotlin/io/greengageport/cli/CheckCommand.kt
@@ -0,0 +1,68 @@
+package io.greengageport.cli
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import io.greengageport.settings.KeyHash
+import io.greengageport.settings.SettingsFile
+import io.greengageport.settings.SettingsPath
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+
+/** Checks a settings file and reports all errors at once. */
+@Command(
+    name = "check",
+    description = ["Checks a settings file; reports every error with its line and path."],
+    mixinStandardHelpOptions = true
+)
+internal class CheckCommand : Callable<Int> {
+    @Parameters(paramLabel = "FILE", description = ["Settings (YAML): a tree or a subtree."])
+    lateinit var file: Path
+
+    @Option(names = ["--path"], defaultValue = "", description = ["Where the file's content lies."])
+    lateinit var path: String
+
+    @Option(names = ["--json"], description = ["Prints JSON."])
+    var json: Boolean = false
+
+    override fun call(): Int {
+        val text = try {
+            Files.readString(file)
+        } catch (e: IOException) {
+            System.err.println("$file cannot be read: $e")
+            return ExitCodes.BAD_FILE
+        }
+        return SettingsFile.parse(text, SettingsPath(path.trim('/'))).fold(
+            success = {
+                if (json) println("[]") else println("$file: ${it.size} documents, no errors")
+                ExitCodes.OK
+            },
+            failure = { problems ->
+                if (json) printJson(problems) else problems.forEach { println("$file: $it") }
+                ExitCodes.BAD_FILE
+            }
+        )
+    }
+}
+
+/** Prints the hash of a key read from standard input, for `keyHashes` in settings. */
+@Command(
+    name = "key-hash",
+    description = ["Reads a key from standard input and prints its SHA-256 for keyHashes."],
+    mixinStandardHelpOptions = true
+)
+internal class KeyHashCommand : Callable<Int> {
+    override fun call(): Int {
+        val key = readlnOrNull()?.trim().orEmpty()
+        if (key.isEmpty()) {
+            System.err.println("no key on standard input")
+            return ExitCodes.FAILED
+        }
+        println(KeyHash.of(key))
+        return ExitCodes.OK
+    }
+}
--- a/cli/src/main/kotlin/io/greengageport/cli/Main.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/Main.kt
@@ -1,6 +1,60 @@
 package io.greengageport.cli
 
+import kotlin.system.exitProcess
+import picocli.AutoComplete
+import picocli.CommandLine
+import picocli.CommandLine.Command
+
+/** The greengageport program: an entry instance and the operators' commands. */
+@Command(
+    name = "greengageport",
+    description = ["Router for model pipelines over mixed accelerators and for plain services."],
+    mixinStandardHelpOptions = true,
+    versionProvider = VersionProvider::class,
+    subcommands = [
+        RunCommand::class,
+        CheckCommand::class,
+        SettingsCommand::class,
+        StatusCommand::class,
+        DrainCommand::class,
+        ExplainCommand::class,
+        KeyHashCommand::class,
+        AutoComplete.GenerateCompletion::class
+    ],
+    exitCodeListHeading = "Exit codes:%n",
+    exitCodeList = [
+        "0:success",
+        "1:the program failed",
+        "2:wrong command line",
+        "3:a settings file has errors",
+        "4:the instance cannot be reached or refuses the key",
+        "5:the change was rejected",
+        "6:the fate of the change is not known yet",
+        "7:nothing was published, the log is not available",
+        "8:nothing found"
+    ]
+)
+internal class Program
+
+/** The exit codes of the commands. */
+internal object ExitCodes {
+    const val OK = 0
+    const val FAILED = 1
+    const val BAD_FILE = 3
+    const val UNREACHABLE = 4
+    const val REJECTED = 5
+    const val UNDECIDED = 6
+    const val NOT_PUBLISHED = 7
+    const val NOT_FOUND = 8
+}
+
+/** Reads the version from the jar's manifest. */
+internal class VersionProvider : CommandLine.IVersionProvider {
+    override fun getVersion(): Array<String> =
+        arrayOf("greengageport ${Program::class.java.`package`.implementationVersion ?: "dev"}")
+}
+
 /** Entry point of the program. */
 public fun main(args: Array<String>) {
-    println(args.size)
+    exitProcess(CommandLine(Program()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
 }
--- /dev/null
+++ b/cli/src/main/kotlin/io/greengageport/cli/RunCommand.kt
@@ -0,0 +1,55 @@
+package io.greengageport.cli
+
+import com.github.michaelbull.result.getOrElse
+import io.greengageport.entry.ConfigError
+import io.greengageport.entry.EntryInstance
+import io.greengageport.entry.InstanceConfig
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import kotlinx.coroutines.runBlocking
+import org.tinylog.kotlin.Logger
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+
+/** Runs an entry instance until SIGTERM, which starts a graceful shutdown. */
+@Command(
+    name = "run",
+    description = ["Runs an entry instance; SIGTERM starts a graceful shutdown."],
+    mixinStandardHelpOptions = true
+)
+internal class RunCommand : Callable<Int> {
+    @Parameters(paramLabel = "FILE", description = ["The instance's settings file (YAML)."])
+    lateinit var file: Path
+
+    override fun call(): Int {
+        val config = InstanceConfig.load(file).getOrElse {
+            System.err.println(describe(it))
+            return ExitCodes.BAD_FILE
+        }
+        val instance = EntryInstance(config)
+        val at = runBlocking { instance.start() }.getOrElse {
+            Logger.error("entry: cannot start: $it")
+            return ExitCodes.FAILED
+        }
+        println("listening ${at.callers} admin ${at.admin} peers ${at.peers}")
+        System.out.flush()
+        val ended = CountDownLatch(1)
+        Runtime.getRuntime().addShutdownHook(
+            Thread {
+                runBlocking { instance.drain() }
+                ended.await()
+            }
+        )
+        runBlocking { instance.awaitDrained() }
+        instance.close()
+        ended.countDown()
+        return ExitCodes.OK
+    }
+
+    private fun describe(e: ConfigError): String = when (e) {
+        is ConfigError.Unreadable -> "${e.path}: cannot be read: ${e.reason}"
+        is ConfigError.Malformed -> "${e.path}: line ${e.line}: ${e.reason}"
+        is ConfigError.Invalid -> "$file: ${e.reason}"
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -0,0 +1,195 @@
+package io.greengageport.entry
+
+import io.greengageport.common.Clock
+import io.greengageport.common.Gossip
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.platform.InstanceListing
+import io.greengageport.platform.ListedRunner
+import io.greengageport.platform.ListedState
+import io.greengageport.platform.LoadReport
+import io.greengageport.routing.Fingerprint
+import io.greengageport.routing.Fleet
+import io.greengageport.routing.LinkEstimator
+import io.greengageport.routing.LoadEstimator
+import io.greengageport.routing.OutlierDetector
+import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.Runner
+import io.greengageport.routing.RunnerLoad
+import io.greengageport.routing.SuspectRequests
+import io.greengageport.routing.SuspectState
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.tinylog.kotlin.Logger
+
+/**
+ * All that this instance knows of backend servers, from the instance list, the load reports, its
+ * own observations and gossip. Own observations and gossip go before the lagging list.
+ */
+internal class BackendFleet(
+    private val clock: Clock,
+    private val gossip: Gossip,
+    val fleet: Fleet,
+    val loads: LoadEstimator,
+    val links: LinkEstimator,
+    val prefixes: PrefixIndex,
+    val outliers: OutlierDetector,
+    val suspects: SuspectRequests
+) {
+    private val listed = ConcurrentHashMap<RunnerId, ListedRunner>()
+    private val reports = ConcurrentHashMap<RunnerId, LoadReport>()
+
+    /** Addresses of runners that were seen leaving; a runner that comes back has a new one. */
+    private val leaving = ConcurrentHashMap<RunnerId, String>()
+    private val joinedAt = ConcurrentHashMap<RunnerId, Long>()
+
+    @Volatile
+    private var hasListing = false
+
+    /** Whether the instance list was read at least once. */
+    val isKnown: Boolean get() = hasListing
+
+    fun start() {
+        gossip.subscribe(LEAVING_TOPIC) { key, _, payload ->
+            noteLeaving(RunnerId(key), payload.decodeToString())
+        }
+        gossip.subscribe(SUSPECT_TOPIC) { _, _, payload ->
+            decodeSuspect(payload)?.let { suspects.merge(it) }?.let(::publish)
+        }
+    }
+
+    /** Takes in the instance list. */
+    @Synchronized
+    fun onListing(listing: InstanceListing) {
+        val ids = listing.runners.map { it.id }.toSet()
+        for (id in listed.keys - ids) forget(id)
+        for (r in listing.runners) {
+            val before = listed.put(r.id, r)
+            if (before == null && hasListing) joinedAt[r.id] = clock.monotonicMillis()
+            if (before != null && before.address != r.address) {
+                leaving.remove(r.id, before.address)
+                joinedAt[r.id] = clock.monotonicMillis()
+            }
+            if (r.state == ListedState.LEAVING) markLeaving(r.id, r.address)
+            refresh(r.id)
+        }
+        hasListing = true
+    }
+
+    /** Takes in the load reports. */
+    @Synchronized
+    fun onLoads(all: List<LoadReport>) {
+        for (l in all) {
+            val before = reports.put(l.runner, l)
+            if (before == l) continue
+            loads.report(
+                RunnerLoad(
+                    l.runner,
+                    l.reportedAtMillis,
+                    l.queuedTokens.toDouble(),
+                    l.tokensPerSecond,
+                    l.bootId
+                )
+            )
+            suspects.bootId(l.runner, l.bootId, l.reportedAtMillis).forEach(::publish)
+            val address = listed[l.runner]?.address
+            if (l.leaving && address != null) markLeaving(l.runner, address)
+            refresh(l.runner)
+        }
+    }
+
+    /** The runner at [address] was seen leaving by this instance. */
+    fun markLeaving(runner: RunnerId, address: String) {
+        if (!noteLeaving(runner, address)) return
+        gossip.publish(LEAVING_TOPIC, runner.value, clock.wallMillis(), address.encodeToByteArray())
+    }
+
+    /** Publishes what is known of a suspect request. */
+    fun publish(state: SuspectState) {
+        Logger.warn("routing: suspect request ${state.fingerprint} marks=${state.marks.size}")
+        val bytes = cbor.encodeToByteArray(state)
+        gossip.publish(SUSPECT_TOPIC, state.fingerprint.value, state.version, bytes)
+    }
+
+    /** The newest load report of [runner], or null. */
+    fun report(runner: RunnerId): LoadReport? = reports[runner]
+
+    /** Reports of the runners of [service]. */
+    fun reports(service: ServiceName): List<LoadReport> =
+        reports.values.filter { it.service == service && listed.containsKey(it.runner) }
+
+    /** All listed runners, sorted by id. */
+    fun all(): List<ListedRunner> = listed.values.sortedBy { it.id }
+
+    /** Whether [runner] gets no new work because it is leaving. */
+    fun isLeaving(runner: RunnerId): Boolean = leaving[runner] == listed[runner]?.address &&
+        leaving.containsKey(runner)
+
+    /** Applies the outlier rules to all services. */
+    fun evaluateOutliers(services: List<ServiceName>) {
+        for (s in services) {
+            outliers.evaluate(fleet.service(s)).forEach { Logger.info(it.logLine()) }
+        }
+        suspects.expire()
+    }
+
+    private fun noteLeaving(runner: RunnerId, address: String): Boolean {
+        if (leaving.put(runner, address) == address) return false
+        Logger.info("routing: runner=$runner is leaving, no new work")
+        suspects.leaving(runner)
+        refresh(runner)
+        return true
+    }
+
+    private fun refresh(id: RunnerId) {
+        val l = listed[id] ?: return
+        val report = reports[id]
+        val rate = report?.tokensPerSecond?.takeIf { it > 0 }
+        fleet.put(
+            Runner(
+                id = id,
+                service = l.service,
+                dataCentre = l.dataCentre,
+                layers = report?.layers ?: l.layers,
+                tokensPerSecond = rate ?: Runner.DEFAULT_RATE,
+                joinedAtMillis = joinedAt[id],
+                address = l.address,
+                bootId = report?.bootId.orEmpty(),
+                version = report?.version.orEmpty(),
+                leaving = l.state == ListedState.LEAVING || leaving[id] == l.address
+            )
+        )
+    }
+
+    private fun forget(id: RunnerId) {
+        listed.remove(id)
+        reports.remove(id)
+        leaving.remove(id)
+        joinedAt.remove(id)
+        fleet.remove(id)
+        loads.forget(id)
+        links.forget(id)
+        prefixes.forget(id)
+        outliers.forget(id)
+        suspects.forget(id)
+        Logger.info("routing: runner=$id left the instance list")
+    }
+
+    private fun decodeSuspect(payload: ByteArray): SuspectState? = try {
+        cbor.decodeFromByteArray<SuspectState>(payload)
+    } catch (e: IllegalArgumentException) {
+        Logger.warn("routing: ignored a malformed suspect state")
+        null
+    }
+
+    /** Whether requests with [fingerprint] may run. */
+    fun verdict(fingerprint: Fingerprint) = suspects.verdict(fingerprint)
+
+    private companion object {
+        const val LEAVING_TOPIC = "runner-leaving"
+        const val SUSPECT_TOPIC = "suspect-requests"
+        val cbor = Cbor { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -0,0 +1,238 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.greengageport.common.Clock
+import io.greengageport.common.RequestError
+import io.greengageport.common.RequestId
+import io.greengageport.routing.Fingerprint
+import io.greengageport.settings.SettingsView
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.contentLength
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.utils.io.readRemaining
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlinx.io.readByteArray
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.tinylog.kotlin.Logger
+
+/** The parts that the caller port uses. */
+internal class CallerParts(
+    val clock: Clock,
+    val gate: RequestGate,
+    val view: () -> SettingsView,
+    val admissions: Admissions,
+    val models: ModelPath,
+    val plains: PlainPath,
+    val bounds: BoundsConfig,
+    val metrics: EntryMetrics,
+    val isReady: () -> Boolean
+)
+
+/** The HTTP port towards callers: model completions and plain services. */
+internal class CallerServer(private val parts: CallerParts) {
+    private val inFlight = AtomicInteger()
+
+    /** Requests that are being worked on. */
+    val requestsInFlight: Int get() = inFlight.get()
+
+    fun routes(route: Route): Unit = with(route) {
+        post("/v1/completions") { serve(call) { completion(call, it, CompletionForm.TEXT) } }
+        post("/v1/chat/completions") { serve(call) { completion(call, it, CompletionForm.CHAT) } }
+        get("/v1/models") { serve(call) { models(call) } }
+        route("/services/{service}/{path...}") {
+            handle { serve(call) { plain(call, it) } }
+        }
+    }
+
+    /** Counts the request and answers with the error that [action] returns. */
+    private suspend fun serve(call: ApplicationCall, action: suspend (RequestId) -> RequestError?) {
+        val id = RequestId.random(Random.Default)
+        call.response.header(CallerHeaders.REQUEST_ID, id.value)
+        val running = inFlight.incrementAndGet()
+        parts.metrics.inFlight.set(running.toDouble())
+        try {
+            val error = when {
+                !parts.isReady() ->
+                    RequestError.NotServing("this instance takes no requests", RETRY_MILLIS)
+
+                running > parts.bounds.maxRequests ->
+                    RequestError.Overloaded("too many requests at this instance", RETRY_MILLIS)
+
+                else -> action(id)
+            }
+            if (error != null) refuse(call, id, error)
+        } finally {
+            parts.metrics.inFlight.set(inFlight.decrementAndGet().toDouble())
+        }
+    }
+
+    private suspend fun completion(
+        call: ApplicationCall,
+        id: RequestId,
+        form: CompletionForm
+    ): RequestError? {
+        val body = body(call).getOrElse { return it }
+        val parsed = CompletionFormat.parse(form, body.decodeToString()).getOrElse { return it }
+        val context = parts.gate.open(id, parsed.model, headers(call)).getOrElse { return it }
+        if (context.service.settings.model == null) {
+            return RequestError.Invalid("'${parsed.model}' is a plain service, not a model")
+        }
+        val exchange = CompletionExchange(parts, call, parsed, context)
+        val promptTokens = exchange.promptTokens
+        val admission = parts.admissions.of(context.service, parts.view())
+        val permit = admission.admit(context, promptTokens + parsed.maxTokens, parsed.maxTokens)
+            .getOrElse { return counted(context, it) }
+        val result = try {
+            exchange.run(
+                admission,
+                permit,
+                Fingerprint.of(context.organisation.name, context.service.name, body)
+            )
+        } finally {
+            permit.release((promptTokens + exchange.delivered).toLong())
+        }
+        return result?.let { counted(context, it) } ?: run {
+            count(context, "ok")
+            null
+        }
+    }
+
+    private suspend fun plain(call: ApplicationCall, id: RequestId): RequestError? {
+        val service = call.parameters["service"].orEmpty()
+        val context = parts.gate.open(id, service, headers(call)).getOrElse { return it }
+        val settings = context.service.settings.plain
+            ?: return RequestError.Invalid("'$service' is a model; use /v1/completions")
+        val method = call.request.httpMethod.value
+        val target = call.request.uri.removePrefix("/services/$service").ifEmpty { "/" }
+        val key = if (settings.isNonIdempotent(method, target)) {
+            CallerHeaders.callKey(
+                call.request.headers[CallerHeaders.IDEMPOTENCY_KEY],
+                call.request.headers[CallerHeaders.ISSUED_AT]
+            ).getOrElse { return counted(context, it) }
+        } else {
+            null
+        }
+        val body = body(call).getOrElse { return counted(context, it) }
+        val admission = parts.admissions.of(context.service, parts.view())
+        val permit = admission.admit(context, tokens = 1, output = 0)
+            .getOrElse { return counted(context, it) }
+        admission.started()
+        val answer = try {
+            parts.plains.run(
+                PlainCall(context, method, target, forwardedHeaders(call), body, key)
+            )
+        } finally {
+            admission.ended()
+            permit.release(1)
+        }.getOrElse { return counted(context, it) }
+        respond(call, id, answer)
+        count(context, "ok")
+        return null
+    }
+
+    private suspend fun respond(call: ApplicationCall, id: RequestId, a: PlainAnswer) {
+        call.response.header(CallerHeaders.EXECUTION, "ran")
+        if (a.replayed) call.response.header(CallerHeaders.REPLAYED, "true")
+        for ((name, values) in a.headers) {
+            if (!name.equals(HttpHeaders.ContentType, ignoreCase = true)) {
+                values.forEach { call.response.header(name, it) }
+            }
+        }
+        val type = a.headers.entries
+            .firstOrNull { it.key.equals(HttpHeaders.ContentType, ignoreCase = true) }
+            ?.value?.firstOrNull()?.let { ContentType.parse(it) }
+        val status = HttpStatusCode.fromValue(a.status)
+        if (a.bodyKept) {
+            call.respondBytes(a.body, type, status)
+        } else {
+            val text = """{"error":{"code":"outcome_body_not_kept","execution":"ran",""" +
+                """"message":"the call ran; its answer was too large to keep",""" +
+                """"request_id":"$id"}}"""
+            call.respondText(text, ContentType.Application.Json, status)
+        }
+    }
+
+    private suspend fun models(call: ApplicationCall): RequestError? {
+        val names = parts.view().services.filter { it.settings.model != null }
+            .joinToString(",") { """{"id":"${it.name}","object":"model"}""" }
+        call.respondText("""{"object":"list","data":[$names]}""", ContentType.Application.Json)
+        return null
+    }
+
+    private fun headers(call: ApplicationCall) = RequestHeaders(
+        authorization = call.request.headers[HttpHeaders.Authorization],
+        rank = call.request.headers[CallerHeaders.RANK],
+        deadline = call.request.headers[CallerHeaders.DEADLINE]
+    )
+
+    /** The caller's credentials stay here; backend servers see the organisation's name instead. */
+    private fun forwardedHeaders(call: ApplicationCall): Map<String, List<String>> =
+        call.request.headers.entries()
+            .filter { it.key.lowercase() !in PlainClient.HOP_BY_HOP }
+            .filter { !it.key.equals(HttpHeaders.Authorization, ignoreCase = true) }
+            .associate { it.key to it.value }
+
+    private suspend fun body(call: ApplicationCall): Result<ByteArray, RequestError> {
+        val limit = parts.bounds.maxBodyBytes
+        if ((call.request.contentLength() ?: 0) > limit) return Err(RequestError.TooLarge(limit))
+        val headerBytes = call.request.headers.entries()
+            .sumOf { (name, values) -> values.sumOf { name.length + it.length } }
+        if (headerBytes > parts.bounds.maxHeaderBytes) {
+            return Err(RequestError.TooLarge(parts.bounds.maxHeaderBytes))
+        }
+        val bytes = call.receiveChannel().readRemaining(limit + 1).readByteArray()
+        return if (bytes.size > limit) Err(RequestError.TooLarge(limit)) else Ok(bytes)
+    }
+
+    private fun counted(c: RequestContext, e: RequestError): RequestError {
+        count(c, e.code)
+        return e
+    }
+
+    private fun count(c: RequestContext, code: String) {
+        parts.metrics.requests
+            .labelValues(c.service.name.value, c.rank.name.value, c.sizeClass, code)
+            .inc()
+    }
+
+    private suspend fun refuse(call: ApplicationCall, id: RequestId, e: RequestError) {
+        Logger.info("entry: request=$id refused code=${e.code} execution=${e.execution.wireName}")
+        if (call.response.isCommitted) return
+        call.response.header(CallerHeaders.EXECUTION, e.execution.wireName)
+        e.retryAfterMillis?.let {
+            val seconds = (it + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
+            call.response.header(HttpHeaders.RetryAfter, maxOf(1, seconds).toString())
+        }
+        call.respondText(
+            ErrorBody.text(e, id),
+            ContentType.Application.Json,
+            HttpStatusCode.fromValue(e.status)
+        )
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 1_000L
+        const val MILLIS_PER_SECOND = 1_000L
+    }
+}
+
+internal val entryJson: Json = Json { ignoreUnknownKeys = true }
+
+internal inline fun <reified T> T.toJson(): String = entryJson.encodeToString(this)
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/CompletionFormat.kt
@@ -0,0 +1,141 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.greengageport.common.RequestError
+import io.greengageport.common.RequestId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+
+/** The two forms of completion calls. */
+internal enum class CompletionForm(val streamObject: String, val answerObject: String) {
+    TEXT("text_completion", "text_completion"),
+    CHAT("chat.completion.chunk", "chat.completion")
+}
+
+/** A completion call after parsing, the same for both forms. */
+internal data class CompletionCall(
+    val form: CompletionForm,
+    val model: String,
+    val prompt: String,
+    val maxTokens: Int,
+    val stream: Boolean
+)
+
+/** Reads and writes the completions formats that callers' client libraries speak. */
+internal object CompletionFormat {
+    private const val DEFAULT_MAX_TOKENS = 64
+    private const val MAX_MAX_TOKENS = 32_768
+    private val json = Json { ignoreUnknownKeys = true }
+
+    @Serializable
+    private data class Message(val role: String = "user", val content: JsonElement? = null)
+
+    @Serializable
+    private data class Body(
+        val model: String,
+        val prompt: JsonElement? = null,
+        val messages: List<Message> = emptyList(),
+        @SerialName("max_tokens") val maxTokens: Int? = null,
+        @SerialName("max_completion_tokens") val maxCompletionTokens: Int? = null,
+        val stream: Boolean = false,
+        val n: Int = 1
+    )
+
+    fun parse(form: CompletionForm, text: String): Result<CompletionCall, RequestError> {
+        val body = try {
+            json.decodeFromString<Body>(text)
+        } catch (e: SerializationException) {
+            val line = e.message.orEmpty().lineSequence().first()
+            return Err(RequestError.Invalid("the body is not a completion call: $line"))
+        }
+        val prompt = when (form) {
+            CompletionForm.TEXT -> textOf(body.prompt)
+            CompletionForm.CHAT -> chatPrompt(body.messages)
+        }
+        val tokens = body.maxCompletionTokens ?: body.maxTokens ?: DEFAULT_MAX_TOKENS
+        return when {
+            prompt.isNullOrEmpty() -> Err(RequestError.Invalid("the prompt is missing or empty"))
+
+            tokens !in 1..MAX_MAX_TOKENS ->
+                Err(RequestError.Invalid("max_tokens is from 1 to $MAX_MAX_TOKENS, not $tokens"))
+
+            body.n != 1 -> Err(RequestError.Invalid("n is 1; other values are not offered"))
+
+            else -> Ok(CompletionCall(form, body.model, prompt, tokens, body.stream))
+        }
+    }
+
+    private fun chatPrompt(messages: List<Message>): String? =
+        messages.mapNotNull { m -> textOf(m.content)?.let { "${m.role}: $it" } }
+            .joinToString("\n")
+            .ifEmpty { null }
+
+    private fun textOf(e: JsonElement?): String? = when (e) {
+        is JsonPrimitive -> e.contentOrNull
+
+        is JsonArray -> e.mapNotNull { part ->
+            if (part is JsonObject) textOf(part["text"]) else textOf(part)
+        }.joinToString("\n")
+
+        else -> null
+    }
+
+    /** One server-sent event with the token [text]; [finish] is null but on the last one. */
+    fun event(id: RequestId, call: CompletionCall, created: Long, text: String, finish: String?) =
+        buildString(EVENT_SIZE) {
+            append("data: {\"id\":\"").append(id.value)
+            append("\",\"object\":\"").append(call.form.streamObject)
+            append("\",\"created\":").append(created)
+            append(",\"model\":").append(quote(call.model))
+            append(",\"choices\":[{\"index\":0,")
+            when (call.form) {
+                CompletionForm.TEXT -> append("\"text\":").append(quote(text))
+
+                CompletionForm.CHAT ->
+                    append("\"delta\":{\"content\":").append(quote(text)).append('}')
+            }
+            append(",\"finish_reason\":").append(if (finish == null) "null" else quote(finish))
+            append("}]}\n\n")
+        }
+
+    /** The whole answer of a call that does not stream. */
+    fun answer(id: RequestId, call: CompletionCall, created: Long, text: String, usage: Usage) =
+        buildString {
+            append("{\"id\":\"").append(id.value)
+            append("\",\"object\":\"").append(call.form.answerObject)
+            append("\",\"created\":").append(created)
+            append(",\"model\":").append(quote(call.model))
+            append(",\"choices\":[{\"index\":0,")
+            when (call.form) {
+                CompletionForm.TEXT -> append("\"text\":").append(quote(text))
+
+                CompletionForm.CHAT ->
+                    append("\"message\":{\"role\":\"assistant\",\"content\":")
+                        .append(quote(text)).append('}')
+            }
+            append(",\"finish_reason\":\"length\"}],\"usage\":")
+            append(json.encodeToString(usage)).append('}')
+        }
+
+    private fun quote(text: String): String = json.encodeToString(text)
+
+    private const val EVENT_SIZE = 224
+}
+
+/** Token counts of an answer. */
+@Serializable
+internal data class Usage(
+    @SerialName("prompt_tokens") val promptTokens: Int,
+    @SerialName("completion_tokens") val completionTokens: Int,
+    @SerialName("total_tokens") val totalTokens: Int = promptTokens + completionTokens
+)
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
@@ -0,0 +1,180 @@
+package io.greengageport.entry
+
+import io.greengageport.common.Clock
+import io.greengageport.common.RequestId
+import io.greengageport.platform.CancelRequest
+import io.greengageport.platform.GenerateRequest
+import io.greengageport.platform.TokenFrame
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.HttpStatusCode
+import io.ktor.utils.io.readLine
+import java.io.IOException
+import java.net.ConnectException
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.coroutines.cancellation.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+
+/** How a stream of token frames ended. */
+internal sealed interface StreamEnd {
+    /** The consumer took what it needed. */
+    data object Finished : StreamEnd
+
+    /** The first stage refused the request; it did not run. */
+    data class Refused(val leaving: Boolean, val status: Int) : StreamEnd
+
+    /** No connection to the first stage; the request did not run. */
+    data class Unreachable(val reason: String) : StreamEnd
+
+    /** The stream broke or ended before the last token. */
+    data class Broken(val reason: String) : StreamEnd
+
+    /** No frame came within the timeout. */
+    data class Silent(val millis: Long) : StreamEnd
+
+    /** A frame could not be decoded. */
+    data class Malformed(val reason: String) : StreamEnd
+}
+
+/** Times that bound the wait for frames, in milliseconds. */
+internal data class StreamTimes(
+    val connectMillis: Long,
+    val firstFrameMillis: Long,
+    val frameMillis: Long
+)
+
+/** Speaks the engine protocol to the first stage of a chain. */
+internal class EngineClient(
+    private val client: HttpClient,
+    private val clock: Clock,
+    private val background: CoroutineScope
+) {
+    private class SilentStream(val millis: Long) : CancellationException("no frame in time")
+
+    /** When the present wait for a frame began and how long it may last. */
+    private class FrameWait(clock: Clock, limitMillis: Long) {
+        val since = AtomicLong(clock.monotonicMillis())
+
+        @Volatile
+        var limit = limitMillis
+    }
+
+    /**
+     * Streams the frames of [generate] to [onFrame], which returns false to stop the stream.
+     *
+     * Time that [onFrame] takes does not count as silence, so a slow caller slows the engine down
+     * instead of ending the attempt.
+     */
+    suspend fun stream(
+        generate: GenerateRequest,
+        times: StreamTimes,
+        onFrame: suspend (TokenFrame) -> Boolean
+    ): StreamEnd = coroutineScope {
+        val wait = FrameWait(clock, times.firstFrameMillis)
+        val exchange = async { exchange(generate, times, wait, onFrame) }
+        val guard = launch {
+            while (true) {
+                delay(GUARD_PERIOD_MILLIS)
+                if (clock.monotonicMillis() - wait.since.get() > wait.limit) {
+                    exchange.cancel(SilentStream(wait.limit))
+                    break
+                }
+            }
+        }
+        try {
+            exchange.await()
+        } catch (e: SilentStream) {
+            StreamEnd.Silent(e.millis)
+        } finally {
+            guard.cancel()
+        }
+    }
+
+    private suspend fun exchange(
+        generate: GenerateRequest,
+        times: StreamTimes,
+        wait: FrameWait,
+        onFrame: suspend (TokenFrame) -> Boolean
+    ): StreamEnd = try {
+        client.preparePost("http://${generate.route.first().address}/v1/generate") {
+            timeout { connectTimeoutMillis = times.connectMillis }
+            setBody(json.encodeToString(generate))
+        }.execute { response ->
+            if (response.status == HttpStatusCode.OK) {
+                frames(response, times, wait, onFrame)
+            } else {
+                val leaving = response.headers[LEAVING_HEADER] == "true"
+                StreamEnd.Refused(leaving, response.status.value)
+            }
+        }
+    } catch (e: ConnectException) {
+        StreamEnd.Unreachable(e.toString())
+    } catch (e: io.ktor.client.network.sockets.ConnectTimeoutException) {
+        StreamEnd.Unreachable(e.toString())
+    } catch (e: IOException) {
+        StreamEnd.Broken(e.toString())
+    } catch (e: SerializationException) {
+        StreamEnd.Malformed(e.toString())
+    } catch (e: SilentStream) {
+        throw e
+    } catch (e: CancellationException) {
+        currentCoroutineContext().ensureActive()
+        StreamEnd.Broken(e.toString())
+    }
+
+    private suspend fun frames(
+        response: HttpResponse,
+        times: StreamTimes,
+        wait: FrameWait,
+        onFrame: suspend (TokenFrame) -> Boolean
+    ): StreamEnd {
+        val channel = response.bodyAsChannel()
+        while (true) {
+            val line = channel.readLine() ?: return StreamEnd.Broken("the stream ended early")
+            wait.since.set(Long.MAX_VALUE)
+            val frame = json.decodeFromString<TokenFrame>(line)
+            if (!onFrame(frame)) {
+                channel.cancel(null)
+                return StreamEnd.Finished
+            }
+            wait.limit = times.frameMillis
+            wait.since.set(clock.monotonicMillis())
+        }
+    }
+
+    /** Tells the engine at [address] to stop [request], without waiting for the answer. */
+    fun cancel(address: String, request: RequestId) {
+        background.launch {
+            try {
+                client.post("http://$address/v1/cancel") {
+                    timeout { requestTimeoutMillis = CANCEL_TIMEOUT_MILLIS }
+                    setBody(json.encodeToString(CancelRequest(request)))
+                }
+            } catch (e: IOException) {
+                // The engine also stops when the stream's connection closes.
+            }
+        }
+    }
+
+    companion object {
+        /** Header by which a backend server tells that it is leaving. */
+        const val LEAVING_HEADER = "Greengage-Leaving"
+        private const val GUARD_PERIOD_MILLIS = 50L
+        private const val CANCEL_TIMEOUT_MILLIS = 1_000L
+        private val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -0,0 +1,379 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onSuccess
+import io.greengageport.common.Clock
+import io.greengageport.common.OrganisationName
+import io.greengageport.common.SystemClock
+import io.greengageport.ledger.OrderLedger
+import io.greengageport.limits.OrganisationLimits
+import io.greengageport.limits.OrganisationPolicy
+import io.greengageport.limits.UsageAggregator
+import io.greengageport.limits.UsageReporter
+import io.greengageport.membership.PeerNode
+import io.greengageport.membership.PeerSettings
+import io.greengageport.membership.StartError
+import io.greengageport.platform.HttpLogService
+import io.greengageport.platform.HttpPlatform
+import io.greengageport.platform.ListedInstance
+import io.greengageport.platform.ListedState
+import io.greengageport.routing.ChainPlanner
+import io.greengageport.routing.CostModel
+import io.greengageport.routing.FirstFit
+import io.greengageport.routing.Fleet
+import io.greengageport.routing.LeastQueue
+import io.greengageport.routing.LinkEstimator
+import io.greengageport.routing.LoadEstimator
+import io.greengageport.routing.OutlierDetector
+import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.RetryBudget
+import io.greengageport.routing.ShortestChain
+import io.greengageport.routing.SuspectRequests
+import io.greengageport.settings.SettingsPublisher
+import io.greengageport.settings.SettingsStore
+import io.ktor.network.selector.SelectorManager
+import io.ktor.server.engine.EmbeddedServer
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
+
+/** The addresses that an instance got. */
+public data class BoundAddresses(val callers: HostPort, val admin: HostPort, val peers: HostPort)
+
+/**
+ * One entry instance: everything between callers and backend servers in one process.
+ *
+ * ```
+ * val instance = EntryInstance(config)
+ * instance.start()
+ * instance.drain()
+ * ```
+ */
+public class EntryInstance(
+    private val config: InstanceConfig,
+    private val clock: Clock = SystemClock,
+    private val random: Random = Random.Default
+) {
+    private val scope = CoroutineScope(
+        SupervisorJob() + Dispatchers.Default +
+            CoroutineExceptionHandler { _, e -> Logger.error(e, "entry: a task failed") }
+    )
+    private val clients = HttpClients()
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val metrics = EntryMetrics()
+    private val decisions = DecisionLog(clock)
+    private val log = HttpLogService(clients.platform, config.platform)
+    private val platform = HttpPlatform(clients.platform, config.platform)
+    private val node = PeerNode(peerSettings(config), config.peerSecret.encodeToByteArray(), clock)
+    private val store = SettingsStore(log, node, node, node, node, clock, random = random)
+    private val publisher = SettingsPublisher(log, { store.state }, clock, random = random)
+    private val ledger = OrderLedger(log, config.instance, node, node, clock, random)
+    private val backends = BackendFleet(
+        clock,
+        node,
+        Fleet(),
+        LoadEstimator(),
+        LinkEstimator(),
+        PrefixIndex(),
+        OutlierDetector(clock),
+        SuspectRequests(clock)
+    )
+    private val reporter = UsageReporter(config.instance, ::policyOf)
+    private val limits = OrganisationLimits(::policyOf, reporter)
+    private val usage = UsageExchange(
+        clock,
+        node,
+        node,
+        limits,
+        reporter,
+        UsageAggregator(::policyOf)
+    )
+    private val admissions =
+        Admissions(clock, scope, backends, limits, config.policies, metrics, decisions)
+    private val probe = RunnerProbe(clients.probe, config.times.connectTimeoutMillis)
+    private val placement = PlacementService(
+        clock,
+        log,
+        config,
+        backends,
+        { store.view.value },
+        clients.backend,
+        random
+    )
+    private val caller = newCallerServer()
+    private val adminAddresses = ConcurrentHashMap<String, String>()
+    private val servers = mutableListOf<EmbeddedServer<*, *>>()
+    private val isDraining = AtomicBoolean()
+    private val drained = CompletableDeferred<Unit>()
+
+    @Volatile
+    private var acceptsRequests = true
+
+    /** Listens, joins the other instances and begins to follow the platform. */
+    public suspend fun start(): Result<BoundAddresses, StartError> {
+        usage.register(node)
+        val peers = node.start().getOrElse { return Err(it) }
+        backends.start()
+        node.subscribe(ADMIN_TOPIC) { key, _, payload ->
+            adminAddresses[key] = payload.decodeToString()
+        }
+        launchTasks(HostPort.parse(peers))
+        val admin = AdminServer(
+            AdminParts(
+                view = { store.view.value },
+                publisher = publisher,
+                decisions = decisions,
+                metrics = metrics,
+                status = ::status,
+                drain = { scope.launch { drain() } },
+                adminKeyHash = config.adminKeyHash
+            )
+        )
+        val (adminServer, adminAt) = startServer(config.listen.admin, config.bounds) {
+            admin.routes(this)
+        }
+        val (callerServer, callersAt) = startServer(config.listen.callers, config.bounds) {
+            caller.routes(this)
+        }
+        servers += listOf(callerServer, adminServer)
+        scope.launch { announceAdmin(adminAt) }
+        Logger.info("entry: instance=${config.instance} serves callers at $callersAt")
+        return Ok(BoundAddresses(callersAt, adminAt, HostPort.parse(peers)))
+    }
+
+    /**
+     * Stops gracefully: unready at once, no new requests after the notice period, the end when all
+     * requests in flight are answered and their outcomes recorded.
+     */
+    public suspend fun drain() {
+        if (!isDraining.compareAndSet(false, true)) {
+            drained.await()
+            return
+        }
+        Logger.info("entry: instance=${config.instance} drains")
+        node.announceLeaving()
+        delay(config.times.drainNoticeMillis)
+        acceptsRequests = false
+        admissions.stopAdmitting()
+        val end = clock.monotonicMillis() + config.times.drainLimitMillis
+        while (caller.requestsInFlight > 0 &&
+            clock.monotonicMillis() < end
+        ) {
+            delay(DRAIN_POLL_MILLIS)
+        }
+        val left = caller.requestsInFlight
+        if (left > 0) Logger.warn("entry: drain limit reached with $left requests in flight")
+        if (!ledger.flush(FLUSH_LIMIT)) Logger.warn("ledger: outcomes not recorded before the stop")
+        placement.release()
+        node.leave()
+        Logger.info("entry: instance=${config.instance} is drained")
+        drained.complete(Unit)
+    }
+
+    /** Suspends until a drain, however it was started, is complete. */
+    public suspend fun awaitDrained(): Unit = drained.await()
+
+    /** Closes everything at once. */
+    public fun close() {
+        scope.cancel()
+        node.stop()
+        servers.forEach { it.stop(0, 0) }
+        clients.close()
+        selector.close()
+    }
+
+    private fun newCallerServer(): CallerServer {
+        val costs = CostModel(backends.loads, backends.links, backends.prefixes, clock)
+        val planner: ChainPlanner = when (config.policies.planner) {
+            PlannerPolicy.SHORTEST -> ShortestChain(costs, random)
+            PlannerPolicy.LEAST_QUEUE -> LeastQueue(costs)
+            PlannerPolicy.FIRST_FIT -> FirstFit(costs)
+        }
+        val retries = RetryBudget(clock, random, minimum = MIN_RETRIES)
+        val models = ModelPath(
+            ModelParts(
+                clock = clock,
+                dataCentre = config.dataCentre,
+                backends = backends,
+                planner = planner,
+                engines = EngineClient(clients.backend, clock, scope),
+                probe = probe,
+                retries = retries,
+                retryPolicy = config.policies.retry,
+                times = config.times,
+                decisions = decisions,
+                metrics = metrics
+            )
+        )
+        val plains = PlainPath(
+            PlainParts(
+                clock = clock,
+                dataCentre = config.dataCentre,
+                backends = backends,
+                planner = planner,
+                client = PlainClient(
+                    clients.backend,
+                    clients.once,
+                    selector,
+                    config.times.connectTimeoutMillis
+                ),
+                ledger = ledger,
+                retries = retries,
+                decisions = decisions,
+                metrics = metrics
+            )
+        )
+        return CallerServer(
+            CallerParts(
+                clock = clock,
+                gate = RequestGate(clock) { store.view.value },
+                view = { store.view.value },
+                admissions = admissions,
+                models = models,
+                plains = plains,
+                bounds = config.bounds,
+                metrics = metrics,
+                isReady = { acceptsRequests && store.ready.value }
+            )
+        )
+    }
+
+    private fun launchTasks(peers: HostPort) {
+        scope.launch { store.run() }
+        scope.launch { ledger.run() }
+        scope.launch { usage.run(scope) }
+        scope.launch { placement.run() }
+        scope.launch {
+            store.view.collect { v ->
+                admissions.onSettings(v)
+                metrics.settingsVersion.set(v.version.toDouble())
+                Logger.info("settings: version=${v.version} is in force")
+            }
+        }
+        scope.every(config.times.listPollMillis) {
+            platform.list().onSuccess { listing ->
+                backends.onListing(listing)
+                val others = listing.instances.filter { it.id != config.instance }
+                node.addSeeds(others.map { it.peerAddress })
+            }
+        }
+        scope.every(config.times.loadPollMillis) {
+            platform.latest().onSuccess { backends.onLoads(it) }
+            val v = store.view.value
+            admissions.onLoads(v, node.live().count { !it.leaving })
+            backends.evaluateOutliers(v.services.map { it.name })
+            probeEjected()
+            updateGauges()
+        }
+        scope.every(REGISTER_MILLIS) {
+            clients.register(config.platform, listed(peers))
+        }
+    }
+
+    private fun probeEjected() {
+        for (id in backends.outliers.dueProbes()) {
+            val address = backends.fleet.runner(id)?.address ?: continue
+            scope.launch {
+                val answered = probe.probe(address) is ProbeResult.Answered
+                backends.outliers.probed(id, answered)?.let { Logger.info(it.logLine()) }
+            }
+        }
+    }
+
+    private fun updateGauges() {
+        metrics.members.set(node.live().size.toDouble())
+        metrics.settingsCurrent.set(if (store.currency().current) 1.0 else 0.0)
+        val ejected = backends.outliers.ejected()
+        for ((service, runners) in backends.all().groupBy { it.service }) {
+            val states = runners.groupingBy { r -> stateOf(r.id, ejected) }.eachCount()
+            for (s in RUNNER_STATES) {
+                metrics.runners.labelValues(service.value, s).set((states[s] ?: 0).toDouble())
+            }
+        }
+    }
+
+    private suspend fun announceAdmin(address: HostPort) {
+        while (true) {
+            val bytes = address.toString().encodeToByteArray()
+            node.publish(ADMIN_TOPIC, config.instance.value, clock.wallMillis(), bytes)
+            delay(ANNOUNCE_MILLIS)
+        }
+    }
+
+    private fun listed(peers: HostPort) = ListedInstance(
+        id = config.instance,
+        peerAddress = peers.toString(),
+        dataCentre = config.dataCentre,
+        state = if (isDraining.get()) ListedState.LEAVING else ListedState.LIVE
+    )
+
+    private fun policyOf(name: OrganisationName): OrganisationPolicy? =
+        store.view.value.organisation(name)?.settings?.let {
+            OrganisationPolicy(it.weight, it.tokensPerSecond?.toDouble(), it.concurrentRequests)
+        }
+
+    private fun stateOf(id: io.greengageport.common.RunnerId, ejected: Set<*>): String = when {
+        backends.fleet.runner(id)?.leaving == true -> "leaving"
+        id in ejected -> "ejected"
+        else -> "live"
+    }
+
+    private fun status(): InstanceStatus = InstanceStatusBuilder(
+        config,
+        store,
+        node,
+        backends,
+        admissions,
+        ledger
+    ).build(
+        draining = isDraining.get(),
+        inFlight = caller.requestsInFlight,
+        adminAddresses = adminAddresses,
+        isPlacementHolder = placement.isHolder,
+        stateOf = { stateOf(it, backends.outliers.ejected()) }
+    )
+
+    private companion object {
+        const val ADMIN_TOPIC = "admin-address"
+        const val ANNOUNCE_MILLIS = 600_000L
+        const val REGISTER_MILLIS = 1_000L
+        const val DRAIN_POLL_MILLIS = 20L
+        val FLUSH_LIMIT = 10.seconds
+        val RUNNER_STATES = listOf("live", "leaving", "ejected")
+
+        /** Retries per 10 s that are allowed even when few requests arrive. */
+        const val MIN_RETRIES = 10
+
+        fun peerSettings(c: InstanceConfig): PeerSettings {
+            val at = HostPort.parse(c.listen.peers)
+            return PeerSettings(
+                id = c.instance,
+                dataCentre = c.dataCentre,
+                listenHost = at.host,
+                listenPort = at.port,
+                seeds = c.seeds
+            )
+        }
+
+        fun CoroutineScope.every(millis: Long, action: suspend () -> Unit) = launch {
+            while (isActive) {
+                action()
+                delay(millis)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/ErrorBody.kt
@@ -0,0 +1,29 @@
+package io.greengageport.entry
+
+import io.greengageport.common.RequestError
+import io.greengageport.common.RequestId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+
+/** The JSON that tells a caller of a failure. */
+@Serializable
+internal data class ErrorBody(val error: Detail) {
+    @Serializable
+    data class Detail(
+        val code: String,
+        val message: String,
+        val execution: String,
+        @SerialName("request_id") val requestId: String,
+        @SerialName("retry_after_ms") val retryAfterMillis: Long? = null
+    )
+
+    companion object {
+        private val json = Json { encodeDefaults = false }
+
+        fun text(e: RequestError, id: RequestId): String = json.encodeToString(
+            ErrorBody(Detail(e.code, e.message, e.execution.wireName, id.value, e.retryAfterMillis))
+        )
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -0,0 +1,152 @@
+package io.greengageport.entry
+
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.greengageport.common.DataCentre
+import io.greengageport.common.InstanceId
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.decodeFromString
+
+/**
+ * The settings file of one instance: its name, its addresses and where the platform is.
+ *
+ * ```yaml
+ * instance: entry-1
+ * data_centre: dc1
+ * listen: { callers: "127.0.0.1:8080", admin: "127.0.0.1:8081", peers: "127.0.0.1:8082" }
+ * platform: "http://127.0.0.1:9000"
+ * seeds: ["127.0.0.1:8182"]
+ * peer_secret: "from the platform's secret store"
+ * ```
+ */
+@Serializable
+public data class InstanceConfig(
+    val instance: InstanceId,
+    @SerialName("data_centre") val dataCentre: DataCentre,
+    val listen: ListenConfig,
+    val platform: String,
+    val seeds: List<String> = emptyList(),
+    @SerialName("peer_secret") val peerSecret: String,
+    val bounds: BoundsConfig = BoundsConfig(),
+    val times: TimesConfig = TimesConfig(),
+    val policies: PolicyConfig = PolicyConfig(),
+    /** SHA-256 of a key for the admin port, besides the keys of teams; empty for none. */
+    @SerialName("admin_key_hash") val adminKeyHash: String = ""
+) {
+    public companion object {
+        /** Reads the file at [path] and checks it. */
+        public fun load(path: Path): Result<InstanceConfig, ConfigError> = try {
+            check(Yaml.default.decodeFromString<InstanceConfig>(Files.readString(path)))
+        } catch (e: YamlException) {
+            Err(ConfigError.Malformed(path.toString(), e.line, e.message))
+        } catch (e: java.io.IOException) {
+            Err(ConfigError.Unreadable(path.toString(), e.toString()))
+        } catch (e: IllegalArgumentException) {
+            Err(ConfigError.Malformed(path.toString(), 0, e.message.orEmpty()))
+        }
+
+        private fun check(c: InstanceConfig): Result<InstanceConfig, ConfigError> {
+            val listen = listOf(c.listen.callers, c.listen.admin, c.listen.peers)
+            val bad = (listen + c.seeds).firstOrNull { HostPort.parseOrNull(it) == null }
+            return when {
+                bad != null -> Err(ConfigError.Invalid("an address is host:port, not '$bad'"))
+
+                c.peerSecret.length < MIN_SECRET ->
+                    Err(ConfigError.Invalid("peer_secret has at least $MIN_SECRET characters"))
+
+                !c.platform.startsWith("http://") && !c.platform.startsWith("https://") ->
+                    Err(ConfigError.Invalid("platform is a URL, not '${c.platform}'"))
+
+                else -> Ok(c)
+            }
+        }
+
+        private const val MIN_SECRET = 8
+    }
+}
+
+/** Addresses on which an instance listens, each `host:port`; port 0 asks for a free port. */
+@Serializable
+public data class ListenConfig(val callers: String, val admin: String, val peers: String)
+
+/** Bounds on what callers may send. */
+@Serializable
+public data class BoundsConfig(
+    @SerialName("max_body_bytes") val maxBodyBytes: Long = 1_048_576,
+    @SerialName("max_header_bytes") val maxHeaderBytes: Long = 16_384,
+    @SerialName("max_requests") val maxRequests: Int = 4_096,
+    @SerialName("idle_connection_s") val idleConnectionSeconds: Int = 60
+)
+
+/** Periods and timeouts of an instance, in milliseconds. */
+@Serializable
+public data class TimesConfig(
+    @SerialName("list_poll_ms") val listPollMillis: Long = 500,
+    @SerialName("load_poll_ms") val loadPollMillis: Long = 500,
+    @SerialName("connect_timeout_ms") val connectTimeoutMillis: Long = 250,
+    /** Time without a token after which a stage counts as dead, at least. */
+    @SerialName("frame_timeout_ms") val frameTimeoutMillis: Long = 700,
+    /** Time for which a stopping instance waits for its requests. */
+    @SerialName("drain_limit_ms") val drainLimitMillis: Long = 120_000,
+    /** Time between the loss of readiness and the end of accepting, for the balancer to notice. */
+    @SerialName("drain_notice_ms") val drainNoticeMillis: Long = 1_000
+)
+
+/** Choices between a policy and its naive baseline, for measurements. */
+@Serializable
+public data class PolicyConfig(
+    val planner: PlannerPolicy = PlannerPolicy.SHORTEST,
+    val queue: QueuePolicy = QueuePolicy.FAIR,
+    val retry: RetryPolicy = RetryPolicy.BUDGET
+)
+
+/** How chains are chosen. */
+@Serializable
+public enum class PlannerPolicy {
+    @SerialName("shortest")
+    SHORTEST,
+
+    @SerialName("least_queue")
+    LEAST_QUEUE,
+
+    @SerialName("first_fit")
+    FIRST_FIT
+}
+
+/** How requests wait. */
+@Serializable
+public enum class QueuePolicy {
+    @SerialName("fair")
+    FAIR,
+
+    @SerialName("fifo")
+    FIFO
+}
+
+/** When failed attempts are repeated. */
+@Serializable
+public enum class RetryPolicy {
+    @SerialName("budget")
+    BUDGET,
+
+    @SerialName("always")
+    ALWAYS
+}
+
+/** Why a settings file of an instance is not usable. */
+public sealed interface ConfigError {
+    /** The file cannot be read. */
+    public data class Unreadable(val path: String, val reason: String) : ConfigError
+
+    /** The file is not YAML of the expected form. */
+    public data class Malformed(val path: String, val line: Int, val reason: String) : ConfigError
+
+    /** A value is out of its range. */
+    public data class Invalid(val reason: String) : ConfigError
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceStatusBuilder.kt
@@ -0,0 +1,92 @@
+package io.greengageport.entry
+
+import io.greengageport.common.Members
+import io.greengageport.common.RunnerId
+import io.greengageport.ledger.OrderLedger
+import io.greengageport.routing.FleetBound
+import io.greengageport.settings.SettingsStore
+
+/** Collects the status of an instance from its parts. */
+internal class InstanceStatusBuilder(
+    private val config: InstanceConfig,
+    private val store: SettingsStore,
+    private val members: Members,
+    private val backends: BackendFleet,
+    private val admissions: Admissions,
+    private val ledger: OrderLedger
+) {
+    fun build(
+        draining: Boolean,
+        inFlight: Int,
+        adminAddresses: Map<String, String>,
+        isPlacementHolder: Boolean,
+        stateOf: (RunnerId) -> String
+    ): InstanceStatus {
+        val reasons = buildList {
+            if (draining) add("draining")
+            if (!store.ready.value) add("settings unknown")
+            if (!backends.isKnown) add("instance list unknown")
+        }
+        return InstanceStatus(
+            instance = config.instance,
+            dataCentre = config.dataCentre,
+            ready = reasons.isEmpty(),
+            notReadyBecause = reasons,
+            draining = draining,
+            requestsInFlight = inFlight,
+            settings = settings(),
+            members = members.live().map {
+                MemberStatus(
+                    it.id,
+                    it.peerAddress,
+                    adminAddresses[it.id.value].orEmpty(),
+                    it.dataCentre,
+                    it.leaving
+                )
+            },
+            runners = runners(stateOf),
+            services = services(),
+            ledger = ledger.status().let {
+                LedgerState(it.ready, it.keys, it.openClaims, it.queuedRecords, it.outageMillis)
+            },
+            isPlacementHolder = isPlacementHolder
+        )
+    }
+
+    private fun settings(): SettingsStatus {
+        val c = store.currency()
+        val v = store.view.value
+        return SettingsStatus(v.version, v.hash.toString(), c.current, c.secondsSinceProof)
+    }
+
+    private fun runners(stateOf: (RunnerId) -> String) = backends.all().map { l ->
+        val r = backends.fleet.runner(l.id)
+        val load = r?.let { backends.loads.load(l.id, it.tokensPerSecond) }
+        RunnerStatus(
+            id = l.id,
+            service = l.service,
+            address = l.address,
+            dataCentre = l.dataCentre,
+            layers = (r?.layers ?: l.layers)?.toString().orEmpty(),
+            state = stateOf(l.id),
+            queuedTokens = load?.queuedTokens ?: 0.0,
+            tokensPerSecond = load?.tokensPerSecond ?: 0.0
+        )
+    }
+
+    private fun services(): List<ServiceStatus> {
+        val states = admissions.states()
+        return store.view.value.services.map { s ->
+            val a = states[s.name.value]
+            val fleet = backends.fleet.service(s.name)
+            ServiceStatus(
+                name = s.name,
+                queued = a?.queued ?: 0,
+                inFlight = a?.inFlight ?: 0,
+                slots = a?.slots ?: 0,
+                boundTokensPerSecond =
+                    FleetBound.of(fleet, backends.outliers.ejected()).tokensPerSecond
+            )
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -0,0 +1,345 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.greengageport.common.Clock
+import io.greengageport.common.DataCentre
+import io.greengageport.common.Execution
+import io.greengageport.common.RequestError
+import io.greengageport.common.RunnerId
+import io.greengageport.platform.GenerateRequest
+import io.greengageport.platform.RouteHop
+import io.greengageport.platform.TokenFrame
+import io.greengageport.routing.AnswerAssembler
+import io.greengageport.routing.AnswerFrame
+import io.greengageport.routing.ChainPlanner
+import io.greengageport.routing.DropReason
+import io.greengageport.routing.Fingerprint
+import io.greengageport.routing.FrameOutcome
+import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.RetryBudget
+import io.greengageport.routing.RetryDecision
+import io.greengageport.routing.RoutingDecision
+import io.greengageport.routing.RoutingFailure
+import io.greengageport.routing.RoutingRequest
+import io.greengageport.routing.SuspectVerdict
+import io.greengageport.routing.TracedStage
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+
+/** Receives the tokens of an answer in order; may suspend while the caller is slow. */
+internal fun interface TokenSink {
+    suspend fun token(text: String, last: Boolean)
+}
+
+/** A model call that was admitted. */
+internal class ModelCall(
+    val context: RequestContext,
+    val prompt: String,
+    val promptTokens: Int,
+    val maxTokens: Int,
+    val fingerprint: Fingerprint
+)
+
+/** The parts that the model path uses. */
+internal class ModelParts(
+    val clock: Clock,
+    val dataCentre: DataCentre,
+    val backends: BackendFleet,
+    val planner: ChainPlanner,
+    val engines: EngineClient,
+    val probe: RunnerProbe,
+    val retries: RetryBudget,
+    val retryPolicy: RetryPolicy,
+    val times: TimesConfig,
+    val decisions: DecisionLog,
+    val metrics: EntryMetrics
+)
+
+/**
+ * Runs model requests over chains of runners and resumes an answer on another chain when a stage
+ * fails, from the tokens that the caller already has.
+ */
+internal class ModelPath(private val parts: ModelParts) {
+    /** Streams the answer of [call] to [sink]; returns the number of tokens. */
+    suspend fun run(
+        call: ModelCall,
+        admission: ServiceAdmission,
+        sink: TokenSink
+    ): Result<Int, RequestError> {
+        val run = ModelRun(parts, call, admission, sink)
+        parts.retries.admitted()
+        try {
+            return run.run()
+        } finally {
+            withContext(NonCancellable) { run.close() }
+        }
+    }
+}
+
+/** One request on its way, over all its attempts. Used by one coroutine. */
+private class ModelRun(
+    private val parts: ModelParts,
+    private val call: ModelCall,
+    private val admission: ServiceAdmission,
+    private val sink: TokenSink
+) {
+    private val context = call.context
+    private val model = requireNotNull(context.service.settings.model) { "not a model service" }
+    private val assembler = AnswerAssembler(context.id, model.layers)
+    private val excluded = mutableSetOf<RunnerId>()
+    private val suspects = parts.backends.suspects
+    private var current: Attempt? = null
+    private var execution = Execution.NOT_RUN
+
+    suspend fun run(): Result<Int, RequestError> {
+        while (true) {
+            if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
+            val decision = plan().getOrElse { return Err(it) }
+            val failure = attempt(decision)
+            if (assembler.isComplete) return Ok(assembler.delivered.size)
+            if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
+            diagnose(decision, failure)
+            retry(failure)?.let { return Err(it) }
+        }
+    }
+
+    /** Ends what an interrupted attempt left open. */
+    fun close() {
+        val a = current ?: return
+        end(a, "cancelled")
+        parts.engines.cancel(a.address, context.id)
+    }
+
+    private fun isLate() = parts.clock.monotonicMillis() >= context.deadlineAt
+
+    private suspend fun plan(): Result<RoutingDecision, RequestError> {
+        while (true) {
+            val verdict = suspects.verdict(call.fingerprint)
+            if (verdict == SuspectVerdict.BLOCKED) return blocked()
+            val request = RoutingRequest(
+                id = context.id,
+                service = context.service.name,
+                dataCentre = parts.dataCentre,
+                attempt = assembler.attempt + 1,
+                promptTokens = call.promptTokens + assembler.delivered.size,
+                outputTokens = maxOf(1, call.maxTokens - assembler.delivered.size),
+                prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
+                excluded = excluded + parts.backends.outliers.ejected(),
+                marked = verdict == SuspectVerdict.MARKED,
+                markedBusy = suspects.markedBusy()
+            )
+            val fleet = parts.backends.fleet.service(context.service.name)
+            val decision = parts.planner.plan(fleet, request)
+                .getOrElse { return noChain(it, request) }
+            if (suspects.tryStart(context.id, call.fingerprint, decision.stages.map { it.id })) {
+                parts.decisions.record(context.id, "routing", decision.describe())
+                return Ok(decision)
+            }
+            if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
+            delay(MARKED_WAIT_MILLIS)
+        }
+    }
+
+    private fun blocked(): Result<RoutingDecision, RequestError> {
+        parts.decisions.record(context.id, "routing", "blocked, it crashed two runners")
+        return Err(RequestError.CrashesRunners())
+    }
+
+    private fun noChain(
+        failure: RoutingFailure,
+        request: RoutingRequest
+    ): Result<RoutingDecision, RequestError> {
+        val text = failure.logLine(request).substringAfter("failed: ")
+        parts.decisions.record(context.id, "routing", "attempt=${request.attempt} failed: $text")
+        return if (execution == Execution.NOT_RUN) {
+            Err(RequestError.NoCapacity(text, RETRY_MILLIS))
+        } else {
+            Err(RequestError.BackendFailed("no other chain: $text", execution))
+        }
+    }
+
+    private suspend fun attempt(d: RoutingDecision): StreamEnd {
+        val start = assembler.nextAttempt()
+        val route = d.stages.map {
+            val l = requireNotNull(it.layers) { "a stage of a model has layers" }
+            RouteHop(it.id, it.runner.address, l.from, l.until)
+        }
+        val a = Attempt(d, route, AttemptObserver(d.stages, parts.clock))
+        current = a
+        admission.started()
+        val now = parts.clock.wallMillis()
+        for (s in d.stages) parts.backends.loads.sent(s.id, s.workTokens, now)
+        val before = execution
+        execution = Execution.UNKNOWN
+        val end = parts.engines.stream(
+            GenerateRequest(
+                request = context.id,
+                attempt = start.attempt,
+                service = context.service.name,
+                prompt = call.prompt,
+                maxTokens = call.maxTokens,
+                firstIndex = start.firstIndex,
+                delivered = start.delivered,
+                priority = context.rank.settings.priority,
+                version = model.version,
+                route = route
+            ),
+            times(d)
+        ) { onFrame(a, it) }
+        if (end is StreamEnd.Refused || end is StreamEnd.Unreachable) execution = before
+        end(a, if (assembler.isComplete) "complete" else end.javaClass.simpleName)
+        return end
+    }
+
+    private fun times(d: RoutingDecision): StreamTimes {
+        val t = context.service.settings.timeouts
+        val silence = maxOf(parts.times.frameTimeoutMillis, t.silenceMillis.toLong())
+        val wait = d.stages.sumOf { it.waitMillis }.toLong()
+        return StreamTimes(
+            connectMillis = t.connectMillis.toLong(),
+            firstFrameMillis = 2 * silence + minOf(wait, MAX_EXPECTED_WAIT_MILLIS),
+            frameMillis = silence
+        )
+    }
+
+    private suspend fun onFrame(a: Attempt, f: TokenFrame): Boolean {
+        val frame = AnswerFrame(
+            request = f.request,
+            attempt = f.attempt,
+            index = f.index,
+            text = f.text,
+            layers = f.layers.map {
+                TracedStage(it.runner, io.greengageport.common.LayerRange(it.from, it.until))
+            },
+            last = f.last
+        )
+        return when (val outcome = assembler.accept(frame)) {
+            is FrameOutcome.Token -> {
+                execution = Execution.RAN
+                a.observer.onFrame(f)
+                sink.token(outcome.text, outcome.last)
+                !outcome.last && !isLate()
+            }
+
+            is FrameOutcome.Dropped -> {
+                parts.metrics.droppedFrames.labelValues(outcome.reason.name.lowercase()).inc()
+                outcome.reason != DropReason.OTHER_REQUEST
+            }
+
+            is FrameOutcome.WrongTrace -> {
+                parts.metrics.droppedFrames.labelValues("wrong_trace").inc()
+                parts.decisions.record(context.id, "routing", "wrong layers ${outcome.trace}")
+                false
+            }
+        }
+    }
+
+    private fun end(a: Attempt, how: String) {
+        current = null
+        assembler.endAttempt()
+        admission.ended()
+        val now = parts.clock.wallMillis()
+        for (s in a.decision.stages) parts.backends.loads.finished(s.id, s.workTokens, now)
+        a.observer.report(parts.backends.outliers, parts.backends.links)
+        a.observer.gapMillis?.let { admission.observeGap(it) }
+        if (assembler.isComplete) {
+            suspects.completed(context.id)?.let { parts.backends.publish(it) }
+        }
+        parts.metrics.attempts.labelValues(context.service.name.value, how).inc()
+    }
+
+    /** Finds out which stages failed, so that the next attempt avoids them. */
+    private suspend fun diagnose(d: RoutingDecision, end: StreamEnd) {
+        val head = d.stages.first()
+        if (end is StreamEnd.Refused) {
+            if (end.leaving) parts.backends.markLeaving(head.id, head.runner.address)
+            excluded += head.id
+            suspects.ended(context.id)
+            return
+        }
+        val results = parts.probe.probe(
+            d.stages.map { RouteHop(it.id, it.runner.address, 0, 1) }
+        )
+        var found = false
+        for ((hop, result) in results) found = judge(hop, result) || found
+        suspects.ended(context.id)
+        // With all stages alive the fault lies between them, so the first one is replaced too.
+        if (!found) excluded += head.id
+        parts.decisions.record(
+            context.id,
+            "routing",
+            "attempt=${assembler.attempt} ended: $end, excluded=${excluded.sorted()}"
+        )
+    }
+
+    private fun judge(hop: RouteHop, result: ProbeResult): Boolean = when (result) {
+        ProbeResult.Refused -> {
+            suspects.connectionLost(hop.runner)
+            suspects.connectionRefused(hop.runner).forEach { parts.backends.publish(it) }
+            parts.backends.outliers.silent(hop.runner)
+            excluded += hop.runner
+            true
+        }
+
+        ProbeResult.Silent -> {
+            parts.backends.outliers.silent(hop.runner)
+            excluded += hop.runner
+            true
+        }
+
+        is ProbeResult.Answered -> {
+            result.report?.let { r ->
+                suspects.bootId(hop.runner, r.bootId, r.reportedAtMillis)
+                    .forEach { parts.backends.publish(it) }
+                if (r.leaving) parts.backends.markLeaving(hop.runner, hop.address)
+            }
+            false
+        }
+    }
+
+    /** Waits before the next attempt; an error if there is to be none. */
+    private suspend fun retry(end: StreamEnd): RequestError? {
+        if (parts.retryPolicy == RetryPolicy.ALWAYS) return null
+        // A refusal before the request ran costs the backend servers no work.
+        if (end is StreamEnd.Refused && end.leaving) return null
+        return when (val r = parts.retries.tryRetry(assembler.attempt, context.isUrgent)) {
+            is RetryDecision.Allowed -> {
+                delay(minOf(r.delayMillis, MAX_RESUME_DELAY_MILLIS))
+                null
+            }
+
+            is RetryDecision.Denied -> {
+                parts.decisions.record(context.id, "routing", "no retry, the budget is used up")
+                if (execution == Execution.NOT_RUN) {
+                    RequestError.Overloaded("the retry budget is used up", RETRY_MILLIS)
+                } else {
+                    RequestError.BackendFailed("a stage failed and no retry is left", execution)
+                }
+            }
+        }
+    }
+
+    private class Attempt(
+        val decision: RoutingDecision,
+        route: List<RouteHop>,
+        val observer: AttemptObserver
+    ) {
+        val address: String = route.first().address
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 1_000L
+        const val MARKED_WAIT_MILLIS = 20L
+        const val MAX_EXPECTED_WAIT_MILLIS = 10_000L
+
+        /** An interrupted answer goes on within 1 s, so its backoff is bounded. */
+        const val MAX_RESUME_DELAY_MILLIS = 200L
+
+        fun RoutingDecision.describe(): String = logLine().substringAfter("attempt=")
+            .let { "attempt=$it" }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
@@ -0,0 +1,26 @@
+package io.greengageport.entry
+
+import io.greengageport.common.RequestId
+import io.greengageport.settings.Organisation
+import io.greengageport.settings.Rank
+import io.greengageport.settings.Service
+
+/**
+ * What the request path knows of a request after authentication.
+ *
+ * [arrivedAt] and [deadlineAt] are milliseconds of the monotonic clock.
+ */
+internal class RequestContext(
+    val id: RequestId,
+    val organisation: Organisation,
+    val rank: Rank,
+    val service: Service,
+    val arrivedAt: Long,
+    val deadlineAt: Long
+) {
+    /** Whether the request is of the most urgent rank. */
+    val isUrgent: Boolean get() = rank.settings.priority == 0
+
+    /** Label of the organisation in metrics; names of organisations would be too many series. */
+    val sizeClass: String get() = organisation.settings.sizeClass.name.lowercase()
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
@@ -0,0 +1,69 @@
+package io.greengageport.entry
+
+import io.greengageport.platform.LoadReport
+import io.greengageport.platform.RouteHop
+import io.ktor.client.HttpClient
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import java.io.IOException
+import java.net.ConnectException
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** What a direct question showed about a runner. */
+internal sealed interface ProbeResult {
+    /** The runner answered; [report] is null for a plain service. */
+    data class Answered(val report: LoadReport?) : ProbeResult
+
+    /** New connections are refused. */
+    data object Refused : ProbeResult
+
+    /** No answer in time, or a broken one. */
+    data object Silent : ProbeResult
+}
+
+/** Asks runners directly for their load, on a new connection, to tell dead from silent ones. */
+internal class RunnerProbe(private val client: HttpClient, private val timeoutMillis: Long) {
+    /** Probes all runners of [route] at once. */
+    suspend fun probe(route: List<RouteHop>): Map<RouteHop, ProbeResult> = coroutineScope {
+        route.map { hop -> async { hop to probe(hop.address) } }.awaitAll().toMap()
+    }
+
+    /** Probes the runner at [address]. */
+    suspend fun probe(address: String): ProbeResult = try {
+        val r = client.get("http://$address/v1/load") {
+            timeout {
+                connectTimeoutMillis = timeoutMillis
+                requestTimeoutMillis = timeoutMillis
+            }
+        }
+        ProbeResult.Answered(decode(r.bodyAsText()))
+    } catch (e: ConnectException) {
+        ProbeResult.Refused
+    } catch (e: ConnectTimeoutException) {
+        ProbeResult.Silent
+    } catch (e: IOException) {
+        ProbeResult.Silent
+    } catch (e: CancellationException) {
+        currentCoroutineContext().ensureActive()
+        ProbeResult.Silent
+    }
+
+    private fun decode(text: String): LoadReport? = try {
+        json.decodeFromString<LoadReport>(text)
+    } catch (e: SerializationException) {
+        null
+    }
+
+    private companion object {
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
@@ -0,0 +1,220 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Result
+import io.greengageport.common.Clock
+import io.greengageport.common.RequestError
+import io.greengageport.limits.AdmissionController
+import io.greengageport.limits.AdmissionDecision
+import io.greengageport.limits.Capacity
+import io.greengageport.limits.FairQueue
+import io.greengageport.limits.FifoQueue
+import io.greengageport.limits.FleetLoad
+import io.greengageport.limits.FleetShare
+import io.greengageport.limits.OrganisationLimits
+import io.greengageport.limits.OwnLoad
+import io.greengageport.limits.Permit
+import io.greengageport.limits.QueueSettings
+import io.greengageport.limits.QueuedRequest
+import io.greengageport.limits.RankPolicy
+import io.greengageport.routing.FleetBound
+import io.greengageport.settings.Service
+import io.greengageport.settings.SettingsView
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.math.roundToLong
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
+
+/** Admission of the requests of one service, with the capacity that this instance may use. */
+internal class ServiceAdmission(
+    private val clock: Clock,
+    private val controller: AdmissionController
+) {
+    private class Sample(val wallMillis: Long, val inFlight: Int)
+
+    private val inFlight = AtomicInteger()
+    private val samples = ConcurrentLinkedDeque<Sample>()
+    private val share = FleetShare()
+
+    /** Smoothed time between two tokens, in milliseconds; 0 while unknown. */
+    @Volatile
+    private var tokenGapMillis = 0.0
+
+    val state get() = controller.state
+
+    /** Waits until the request may run; its work is estimated at [tokens]. */
+    suspend fun admit(c: RequestContext, tokens: Int, output: Int): Result<Permit, RequestError> {
+        val gap = if (tokenGapMillis > 0) tokenGapMillis else 1.0
+        val serveMillis = minOf((output * gap).roundToLong(), c.deadlineAt - c.arrivedAt - 1)
+        return controller.admit(
+            QueuedRequest(
+                id = c.id,
+                rank = c.rank.name,
+                organisation = c.organisation.name,
+                estimatedTokens = tokens.toLong(),
+                deadlineMillis = c.deadlineAt - maxOf(0, serveMillis)
+            )
+        )
+    }
+
+    fun started() {
+        inFlight.incrementAndGet()
+    }
+
+    fun ended() {
+        inFlight.decrementAndGet()
+    }
+
+    /** Takes in the mean gap of a finished answer. */
+    fun observeGap(millis: Double) {
+        val old = tokenGapMillis
+        tokenGapMillis = if (old == 0.0) millis else old + GAP_WEIGHT * (millis - old)
+    }
+
+    /** Remembers the present number of requests, to compare with reports of this time later. */
+    fun sample() {
+        samples += Sample(clock.wallMillis(), inFlight.get())
+        while (samples.size > MAX_SAMPLES) samples.pollFirst()
+    }
+
+    /** Sets the capacity from the load of the whole fleet as reported at [reportedAtMillis]. */
+    fun updateCapacity(load: FleetLoad, reportedAtMillis: Long, liveInstances: Int) {
+        val own = samples.lastOrNull { it.wallMillis <= reportedAtMillis }?.inFlight ?: 0
+        controller.updateCapacity(
+            share.capacity(load, OwnLoad(own.toDouble()), maxOf(1, liveInstances))
+        )
+    }
+
+    fun updateSettings(settings: QueueSettings): Unit = controller.updateSettings(settings)
+
+    fun stopAdmitting(): Unit = controller.stopAdmitting()
+
+    suspend fun run(): Unit = controller.run()
+
+    private companion object {
+        const val GAP_WEIGHT = 0.1
+        const val MAX_SAMPLES = 256
+    }
+}
+
+/** The admission of all services; follows the settings and the fleet. */
+internal class Admissions(
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+    private val backends: BackendFleet,
+    private val limits: OrganisationLimits,
+    private val policies: PolicyConfig,
+    private val metrics: EntryMetrics,
+    private val decisions: DecisionLog
+) {
+    private val services = ConcurrentHashMap<String, ServiceAdmission>()
+
+    @Volatile
+    private var isStopping = false
+
+    /** The admission of [service]. */
+    fun of(service: Service, view: SettingsView): ServiceAdmission =
+        services.computeIfAbsent(service.name.value) { create(view) }
+
+    /** Numbers of queued and running requests by service. */
+    fun states() = services.mapValues { it.value.state }
+
+    /** Applies new settings to all queues. */
+    fun onSettings(view: SettingsView) {
+        val q = queueSettings(view)
+        services.values.forEach { it.updateSettings(q) }
+        for (s in view.services) backends.fleet.setLayers(s.name, s.settings.model?.layers ?: 0)
+    }
+
+    /** Applies the load reports to the capacity of all services. */
+    fun onLoads(view: SettingsView, liveInstances: Int) {
+        val target = view.ranks.firstOrNull()?.settings?.betweenTokensMillis ?: DEFAULT_GAP_MILLIS
+        for (s in view.services) {
+            val a = of(s, view)
+            a.sample()
+            val reports = backends.reports(s.name)
+            val at = reports.maxOfOrNull { it.reportedAtMillis } ?: clock.wallMillis()
+            a.updateCapacity(fleetLoad(s, reports.sumOf { it.running }, target), at, liveInstances)
+        }
+    }
+
+    /** Refuses new requests; queued and running ones go on. */
+    fun stopAdmitting() {
+        isStopping = true
+        services.values.forEach { it.stopAdmitting() }
+    }
+
+    private fun fleetLoad(s: Service, running: Int, gapMillis: Int): FleetLoad {
+        val fleet = backends.fleet.service(s.name)
+        if (s.settings.plain != null) {
+            val live = fleet.runners.count { !it.leaving }
+            return FleetLoad(live * PLAIN_SLOTS_PER_RUNNER, running.toDouble())
+        }
+        val bound = FleetBound.of(fleet, backends.outliers.ejected())
+        // By Little's law this many streams keep the fleet busy while tokens arrive on time.
+        val slots = bound.tokensPerSecond * gapMillis / MILLIS_PER_SECOND
+        return FleetLoad(slots, running.toDouble())
+    }
+
+    private fun create(view: SettingsView): ServiceAdmission {
+        val q = queueSettings(view)
+        val controller = AdmissionController(
+            clock = clock,
+            queue = if (policies.queue == QueuePolicy.FIFO) FifoQueue(q) else FairQueue(q),
+            limits = limits,
+            capacity = Capacity(INITIAL_SLOTS),
+            observer = ::observe
+        )
+        val a = ServiceAdmission(clock, controller)
+        scope.launch { a.run() }
+        if (isStopping) a.stopAdmitting()
+        return a
+    }
+
+    private fun observe(d: AdmissionDecision) {
+        val seconds = d.waitedMillis / MILLIS_PER_SECOND
+        metrics.queueWait.labelValues(d.request.rank.value).observe(seconds)
+        decisions.record(
+            d.request.id,
+            "limits",
+            "outcome=${d.outcome.name.lowercase()} rank=${d.request.rank} " +
+                "organisation=${d.request.organisation} waited_ms=${d.waitedMillis}" +
+                (d.retryAfterMillis?.let { " retry_after_ms=$it" } ?: "")
+        )
+    }
+
+    companion object {
+        private const val DEFAULT_GAP_MILLIS = 57
+        private const val MILLIS_PER_SECOND = 1_000.0
+        private const val PLAIN_SLOTS_PER_RUNNER = 64.0
+
+        /** Requests at a time before the first load reports arrive. */
+        private const val INITIAL_SLOTS = 16
+
+        /** The queue settings of a settings version. */
+        fun queueSettings(view: SettingsView): QueueSettings {
+            val ranks = view.ranks.map {
+                RankPolicy(
+                    name = it.name,
+                    priority = it.settings.priority,
+                    floorShare = it.settings.floorShare,
+                    firstTokenTargetMillis = it.settings.firstTokenMillis.toLong()
+                )
+            }
+            if (ranks.isEmpty()) Logger.warn("limits: the settings have no rank")
+            return QueueSettings(
+                ranks = ranks,
+                weights = view.documents(io.greengageport.settings.SettingsPath("organisations"))
+                    .entries
+                    .mapNotNull { (p, d) ->
+                        val o = d as? io.greengageport.settings.OrganisationSettings
+                        o?.let { io.greengageport.common.OrganisationName(p.name) to it.weight }
+                    }
+                    .filter { it.second != 1.0 }
+                    .toMap()
+            )
+        }
+    }
+}
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -53,6 +53,9 @@
     @Volatile
     private var version = ""
 
+    @Volatile
+    private var layers = settings.layers
+
     @Volatile
     private var frozen = false
 
@@ -73,7 +76,7 @@
         running = running.get(),
         queuedTokens = scheduler.queued.toLong(),
         tokensPerSecond = scheduler.itemsPerSecond,
-        layers = settings.layers,
+        layers = layers,
         version = version,
         leaving = leaving
     )
@@ -144,7 +147,7 @@
         val g = json.decodeFromString<GenerateRequest>(call.receiveText())
         generates.incrementAndGet()
         val hop = g.route.firstOrNull()
-        if (leaving || hop == null || hop.runner != settings.id || hop.layers !in settings.layers) {
+        if (leaving || hop == null || hop.runner != settings.id || hop.layers !in layers) {
             if (leaving) call.response.header("Greengage-Leaving", "true")
             call.respondText("refused, not run", status = HttpStatusCode.ServiceUnavailable)
             return
@@ -195,14 +198,16 @@
             text = ModelFunction.text(reply.activation),
             layers = reply.layers,
             last = index == g.maxTokens - 1,
-            hopMicros = reply.hopMicros
+            hopMicros = reply.hopMicros,
+            stageMicros = reply.stageMicros
         )
     }
 
     private suspend fun step(s: StepRequest): StepReply? {
         val hop = s.route[s.position]
-        if (hop.runner != settings.id || hop.layers !in settings.layers) return null
+        if (hop.runner != settings.id || hop.layers !in layers) return null
         steps.incrementAndGet()
+        val start = System.nanoTime()
         val prefillSteps = when {
             s.promptTokens <= 0 || kvCache.containsKey(s.request) -> 0
             else -> (s.promptTokens - 1) / settings.prefillTokensPerStep
@@ -211,14 +216,23 @@
         kvCache[s.request] = s.index + 1
         val trace = StageTrace(settings.id, hop.from, hop.until)
         val activation = ModelFunction.run(s.activation, hop.from, hop.until)
+        val own = (System.nanoTime() - start) / NANOS_PER_MICRO
         if (s.position == s.route.lastIndex) {
-            return StepReply(s.request, s.attempt, s.index, activation, listOf(trace))
+            return StepReply(
+                s.request,
+                s.attempt,
+                s.index,
+                activation,
+                listOf(trace),
+                stageMicros = listOf(own)
+            )
         }
         val next = s.copy(activation = activation, position = s.position + 1)
         return forward(s.route[next.position], next)?.let {
             it.reply.copy(
                 layers = listOf(trace) + it.reply.layers,
-                hopMicros = listOf(it.micros) + it.reply.hopMicros
+                hopMicros = listOf(it.micros) + it.reply.hopMicros,
+                stageMicros = listOf(own) + it.reply.stageMicros
             )
         }
     }
@@ -253,6 +267,7 @@
         }
         delay(settings.loadMillis)
         version = o.order.version
+        o.order.layers?.let { layers = it }
         orders.incrementAndGet()
         call.json(json.encodeToString(OrderReply(accepted = true, fencing = highest)))
     }
