--- /dev/null
+++ b/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
@@ -0,0 +1,239 @@
+package io.greengageport.bench
+
+import io.greengageport.entry.InstanceStatus
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.serialization.json.Json
+
+/**
+ * A platform, backend servers and entry instances as separate processes on loopback.
+ *
+ * ```
+ * LocalFleet(root, FleetFile.load(path), path.parent).use { fleet ->
+ *     fleet.start()
+ *     fleet.instance("entry-1").kill()
+ * }
+ * ```
+ */
+public class LocalFleet(
+    root: Path,
+    private val file: FleetFile,
+    private val directory: Path,
+    private val adminKey: String = "operations-key"
+) : AutoCloseable {
+    private val standins = root.resolve("standins/target/greengageport-standins")
+    private val program = root.resolve("cli/target/greengageport")
+    private val work: Path = Files.createTempDirectory("greengageport-fleet")
+    private val http = HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofSeconds(2))
+        .build()
+    private val processes = ConcurrentHashMap<String, ProgramProcess>()
+
+    /** The platform stand-in. */
+    public val platform: ProgramProcess get() = process(PLATFORM)
+
+    /** Names of the entry instances. */
+    public val instances: List<String> get() = file.instances.map { it.id }
+
+    /** The process with the given name. */
+    public fun process(name: String): ProgramProcess =
+        requireNotNull(processes[name]) { "no process is named $name" }
+
+    /** Address for callers of the entry instance [name]. */
+    public fun callers(name: String): String = process(name).listeningWords[0]
+
+    /** Admin address of the entry instance [name]. */
+    public fun admin(name: String): String = process(name).listeningWords[ADMIN_WORD]
+
+    /** Starts all processes, publishes the settings and waits until all instances are ready. */
+    public fun start() {
+        startPlatform()
+        for (e in file.engines) startEngine(e.id)
+        for (p in file.plain) startPlain(p.id)
+        for (i in file.instances) startInstance(i.id)
+        processes.values.forEach { it.address }
+        awaitReady(instances, version = 0)
+        publish("/", Files.readString(directory.resolve(file.settings)), base = 0)
+        awaitReady(instances, version = 1)
+        awaitRunners()
+    }
+
+    /** Starts the platform stand-in. */
+    public fun startPlatform() {
+        val p = file.platform
+        start(
+            PLATFORM,
+            standins,
+            listOf(
+                "platform",
+                "--list-lag-ms",
+                p.listLagMillis.toString(),
+                "--load-lag-ms",
+                p.loadLagMillis.toString(),
+                "--retention-ms",
+                p.retentionMillis.toString()
+            ),
+            PLATFORM_HEAP_MEGABYTES
+        ).address
+    }
+
+    /** Starts the engine [name], anew if it ended. */
+    public fun startEngine(name: String): ProgramProcess {
+        val e = file.engines.first { it.id == name }
+        return start(name, standins, e.arguments(platformUrl()), ENGINE_HEAP_MEGABYTES)
+    }
+
+    /** Starts the runner [name] of a plain service, anew if it ended. */
+    public fun startPlain(name: String): ProgramProcess {
+        val p = file.plain.first { it.id == name }
+        return start(name, standins, p.arguments(platformUrl()), ENGINE_HEAP_MEGABYTES)
+    }
+
+    /** Starts the entry instance [name], anew if it ended. */
+    public fun startInstance(name: String): ProgramProcess {
+        val i = file.instances.first { it.id == name }
+        val config = work.resolve("$name.yaml")
+        Files.writeString(config, instanceFile(i))
+        return start(name, program, listOf("run", config.toString()), i.heapMegabytes)
+    }
+
+    /** Waits until the instances [names] are ready with at least the settings [version]. */
+    public fun awaitReady(names: List<String>, version: Long) {
+        for (n in names) {
+            await("instance $n is ready with settings $version") {
+                val s = statusOrNull(n)
+                s != null && s.settings.version >= version && (version == 0L || s.ready)
+            }
+        }
+    }
+
+    /** Waits until all instances see all live backend servers. */
+    public fun awaitRunners() {
+        val expected = (file.engines.map { it.id } + file.plain.map { it.id })
+            .filter { processes[it]?.isAlive == true }
+        for (n in instances.filter { process(it).isAlive }) {
+            await("instance $n sees ${expected.size} runners") {
+                val seen = statusOrNull(n)?.runners?.map { it.id.value }.orEmpty()
+                seen.containsAll(expected)
+            }
+        }
+    }
+
+    /** Status of the instance [name], or null if it does not answer. */
+    public fun statusOrNull(name: String): InstanceStatus? = try {
+        val r = get("http://${admin(name)}/admin/status", "Authorization" to "Bearer $adminKey")
+        if (r.statusCode() == OK) json.decodeFromString<InstanceStatus>(r.body()) else null
+    } catch (e: java.io.IOException) {
+        null
+    }
+
+    /** Publishes [yaml] at [path] through the instance [through] and returns the reply. */
+    public fun publish(
+        path: String,
+        yaml: String,
+        base: Long,
+        through: String = instances.first()
+    ): HttpResponse<String> {
+        val body = """{"path":"${path.trim('/')}","base_version":$base,"author":"operations",""" +
+            """"yaml":${json.encodeToString(kotlinx.serialization.serializer<String>(), yaml)}}"""
+        return post(
+            "http://${admin(through)}/admin/settings/publish",
+            body,
+            "Authorization" to "Bearer $adminKey"
+        )
+    }
+
+    /** Sets faults of a stand-in. */
+    public fun control(name: String, body: String) {
+        val r = HttpRequest.newBuilder(URI("http://${process(name).address}/control"))
+            .timeout(Duration.ofSeconds(CONTROL_SECONDS))
+            .PUT(HttpRequest.BodyPublishers.ofString(body))
+            .build()
+        try {
+            http.send(r, HttpResponse.BodyHandlers.ofString())
+        } catch (e: java.io.IOException) {
+            // A stand-in that is told to crash does not answer.
+        }
+    }
+
+    /** Sends a GET and returns the answer. */
+    public fun get(url: String, vararg headers: Pair<String, String>): HttpResponse<String> =
+        http.send(request(url, headers).GET().build(), HttpResponse.BodyHandlers.ofString())
+
+    /** Sends a POST and returns the answer. */
+    public fun post(
+        url: String,
+        body: String,
+        vararg headers: Pair<String, String>
+    ): HttpResponse<String> = http.send(
+        request(url, headers).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+        HttpResponse.BodyHandlers.ofString()
+    )
+
+    /** Ends all processes at once. */
+    override fun close() {
+        processes.values.forEach { it.close() }
+        work.toFile().deleteRecursively()
+    }
+
+    private fun request(url: String, headers: Array<out Pair<String, String>>) =
+        HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(CALL_SECONDS)).apply {
+            headers.forEach { (name, value) -> header(name, value) }
+        }
+
+    private fun start(name: String, jar: Path, arguments: List<String>, heap: Int): ProgramProcess {
+        processes[name]?.close()
+        return ProgramProcess(name, jar, arguments, heap).also { processes[name] = it }
+    }
+
+    private fun platformUrl() = "http://${platform.address}"
+
+    private fun instanceFile(i: InstanceSpec): String = buildString {
+        appendLine("instance: ${i.id}")
+        appendLine("data_centre: ${i.dataCentre}")
+        appendLine("listen:")
+        for (port in listOf("callers", "admin", "peers")) appendLine("  $port: \"127.0.0.1:0\"")
+        appendLine("platform: \"${platformUrl()}\"")
+        appendLine("peer_secret: \"loopback test secret\"")
+        section("policies", i.policies)
+        section("times", mapOf("drain_notice_ms" to 300L) + i.times)
+    }
+
+    private fun StringBuilder.section(name: String, values: Map<String, Any>) {
+        if (values.isEmpty()) return
+        appendLine("$name:")
+        for ((k, v) in values) appendLine("  $k: $v")
+    }
+
+    public companion object {
+        private const val PLATFORM = "platform"
+        private const val ADMIN_WORD = 2
+        private const val OK = 200
+        private const val CALL_SECONDS = 120L
+        private const val CONTROL_SECONDS = 3L
+        private const val PLATFORM_HEAP_MEGABYTES = 128
+        private const val ENGINE_HEAP_MEGABYTES = 96
+        private const val AWAIT_SECONDS = 60L
+        private const val POLL_MILLIS = 50L
+        private val json = Json { ignoreUnknownKeys = true }
+
+        /** Polls until [condition] holds; fails after a bound that only a fault exceeds. */
+        public fun await(what: String, seconds: Long = AWAIT_SECONDS, condition: () -> Boolean) {
+            val end = System.nanoTime() + Duration.ofSeconds(seconds).toNanos()
+            while (!condition()) {
+                check(System.nanoTime() < end) { "not within $seconds s: $what" }
+                Thread.onSpinWait()
+                java.util.concurrent.locks.LockSupport.parkNanos(
+                    Duration.ofMillis(POLL_MILLIS).toNanos()
+                )
+            }
+        }
+    }
+}
--- a/bench/src/main/kotlin/io/greengageport/bench/Main.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Main.kt
@@ -1,6 +1,19 @@
 package io.greengageport.bench
 
+import kotlin.system.exitProcess
+import picocli.CommandLine
+import picocli.CommandLine.Command
+
+/** Test-only tool that runs the real programs over the stand-ins on loopback. */
+@Command(
+    name = "greengageport-bench",
+    description = ["Test-only tool: demo, load and experiments on loopback."],
+    mixinStandardHelpOptions = true,
+    subcommands = [DemoCommand::class]
+)
+internal class Bench
+
 /** Entry point of the program. */
 public fun main(args: Array<String>) {
-    println(args.size)
+    exitProcess(CommandLine(Bench()).execute(*args))
 }
--- a/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import io.greengageport.common.Clock
+import io.greengageport.common.Execution
 import io.greengageport.common.RequestError
 import io.greengageport.common.RequestId
 import io.greengageport.routing.Fingerprint
@@ -25,8 +26,10 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
 import io.ktor.utils.io.readRemaining
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
+import kotlinx.coroutines.CancellationException
 import kotlinx.io.readByteArray
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
@@ -75,7 +78,7 @@
                 running > parts.bounds.maxRequests ->
                     RequestError.Overloaded("too many requests at this instance", RETRY_MILLIS)
 
-                else -> action(id)
+                else -> guarded(id, action)
             }
             if (error != null) refuse(call, id, error)
         } finally {
@@ -83,6 +86,22 @@
         }
     }
 
+    /** Turns a fault of this program into a typed error; the caller may not assume "not run". */
+    private suspend fun guarded(
+        id: RequestId,
+        action: suspend (RequestId) -> RequestError?
+    ): RequestError? = try {
+        action(id)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: IOException) {
+        Logger.info("entry: request=$id ended by its caller: $e")
+        throw e
+    } catch (e: Exception) {
+        Logger.error(e, "entry: request=$id failed by a fault of this program")
+        RequestError.Internal("a fault of this instance", Execution.UNKNOWN)
+    }
+
     private suspend fun completion(
         call: ApplicationCall,
         id: RequestId,
--- a/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import io.greengageport.common.Clock
+import io.greengageport.common.OrganisationName
 import io.greengageport.common.RequestError
 import io.greengageport.limits.AdmissionController
 import io.greengageport.limits.AdmissionDecision
@@ -17,7 +18,9 @@
 import io.greengageport.limits.QueuedRequest
 import io.greengageport.limits.RankPolicy
 import io.greengageport.routing.FleetBound
+import io.greengageport.settings.OrganisationSettings
 import io.greengageport.settings.Service
+import io.greengageport.settings.SettingsPath
 import io.greengageport.settings.SettingsView
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
@@ -25,7 +28,6 @@
 import kotlin.math.roundToLong
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import org.tinylog.kotlin.Logger
 
 /** Admission of the requests of one service, with the capacity that this instance may use. */
 internal class ServiceAdmission(
@@ -123,8 +125,10 @@
 
     /** Applies new settings to all queues. */
     fun onSettings(view: SettingsView) {
-        val q = queueSettings(view)
-        services.values.forEach { it.updateSettings(q) }
+        if (view.ranks.isNotEmpty()) {
+            val q = queueSettings(view)
+            services.values.forEach { it.updateSettings(q) }
+        }
         for (s in view.services) backends.fleet.setLayers(s.name, s.settings.model?.layers ?: 0)
     }
 
@@ -203,14 +207,13 @@
                     firstTokenTargetMillis = it.settings.firstTokenMillis.toLong()
                 )
             }
-            if (ranks.isEmpty()) Logger.warn("limits: the settings have no rank")
             return QueueSettings(
                 ranks = ranks,
-                weights = view.documents(io.greengageport.settings.SettingsPath("organisations"))
+                weights = view.documents(SettingsPath("organisations"))
                     .entries
                     .mapNotNull { (p, d) ->
-                        val o = d as? io.greengageport.settings.OrganisationSettings
-                        o?.let { io.greengageport.common.OrganisationName(p.name) to it.weight }
+                        val o = d as? OrganisationSettings
+                        o?.let { OrganisationName(p.name) to it.weight }
                     }
                     .filter { it.second != 1.0 }
                     .toMap()
