--- a/bench/src/main/kotlin/io/greengageport/bench/Demo.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Demo.kt
@@ -2,36 +2,16 @@
 
 import io.greengageport.standins.ModelFunction
 import java.net.http.HttpResponse
-import java.nio.file.Path
 import java.time.Instant
 import java.util.UUID
-import java.util.concurrent.Callable
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
-import picocli.CommandLine.Command
-import picocli.CommandLine.Parameters
-
-/** Shows the whole path on one machine and checks every answer. */
-@Command(
-    name = "demo",
-    description = ["Starts a local fleet, sends a few requests, checks the answers and stops."],
-    mixinStandardHelpOptions = true
-)
-internal class DemoCommand : Callable<Int> {
-    @Parameters(paramLabel = "FILE", description = ["Fleet file, for example examples/demo."])
-    lateinit var file: Path
-
-    override fun call(): Int {
-        val root = Path.of(System.getProperty("greengageport.root", "."))
-        val fleet = LocalFleet(root, FleetFile.load(file), file.toAbsolutePath().parent)
-        return fleet.use { Demo(it).run() }
-    }
-}
 
-private class Demo(private val fleet: LocalFleet) {
+/** The requests of the demo and the checks of their answers. */
+internal class Demo(private val fleet: LocalFleet) {
     private var wrong = 0
 
     fun run(): Int {
--- /dev/null
+++ b/bench/src/main/kotlin/io/greengageport/bench/DemoCommand.kt
@@ -0,0 +1,23 @@
+package io.greengageport.bench
+
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+
+/** Shows the whole path on one machine and checks every answer. */
+@Command(
+    name = "demo",
+    description = ["Starts a local fleet, sends a few requests, checks the answers and stops."],
+    mixinStandardHelpOptions = true
+)
+internal class DemoCommand : Callable<Int> {
+    @Parameters(paramLabel = "FILE", description = ["Fleet file, for example examples/demo."])
+    lateinit var file: Path
+
+    override fun call(): Int {
+        val root = Path.of(System.getProperty("greengageport.root", "."))
+        val fleet = LocalFleet(root, FleetFile.load(file), file.toAbsolutePath().parent)
+        return fleet.use { Demo(it).run() }
+    }
+}
--- a/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
@@ -139,7 +139,7 @@
         }
     }
 
-    /** Sends a call for which this instance holds the permit; tries others only if surely unsent. */
+    /** Sends a call for which this instance holds the permit, at most once. */
     private suspend fun sendOnce(
         call: PlainCall,
         permit: SendPermit
