--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -105,6 +105,7 @@
     private val admissions =
         Admissions(clock, scope, backends, limits, config.policies, metrics, decisions)
     private val probe = RunnerProbe(clients.probe, config.times.connectTimeoutMillis)
+    private val cacheEvents = CacheEventFollower(clients.probe, backends, config.dataCentre)
     private val placement = PlacementService(
         clock,
         log,
@@ -279,6 +280,7 @@
             probeEjected()
             updateGauges()
         }
+        scope.every(CACHE_POLL_MILLIS) { cacheEvents.poll() }
         scope.every(REGISTER_MILLIS) {
             clients.register(config.platform, listed(peers))
         }
@@ -350,6 +352,7 @@
     private companion object {
         const val ADMIN_TOPIC = "admin-address"
         const val ANNOUNCE_MILLIS = 600_000L
+        const val CACHE_POLL_MILLIS = 1_000L
         const val REGISTER_MILLIS = 1_000L
         const val DRAIN_POLL_MILLIS = 20L
         val FLUSH_LIMIT = 10.seconds
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -146,8 +146,7 @@
         thaw()
         val g = json.decodeFromString<GenerateRequest>(call.receiveText())
         generates.incrementAndGet()
-        val hop = g.route.firstOrNull()
-        if (leaving || hop == null || hop.runner != settings.id || hop.layers !in layers) {
+        if (leaving || !holds(g.route.firstOrNull())) {
             if (leaving) call.response.header("Greengage-Leaving", "true")
             call.respondText("refused, not run", status = HttpStatusCode.ServiceUnavailable)
             return
@@ -174,11 +173,14 @@
         }
     }
 
+    private fun holds(hop: RouteHop?) =
+        hop != null && hop.runner == settings.id && hop.layers in layers
+
     private suspend fun token(g: GenerateRequest, index: Int, previous: String): TokenFrame? {
         thaw()
         val tokens = ModelFunction.promptTokens(g.prompt) + g.delivered.size
         val first = index == g.firstIndex
-        val prefill = if (first) tokens - cache.use(g.prompt) else 0
+        val prefill = if (first) tokens - cache.use(settings.service.value, g.prompt) else 0
         val reply = step(
             StepRequest(
                 request = g.request,
@@ -205,7 +207,7 @@
 
     private suspend fun step(s: StepRequest): StepReply? {
         val hop = s.route[s.position]
-        if (hop.runner != settings.id || hop.layers !in layers) return null
+        if (!holds(hop)) return null
         steps.incrementAndGet()
         val start = System.nanoTime()
         val prefillSteps = when {
