Record outcomes after a caller's deadline, and probe on new connections

Cause: review of the request path. A non-idempotent call whose caller's deadline passed lost its outcome; a probe could use a kept connection that had gone silent; an engine status other than 503 counted as not run; one failed round ended a periodic task. Change: the call goes on in the background until its answer is recorded; probes close their connections; only 503 means not run; periodic tasks log a failure and go on.

--- a/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
@@ -35,7 +35,7 @@
     data object Finished : StreamEnd
 
     /** The first stage refused the request; it did not run. */
-    data class Refused(val leaving: Boolean, val status: Int) : StreamEnd
+    data class Refused(val leaving: Boolean) : StreamEnd
 
     /** No connection to the first stage; the request did not run. */
     data class Unreachable(val reason: String) : StreamEnd
@@ -114,11 +114,14 @@
             timeout { connectTimeoutMillis = times.connectMillis }
             setBody(json.encodeToString(generate))
         }.execute { response ->
-            if (response.status == HttpStatusCode.OK) {
-                frames(response, times, wait, onFrame)
-            } else {
-                val leaving = response.headers[LEAVING_HEADER] == "true"
-                StreamEnd.Refused(leaving, response.status.value)
+            when (response.status) {
+                HttpStatusCode.OK -> frames(response, times, wait, onFrame)
+
+                HttpStatusCode.ServiceUnavailable ->
+                    StreamEnd.Refused(response.headers[LEAVING_HEADER] == "true")
+
+                // Only 503 says that the request did not run.
+                else -> StreamEnd.Broken("the engine answered ${response.status.value}")
             }
         }
     } catch (e: ConnectException) {
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -39,7 +39,9 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -178,7 +180,12 @@
         }
         val left = caller.requestsInFlight
         if (left > 0) Logger.warn("entry: drain limit reached with $left requests in flight")
-        if (!ledger.flush(FLUSH_LIMIT)) Logger.warn("ledger: outcomes not recorded before the stop")
+        if (!ledger.flush(
+                maxOf(FLUSH_LIMIT, (end - clock.monotonicMillis()).milliseconds)
+            )
+        ) {
+            Logger.warn("ledger: outcomes not recorded before the stop")
+        }
         placement.release()
         node.leave()
         Logger.info("entry: instance=${config.instance} is drained")
@@ -233,6 +240,7 @@
                     config.times.connectTimeoutMillis
                 ),
                 ledger = ledger,
+                background = scope,
                 retries = retries,
                 decisions = decisions,
                 metrics = metrics
@@ -374,7 +382,14 @@
 
         fun CoroutineScope.every(millis: Long, action: suspend () -> Unit) = launch {
             while (isActive) {
-                action()
+                try {
+                    action()
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Exception) {
+                    // One failed round must not end the task for the life of the process.
+                    Logger.error(e, "entry: a periodic task failed")
+                }
                 delay(millis)
             }
         }
--- a/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
@@ -22,9 +22,9 @@
 import io.greengageport.routing.RetryDecision
 import io.greengageport.routing.RoutingRequest
 import io.greengageport.settings.Deduplication
-import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** A call to a plain service. */
@@ -59,6 +59,8 @@
     val planner: ChainPlanner,
     val client: PlainClient,
     val ledger: OrderLedger,
+    /** Outlives the request, so that outcomes are recorded after a caller has gone. */
+    val background: CoroutineScope,
     val retries: RetryBudget,
     val decisions: DecisionLog,
     val metrics: EntryMetrics
@@ -78,7 +80,7 @@
         while (true) {
             attempt++
             val stage = choose(call, attempt, excluded).getOrElse { return Err(it) }
-            val end = send(call, stage)
+            val end = send(call, stage, attemptLimit(call))
             if (end is SendEnd.Answered) return Ok(end.answer)
             excluded += stage.id
             if (isLate(call)) return Err(lateError(end))
@@ -112,7 +114,7 @@
         val what = begin.javaClass.simpleName
         parts.decisions.record(c.id, "ledger", "key=${key.value.take(KEY_LOG)} begin=$what")
         return when (begin) {
-            is BeginResult.Won -> begin.permit.use { sendOnce(call, it) }
+            is BeginResult.Won -> won(call, begin.permit)
 
             is BeginResult.Replay -> Ok(replay(begin.outcome))
 
@@ -139,32 +141,53 @@
         }
     }
 
+    private suspend fun won(
+        call: PlainCall,
+        permit: SendPermit
+    ): Result<PlainAnswer, RequestError> {
+        var isSending = false
+        try {
+            return sendOnce(call, permit) { isSending = true }
+        } finally {
+            if (!isSending) permit.abandon()
+        }
+    }
+
     /** Sends a call for which this instance holds the permit, at most once. */
     private suspend fun sendOnce(
         call: PlainCall,
-        permit: SendPermit
+        permit: SendPermit,
+        onSending: () -> Unit
     ): Result<PlainAnswer, RequestError> {
         val excluded = mutableSetOf<RunnerId>()
         val stage = connectable(call, excluded).getOrElse { return Err(it) }
+        if (isLate(call)) return Err(RequestError.DeadlineExceeded(Execution.NOT_RUN))
         if (!permit.startSending()) {
             parts.decisions.record(call.context.id, "ledger", "the send window passed, not sent")
             return Err(RequestError.LedgerUnavailable(RETRY_MILLIS))
         }
-        // A caller that disconnects must not keep the outcome from being recorded.
-        return withContext(NonCancellable) {
-            when (val end = send(call, stage)) {
-                is SendEnd.Answered -> {
-                    val a = end.answer
-                    permit.complete(CallOutcome(a.status, a.headers, a.body))
-                    Ok(a)
-                }
-
-                else -> {
-                    permit.unknown()
-                    Err(RequestError.BackendFailed("the answer was lost", Execution.UNKNOWN))
-                }
-            }
+        onSending()
+        // The outcome is recorded even if the caller's deadline passes or the caller disconnects.
+        val sent = parts.background.async { permit.use { record(call, stage, it) } }
+        val left = maxOf(1, call.context.deadlineAt - parts.clock.monotonicMillis())
+        return withTimeoutOrNull(left) { sent.await() }
+            ?: Err(RequestError.DeadlineExceeded(Execution.UNKNOWN))
+    }
+
+    private suspend fun record(
+        call: PlainCall,
+        stage: PlannedStage,
+        permit: SendPermit
+    ): Result<PlainAnswer, RequestError> {
+        val limit = call.context.service.settings.timeouts.answerMillis.toLong()
+        val end = send(call, stage, limit)
+        if (end is SendEnd.Answered) {
+            val a = end.answer
+            permit.complete(CallOutcome(a.status, a.headers, a.body))
+            return Ok(a)
         }
+        permit.unknown()
+        return Err(RequestError.BackendFailed("the answer was lost", Execution.UNKNOWN))
     }
 
     /** A runner that takes connections, so that a dead one does not cost the only send. */
@@ -181,11 +204,7 @@
         }
     }
 
-    private suspend fun send(call: PlainCall, stage: PlannedStage): SendEnd {
-        val limit = minOf(
-            call.context.service.settings.timeouts.answerMillis.toLong(),
-            maxOf(1, call.context.deadlineAt - parts.clock.monotonicMillis())
-        )
+    private suspend fun send(call: PlainCall, stage: PlannedStage, limit: Long): SendEnd {
         val start = parts.clock.monotonicMillis()
         val end = withTimeoutOrNull(limit) { parts.client.send(call, stage.runner.address) }
             ?: SendEnd.Lost("no answer within $limit ms")
@@ -226,6 +245,12 @@
         return Ok(decision.stages.first())
     }
 
+    /** A repeatable call is tried elsewhere when an answer is overdue. */
+    private fun attemptLimit(call: PlainCall): Long = minOf(
+        call.context.service.settings.timeouts.silenceMillis.toLong(),
+        maxOf(1, call.context.deadlineAt - parts.clock.monotonicMillis())
+    )
+
     private fun isLate(call: PlainCall) = parts.clock.monotonicMillis() >= call.context.deadlineAt
 
     private fun lateError(end: SendEnd) = RequestError.DeadlineExceeded(executionOf(end))
--- a/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
@@ -6,7 +6,9 @@
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.get
+import io.ktor.client.request.header
 import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpHeaders
 import java.io.IOException
 import java.net.ConnectException
 import kotlinx.coroutines.CancellationException
@@ -40,6 +42,8 @@
     /** Probes the runner at [address]. */
     suspend fun probe(address: String): ProbeResult = try {
         val r = client.get("http://$address/v1/load") {
+            // A kept connection may be the silent one that is to be told from a dead runner.
+            header(HttpHeaders.Connection, "close")
             timeout {
                 connectTimeoutMillis = timeoutMillis
                 requestTimeoutMillis = timeoutMillis
