Drop frames of another request without ending the attempt

Ignored frames also counted as life of a stream. Change: the consumer says taken, ignored or stop; ignored frames leave the silence timeout running.

--- a/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
@@ -50,6 +50,18 @@
     data class Malformed(val reason: String) : StreamEnd
 }
 
+/** What the consumer of a stream made of a frame. */
+internal enum class FrameUse {
+    /** The frame is part of the answer; more are expected. */
+    TAKEN,
+
+    /** The frame is not part of the answer; the wait for the next token goes on. */
+    IGNORED,
+
+    /** The stream is no longer needed. */
+    STOP
+}
+
 /** Times that bound the wait for frames, in milliseconds. */
 internal data class StreamTimes(
     val connectMillis: Long,
@@ -74,7 +86,7 @@
     }
 
     /**
-     * Streams the frames of [generate] to [onFrame], which returns false to stop the stream.
+     * Streams the frames of [generate] to [onFrame].
      *
      * Time that [onFrame] takes does not count as silence, so a slow caller slows the engine down
      * instead of ending the attempt.
@@ -82,7 +94,7 @@
     suspend fun stream(
         generate: GenerateRequest,
         times: StreamTimes,
-        onFrame: suspend (TokenFrame) -> Boolean
+        onFrame: suspend (TokenFrame) -> FrameUse
     ): StreamEnd = coroutineScope {
         val wait = FrameWait(clock, times.firstFrameMillis)
         val exchange = async { exchange(generate, times, wait, onFrame) }
@@ -108,7 +120,7 @@
         generate: GenerateRequest,
         times: StreamTimes,
         wait: FrameWait,
-        onFrame: suspend (TokenFrame) -> Boolean
+        onFrame: suspend (TokenFrame) -> FrameUse
     ): StreamEnd = try {
         client.preparePost("http://${generate.route.first().address}/v1/generate") {
             timeout { connectTimeoutMillis = times.connectMillis }
@@ -143,19 +155,25 @@
         response: HttpResponse,
         times: StreamTimes,
         wait: FrameWait,
-        onFrame: suspend (TokenFrame) -> Boolean
+        onFrame: suspend (TokenFrame) -> FrameUse
     ): StreamEnd {
         val channel = response.bodyAsChannel()
         while (true) {
             val line = channel.readLine() ?: return StreamEnd.Broken("the stream ended early")
-            wait.since.set(Long.MAX_VALUE)
-            val frame = json.decodeFromString<TokenFrame>(line)
-            if (!onFrame(frame)) {
-                channel.cancel(null)
-                return StreamEnd.Finished
+            val since = wait.since.getAndSet(Long.MAX_VALUE)
+            when (onFrame(json.decodeFromString<TokenFrame>(line))) {
+                FrameUse.TAKEN -> {
+                    wait.limit = times.frameMillis
+                    wait.since.set(clock.monotonicMillis())
+                }
+
+                FrameUse.IGNORED -> wait.since.set(since)
+
+                FrameUse.STOP -> {
+                    channel.cancel(null)
+                    return StreamEnd.Finished
+                }
             }
-            wait.limit = times.frameMillis
-            wait.since.set(clock.monotonicMillis())
         }
     }
 
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -7,6 +7,7 @@
 import io.greengageport.common.Clock
 import io.greengageport.common.DataCentre
 import io.greengageport.common.Execution
+import io.greengageport.common.LayerRange
 import io.greengageport.common.RequestError
 import io.greengageport.common.RunnerId
 import io.greengageport.platform.GenerateRequest
@@ -15,7 +16,6 @@
 import io.greengageport.routing.AnswerAssembler
 import io.greengageport.routing.AnswerFrame
 import io.greengageport.routing.ChainPlanner
-import io.greengageport.routing.DropReason
 import io.greengageport.routing.Fingerprint
 import io.greengageport.routing.FrameOutcome
 import io.greengageport.routing.PrefixIndex
@@ -206,14 +206,14 @@
         )
     }
 
-    private suspend fun onFrame(a: Attempt, f: TokenFrame): Boolean {
+    private suspend fun onFrame(a: Attempt, f: TokenFrame): FrameUse {
         val frame = AnswerFrame(
             request = f.request,
             attempt = f.attempt,
             index = f.index,
             text = f.text,
             layers = f.layers.map {
-                TracedStage(it.runner, io.greengageport.common.LayerRange(it.from, it.until))
+                TracedStage(it.runner, LayerRange(it.from, it.until))
             },
             last = f.last
         )
@@ -222,18 +222,18 @@
                 execution = Execution.RAN
                 a.observer.onFrame(f)
                 sink.token(outcome.text, outcome.last)
-                !outcome.last && !isLate()
+                if (outcome.last || isLate()) FrameUse.STOP else FrameUse.TAKEN
             }
 
             is FrameOutcome.Dropped -> {
                 parts.metrics.droppedFrames.labelValues(outcome.reason.name.lowercase()).inc()
-                outcome.reason != DropReason.OTHER_REQUEST
+                FrameUse.IGNORED
             }
 
             is FrameOutcome.WrongTrace -> {
                 parts.metrics.droppedFrames.labelValues("wrong_trace").inc()
                 parts.decisions.record(context.id, "routing", "wrong layers ${outcome.trace}")
-                false
+                FrameUse.STOP
             }
         }
     }
--- /dev/null
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
@@ -0,0 +1,236 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.greengageport.common.DataCentre
+import io.greengageport.common.Gossip
+import io.greengageport.common.GossipListener
+import io.greengageport.common.InstanceId
+import io.greengageport.common.LayerRange
+import io.greengageport.common.OrganisationName
+import io.greengageport.common.RankName
+import io.greengageport.common.RequestError
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.common.SystemClock
+import io.greengageport.limits.AdmissionController
+import io.greengageport.limits.Capacity
+import io.greengageport.limits.FairQueue
+import io.greengageport.limits.OrganisationLimits
+import io.greengageport.limits.QueueSettings
+import io.greengageport.limits.RankPolicy
+import io.greengageport.limits.UsageReporter
+import io.greengageport.platform.InstanceListing
+import io.greengageport.platform.StageTrace
+import io.greengageport.routing.CostModel
+import io.greengageport.routing.Fingerprint
+import io.greengageport.routing.FirstFit
+import io.greengageport.routing.Fleet
+import io.greengageport.routing.LinkEstimator
+import io.greengageport.routing.LoadEstimator
+import io.greengageport.routing.OutlierDetector
+import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.RetryBudget
+import io.greengageport.routing.SuspectRequests
+import io.greengageport.settings.ModelSettings
+import io.greengageport.settings.Organisation
+import io.greengageport.settings.OrganisationSettings
+import io.greengageport.settings.Rank
+import io.greengageport.settings.RankSettings
+import io.greengageport.settings.Service
+import io.greengageport.settings.ServiceSettings
+import io.greengageport.settings.TimeoutSettings
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** The model path against engines in this process that misbehave by script. */
+class ModelPathTest {
+    private val opened = mutableListOf<AutoCloseable>()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val clients = HttpClients().also { opened += it }
+
+    @AfterEach
+    fun close() {
+        scope.cancel()
+        opened.forEach { it.close() }
+    }
+
+    @Nested
+    inner class Frames {
+        @Test
+        fun `a frame of another request or attempt, a duplicate and a gap are left out`() {
+            val engine = engine("a") {
+                val f = frame(0)
+                send(f.copy(request = RequestId("another"), text = "foreign "))
+                send(f.copy(attempt = 7, text = "late "))
+                send(f)
+                send(f)
+                send(frame(2))
+                answerFrom(1)
+            }
+            expectThat(answer(engine)).isEqualTo("t0 t1 t2 t3 ")
+        }
+
+        @Test
+        fun `frames of another request do not count as life of a silent stream`() {
+            val engine = engine("a") {
+                send(frame(0))
+                while (true) {
+                    send(frame(1).copy(request = RequestId("another")))
+                    delay(50)
+                }
+            }
+            val other = engine("b") { answerFrom(request.firstIndex) }
+            expectThat(answer(engine, other)).isEqualTo("t0 t1 t2 t3 ")
+        }
+
+        @Test
+        fun `skipped layers end the attempt and the answer goes on elsewhere`() {
+            val wrong = engine("a") {
+                send(frame(0))
+                send(frame(1).copy(layers = listOf(StageTrace(RunnerId("a"), 0, 3))))
+                awaitCancellation()
+            }
+            val right = engine("b") { answerFrom(request.firstIndex) }
+            expectThat(answer(wrong, right)).isEqualTo("t0 t1 t2 t3 ")
+            expectThat(right.requests.single().delivered).isEqualTo(listOf("t0 "))
+        }
+    }
+
+    @Nested
+    inner class Resume {
+        @Test
+        fun `a stream that breaks goes on at another runner without a token lost or doubled`() {
+            val breaking = engine("a") {
+                send(frame(0))
+                send(frame(1))
+            }
+            val other = engine("b") { answerFrom(request.firstIndex) }
+            expectThat(answer(breaking, other)).isEqualTo("t0 t1 t2 t3 ")
+            expectThat(other.requests.map { it.attempt to it.firstIndex }).isEqualTo(listOf(2 to 2))
+        }
+
+        @Test
+        fun `a stream that falls silent goes on at another runner`() {
+            val silent = engine("a") {
+                send(frame(0))
+                awaitCancellation()
+            }
+            val other = engine("b") { answerFrom(request.firstIndex) }
+            expectThat(answer(silent, other)).isEqualTo("t0 t1 t2 t3 ")
+        }
+
+        @Test
+        fun `an answer that no runner can complete ends in an error and not as complete`() {
+            val breaking = engine("a") { send(frame(0)) }
+            expectThat(answer(breaking)).isEqualTo("t0 backend_failed ran")
+        }
+
+        @Test
+        fun `a request that reached no runner was not run`() {
+            expectThat(answer()).isEqualTo("no_backend_server not_run")
+        }
+    }
+
+    private fun engine(id: String, script: suspend ScriptedEngine.Script.() -> Unit) =
+        ScriptedEngine(RunnerId(id), LayerRange(0, LAYERS), script).also { opened += it }
+
+    /** The text that the caller gets, followed by the error if there is one. */
+    private fun answer(vararg engines: ScriptedEngine): String = runBlocking {
+        val text = StringBuilder()
+        val backends = backends()
+        backends.fleet.setLayers(ServiceName("model"), LAYERS)
+        backends.onListing(InstanceListing(runners = engines.map { it.listed }))
+        val end: Result<Int, RequestError> = path(backends).run(call(), admission()) { t, _ ->
+            text.append(t)
+        }
+        end.fold({ text.toString() }, { "$text${it.code} ${it.execution.wireName}" })
+    }
+
+    private fun backends() = BackendFleet(
+        SystemClock,
+        NoGossip,
+        Fleet(),
+        LoadEstimator(),
+        LinkEstimator(),
+        PrefixIndex(),
+        OutlierDetector(SystemClock),
+        SuspectRequests(SystemClock)
+    )
+
+    private fun path(backends: BackendFleet) = ModelPath(
+        ModelParts(
+            clock = SystemClock,
+            dataCentre = DataCentre("dc1"),
+            backends = backends,
+            planner = FirstFit(
+                CostModel(backends.loads, backends.links, backends.prefixes, SystemClock)
+            ),
+            engines = EngineClient(clients.backend, SystemClock, scope),
+            probe = RunnerProbe(clients.probe, timeoutMillis = 2_000),
+            retries = RetryBudget(SystemClock, Random(1), minimum = 10),
+            retryPolicy = RetryPolicy.BUDGET,
+            times = TimesConfig(frameTimeoutMillis = 300),
+            decisions = DecisionLog(SystemClock),
+            metrics = EntryMetrics()
+        )
+    )
+
+    private fun admission() = ServiceAdmission(
+        SystemClock,
+        AdmissionController(
+            SystemClock,
+            FairQueue(QueueSettings(listOf(RankPolicy(RankName("urgent"), priority = 0)))),
+            OrganisationLimits({ null }, UsageReporter(InstanceId("entry-1"), { null })),
+            Capacity(1)
+        )
+    )
+
+    private fun call() = ModelCall(
+        context = RequestContext(
+            id = RequestId("request-1"),
+            organisation = Organisation(
+                OrganisationName("small"),
+                "team",
+                OrganisationSettings(keyHashes = emptyList())
+            ),
+            rank = Rank(RankName("urgent"), RankSettings(0, 340, 57, 30_000)),
+            service = Service(
+                ServiceName("model"),
+                "team",
+                ServiceSettings(
+                    model = ModelSettings(layers = LAYERS, version = ""),
+                    timeouts = TimeoutSettings(silenceMillis = 300)
+                )
+            ),
+            arrivedAt = SystemClock.monotonicMillis(),
+            deadlineAt = SystemClock.monotonicMillis() + 30_000
+        ),
+        prompt = "a prompt",
+        promptTokens = 2,
+        maxTokens = 4,
+        fingerprint = Fingerprint("f")
+    )
+
+    private object NoGossip : Gossip {
+        override fun publish(topic: String, key: String, version: Long, payload: ByteArray) = Unit
+
+        override fun subscribe(topic: String, listener: GossipListener) = Unit
+    }
+
+    private companion object {
+        const val LAYERS = 4
+    }
+}
