Check that the peer secret has 16 characters when the file is read

Cause: the check asked for 8, the peer protocol for 16 bytes, so that a shorter secret ended the program with an exception.

--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -67,7 +67,7 @@
             }
         }
 
-        private const val MIN_SECRET = 8
+        private const val MIN_SECRET = 16
     }
 }
 
