--- a/settings/src/main/kotlin/io/greengageport/settings/PathVersions.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/PathVersions.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
-import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.serialization.Serializable
 
 /**
@@ -46,7 +46,7 @@
         }
         var floor = forgotten
         while (r.size > MAX_REMOVED) {
-            val oldest = r.first()
+            val oldest = r.minWith(compareBy({ m.getValue(it).subtree }, { it }))
             r.remove(oldest)
             floor = maxOf(floor, m.remove(oldest)?.subtree ?: 0)
         }
@@ -65,6 +65,6 @@
     companion object {
         const val MAX_REMOVED = 4_096
 
-        val EMPTY = PathVersions(persistentHashMapOf(), persistentSetOf(), 0)
+        val EMPTY = PathVersions(persistentHashMapOf(), persistentHashSetOf(), 0)
     }
 }
--- a/settings/src/main/kotlin/io/greengageport/settings/PeerSync.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/PeerSync.kt
@@ -38,7 +38,7 @@
     private var proof: Timed<Proof>? = null
 
     private var published = -1L
-    private val served = ServedSnapshot()
+    private val served = ServedSnapshot(config.snapshotPartBytes)
 
     fun register(handlers: PeerHandlers) {
         handlers.handle(CHANNEL) { _, payload -> serve(payload) }
@@ -177,7 +177,7 @@
 internal class PullReply(val part: SnapshotPart?)
 
 /** The snapshot that peers are pulling at present; encoding it for each part would cost much. */
-internal class ServedSnapshot {
+internal class ServedSnapshot(private val partBytes: Int) {
     private var parts: List<SnapshotPart> = emptyList()
     private var usedAtMillis = 0L
 
@@ -186,7 +186,11 @@
         val state = holder.state
         if (request.hash.isEmpty()) {
             if (state.through == 0L) return null
-            if (parts.firstOrNull()?.through != state.through) parts = Snapshot.split(state)
+            if (parts.firstOrNull()?.through !=
+                state.through
+            ) {
+                parts = Snapshot.split(state, partBytes)
+            }
         }
         usedAtMillis = nowMillis
         return parts.getOrNull(request.index)
--- a/settings/src/main/kotlin/io/greengageport/settings/SettingsStoreConfig.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/SettingsStoreConfig.kt
@@ -25,12 +25,16 @@
     val pullAfter: Duration = 1.seconds,
     val pullTimeout: Duration = 2.seconds,
     val snapshotEvery: Int = 1_000,
+    val snapshotPartBytes: Int = Snapshot.PART_BYTES,
     val retention: Duration = 7.days,
     val snapshotStagger: Duration = 2.seconds,
     val snapshotQuiet: Duration = 10.seconds
 ) {
     init {
         require(longPoll < currentWithin) { "longPoll $longPoll is not below $currentWithin" }
+        require(snapshotPartBytes in 1..Snapshot.PART_BYTES) {
+            "snapshotPartBytes is at most ${Snapshot.PART_BYTES}, not $snapshotPartBytes"
+        }
         require(pageRecords > 0) { "pageRecords is positive, not $pageRecords" }
     }
 }
--- a/settings/src/main/kotlin/io/greengageport/settings/Snapshot.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/Snapshot.kt
@@ -2,8 +2,8 @@
 
 import com.github.michaelbull.result.getOrElse
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.collections.immutable.toPersistentHashSet
 import kotlinx.serialization.Serializable
 
 /**
@@ -14,13 +14,13 @@
     /** Leaves room for the header of a part within [RecordCodec.MAX_RECORD_BYTES]. */
     const val PART_BYTES = RecordCodec.MAX_RECORD_BYTES - 512
 
-    fun split(state: SettingsState): List<SnapshotPart> {
+    fun split(state: SettingsState, partBytes: Int = PART_BYTES): List<SnapshotPart> {
         val bytes = encode(state)
         val hash = sha256(bytes).toHex()
-        val count = (bytes.size + PART_BYTES - 1) / PART_BYTES
+        val count = (bytes.size + partBytes - 1) / partBytes
         return List(count) { i ->
-            val end = minOf((i + 1) * PART_BYTES, bytes.size)
-            val slice = bytes.copyOfRange(i * PART_BYTES, end)
+            val end = minOf((i + 1) * partBytes, bytes.size)
+            val slice = bytes.copyOfRange(i * partBytes, end)
             SnapshotPart(state.through, hash, i, count, slice)
         }
     }
@@ -33,7 +33,7 @@
             hash = s.hash,
             documents = s.tree.documents.toSortedMap(),
             marks = s.versions.marks.toSortedMap(),
-            removed = s.versions.removed.toList(),
+            removed = s.versions.removed.sorted(),
             forgotten = s.versions.forgotten,
             fates = s.ids.fates.toMap(),
             horizon = s.ids.horizon,
@@ -53,7 +53,7 @@
             through = b.through,
             versions = PathVersions(
                 b.marks.toPersistentHashMap(),
-                persistentSetOf<SettingsPath>().addAll(b.removed),
+                b.removed.toPersistentHashSet(),
                 b.forgotten
             ),
             ids = ChangeIds(persistentMapOf<ChangeId, Fate>().putAll(b.fates), b.horizon),
--- a/settings/src/main/kotlin/io/greengageport/settings/SnapshotWriter.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/SnapshotWriter.kt
@@ -41,7 +41,7 @@
     }
 
     suspend fun write(state: SettingsState): Boolean {
-        val parts = Snapshot.split(state)
+        val parts = Snapshot.split(state, config.snapshotPartBytes)
         for (p in parts) if (!append(p)) return false
         Logger.info { "settings: wrote a snapshot as of ${state.through}, ${parts.size} parts" }
         return true
--- /dev/null
+++ b/settings/src/test/kotlin/io/greengageport/settings/FakeFleet.kt
@@ -0,0 +1,85 @@
+package io.greengageport.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.greengageport.common.DataCentre
+import io.greengageport.common.Gossip
+import io.greengageport.common.GossipListener
+import io.greengageport.common.InstanceId
+import io.greengageport.common.Member
+import io.greengageport.common.Members
+import io.greengageport.common.PeerCalls
+import io.greengageport.common.PeerError
+import io.greengageport.common.PeerHandlers
+import kotlin.time.Duration
+
+/** Peers within one process; calls and gossip arrive at once, but not at instances in [cut]. */
+internal class FakeFleet {
+    private class Item(val version: Long, val payload: ByteArray)
+
+    private val nodes = sortedMapOf<InstanceId, Node>()
+    private val items = mutableMapOf<Pair<String, String>, Item>()
+    val cut = mutableSetOf<InstanceId>()
+
+    /** Changes replies on the way, for tests of damaged transfers. */
+    var tamper: (ByteArray) -> ByteArray = { it }
+
+    /** A new instance, which replaces one of the same name. */
+    fun node(name: String): Node = Node(InstanceId(name)).also { nodes[it.self] = it }
+
+    inner class Node(override val self: InstanceId) :
+        Members,
+        PeerCalls,
+        PeerHandlers,
+        Gossip {
+        private val handlers =
+            mutableMapOf<String, suspend (InstanceId, ByteArray) -> ByteArray>()
+        private val listeners = mutableListOf<Pair<String, GossipListener>>()
+
+        override fun live() = nodes.keys.filter { it !in cut || it == self }
+            .map { Member(it, "127.0.0.1:1", DataCentre("a")) }
+
+        override suspend fun call(
+            peer: InstanceId,
+            channel: String,
+            payload: ByteArray,
+            timeout: Duration
+        ): Result<ByteArray, PeerError> {
+            val handler = nodes[peer]?.takeIf {
+                peer !in cut && self !in cut
+            }?.handlers?.get(channel)
+            return if (handler == null) {
+                Err(PeerError.Unreachable(peer))
+            } else {
+                Ok(tamper(handler(self, payload)))
+            }
+        }
+
+        override fun handle(
+            channel: String,
+            handler: suspend (from: InstanceId, payload: ByteArray) -> ByteArray
+        ) {
+            handlers[channel] = handler
+        }
+
+        override fun publish(topic: String, key: String, version: Long, payload: ByteArray) {
+            val known = items[topic to key]
+            if (self in cut || (known != null && known.version >= version)) return
+            items[topic to key] = Item(version, payload)
+            for ((id, n) in nodes) {
+                if (id !in cut) n.deliver(topic, key, version, payload)
+            }
+        }
+
+        override fun subscribe(topic: String, listener: GossipListener) {
+            listeners += topic to listener
+            items.filterKeys { it.first == topic }
+                .forEach { (k, i) -> listener.onItem(k.second, i.version, i.payload) }
+        }
+
+        private fun deliver(topic: String, key: String, version: Long, payload: ByteArray) =
+            listeners.filter { it.first == topic }
+                .forEach { it.second.onItem(key, version, payload) }
+    }
+}
--- /dev/null
+++ b/settings/src/test/kotlin/io/greengageport/settings/SettingsPublisherTest.kt
@@ -0,0 +1,112 @@
+package io.greengageport.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.greengageport.platform.LogError
+import io.greengageport.platform.LogService
+import io.greengageport.settings.Fixtures.admin
+import io.greengageport.settings.Fixtures.rank
+import io.greengageport.testkit.AppendFault
+import io.greengageport.testkit.InMemoryLog
+import io.greengageport.testkit.ManualClock
+import kotlin.random.Random
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+class SettingsPublisherTest {
+    private val clock = ManualClock()
+    private val log = InMemoryLog(clock)
+    private val path = SettingsPath.rank("urgent")
+    private val id = ChangeId("c")
+    private var onPause = {}
+
+    private fun publisher(log: LogService = this.log) = SettingsPublisher(
+        log,
+        { SettingsState.EMPTY },
+        clock,
+        random = Random(1),
+        pause = {
+            clock.advance(it.inWholeMilliseconds)
+            onPause()
+        }
+    )
+
+    private fun publish(log: LogService = this.log): PublishOutcome = runBlocking {
+        publisher(log).publish(admin, path, mapOf(path to rank(0)), 0, id)
+    }
+
+    /** Guards against a change that is made twice because its acknowledgement was lost. */
+    @Test
+    fun `a lost acknowledgement is resolved by reading back, without a second append`() {
+        log.nextAppend = AppendFault.LOSE_ACKNOWLEDGEMENT
+        expectThat(publish()).isEqualTo(PublishOutcome.Accepted(id, 1))
+        expectThat(log.appends).isEqualTo(1)
+    }
+
+    /** Guards against a lost change that takes effect after its author was told it failed. */
+    @Test
+    fun `a change that is not there is withdrawn and stays rejected when it arrives late`() {
+        log.nextAppend = AppendFault.DROP
+        val outcome = publish()
+        expectThat(outcome).isEqualTo(PublishOutcome.Rejected(id, Rejection.Withdrawn(1)))
+        val late = Fixtures.change("c", path.value, 0, rank(0))
+        log.store("settings", RecordCodec.encode(late))
+        runBlocking {
+            expectThat(publisher().fate(id)).isEqualTo(FateReport.Decided(Fate.Withdrawn(1)))
+        }
+    }
+
+    /** Guards against a claim of success or failure that nothing supports. */
+    @Test
+    fun `without the log the outcome stays open, and can be decided later`() = runBlocking<Unit> {
+        val dying = object : LogService by log {
+            override suspend fun append(s: String, payload: ByteArray): Result<Long, LogError> {
+                log.down = true
+                return Err(LogError.Uncertain("connection closed"))
+            }
+        }
+        val outcome = publish(dying)
+        expectThat(outcome).isA<PublishOutcome.Undecided>().get { id }.isEqualTo(id)
+        expectThat(publisher().fate(id)).isA<FateReport.LogUnavailable>()
+        log.down = false
+        expectThat(publisher().fate(id)).isEqualTo(FateReport.NotSeen(0, 0))
+        expectThat(publisher().withdraw(outcome as PublishOutcome.Undecided))
+            .isEqualTo(PublishOutcome.Rejected(id, Rejection.Withdrawn(1)))
+    }
+
+    /** Guards against a withdrawal taken for a rejection once the earlier fate is forgotten. */
+    @Test
+    fun `an undecided change of forgotten age stays undecided`() = runBlocking<Unit> {
+        repeat(ChangeIds.MAX_IDS + 1) {
+            log.store("settings", RecordCodec.encode(Withdraw(ChangeId("w$it"))))
+        }
+        val old = PublishOutcome.Undecided(ChangeId("w0"), 0, "")
+        expectThat(publisher().withdraw(old)).isA<PublishOutcome.Undecided>()
+            .get { reason }.isEqualTo("ids of that age are forgotten")
+    }
+
+    /** Guards against unclear answers for changes that never reach the log. */
+    @Test
+    fun `a change that the log cannot take is not appended, an invalid one is rejected`() {
+        log.down = true
+        val unavailable = NotAppendedReason.LogUnavailable("Unavailable(reason=log is down)")
+        expectThat(publish()).isEqualTo(PublishOutcome.NotAppended(id, unavailable))
+        log.down = false
+        val many = (1..600).associate {
+            SettingsPath.organisation("t", "o$it") to Fixtures.organisation("k$it")
+        }
+        val root = SettingsPath.ROOT
+        runBlocking {
+            expectThat(publisher().publish(admin, root, many, 0))
+                .isA<PublishOutcome.NotAppended>()
+                .get { reason }.isA<NotAppendedReason.TooLarge>()
+            expectThat(publisher().publish(admin, path, mapOf(path to rank(-1)), 0))
+                .isA<PublishOutcome.Rejected>()
+                .get { reason }.isA<Rejection.Invalid>()
+        }
+        expectThat(log.appends).isEqualTo(0)
+    }
+}
--- a/settings/src/test/kotlin/io/greengageport/settings/SettingsStateTest.kt
+++ b/settings/src/test/kotlin/io/greengageport/settings/SettingsStateTest.kt
@@ -71,6 +71,16 @@
         }
     }
 
+    /** Guards against a set that fails when its only element is removed and added at once. */
+    @Test
+    fun `a path can be removed twice`() {
+        val (state, decisions) = fold(
+            listOf(change("a", "ranks/urgent"), change("b", "ranks/urgent", 1))
+        )
+        expectThat(decisions.last()).isEqualTo(Decision.Accepted(ChangeId("b"), 2))
+        expectThat(state.versions.removed).hasSize(1)
+    }
+
     @Nested
     inner class Ids {
         /** Guards against a late copy of a withdrawn change taking effect. */
