--- a/settings/src/main/kotlin/io/greengageport/settings/LogFollower.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/LogFollower.kt
@@ -28,9 +28,12 @@
 ) {
     private class Scan(var earliest: Long) {
         var next = earliest
+        var range = ScanRange.UNDECIDED
         val assembler = SnapshotAssembler()
     }
 
+    private enum class ScanRange { UNDECIDED, TAIL, ALL }
+
     private var scan: Scan? = null
 
     /** Monotonic time at which the state here was last seen to reach the end of the log. */
@@ -115,6 +118,14 @@
         val batch = log.readFrom(config.stream, s.next, config.pageRecords, wait)
             .getOrElse { return failed(it) }
         s.earliest = maxOf(s.earliest, batch.earliest)
+        if (s.range == ScanRange.UNDECIDED) {
+            s.range = ScanRange.TAIL
+            // The newest snapshot is near the end; reading all older ones would cost far more.
+            if (batch.next - s.next > config.scanBack) {
+                s.next = batch.next - config.scanBack
+                return Poll.Read(0)
+            }
+        }
         for (r in batch.records) {
             s.next = r.offset + 1
             val part = RecordCodec.decode(r.payload).get() as? SnapshotPart ?: continue
@@ -127,7 +138,12 @@
             scan = null
             return Poll.Read(batch.records.size)
         }
-        needsPeer = s.next >= batch.next
+        if (s.next >= batch.next && s.range == ScanRange.TAIL) {
+            s.range = ScanRange.ALL
+            s.next = s.earliest
+        } else {
+            needsPeer = s.next >= batch.next
+        }
         return Poll.Read(batch.records.size)
     }
 }
--- a/settings/src/main/kotlin/io/greengageport/settings/SettingsPublisher.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/SettingsPublisher.kt
@@ -207,7 +207,7 @@
 
     private companion object {
         const val ID_BYTES = 16
-        const val PAGE_RECORDS = 128
+        const val PAGE_RECORDS = 16
         val RETRY_DELAY = 200.milliseconds
     }
 }
--- a/settings/src/main/kotlin/io/greengageport/settings/Snapshot.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/Snapshot.kt
@@ -122,7 +122,7 @@
     }
 
     private companion object {
-        const val MAX_BYTES = 24L * 1024 * 1024
+        const val MAX_BYTES = 16L * 1024 * 1024
         const val MAX_PARTS = 4_096
     }
 }
--- /dev/null
+++ b/settings/src/test/kotlin/io/greengageport/settings/MalformedRecordTest.kt
@@ -0,0 +1,40 @@
+package io.greengageport.settings
+
+import kotlin.random.Random
+import net.jqwik.api.ForAll
+import net.jqwik.api.Label
+import net.jqwik.api.Property
+import net.jqwik.api.ShrinkingMode
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Records that anyone with access to the log could append. */
+class MalformedRecordTest {
+    private val valid = RecordCodec.encode(
+        Fixtures.change("a", "organisations/t/o", 0, Fixtures.organisation("k", listOf("s")))
+    )
+
+    /** Guards against a damaged record that stops the reader with an exception. */
+    @Property(tries = 20_000, seed = "2026", shrinking = ShrinkingMode.OFF)
+    @Label("a damaged record never stops a reader")
+    fun damagedRecord(@ForAll seed: Long) {
+        val random = Random(seed)
+        val bytes = valid.copyOf(random.nextInt(valid.size / 2, valid.size + 4))
+        repeat(random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+        SettingsState.EMPTY.apply(Fixtures.record(1, bytes))
+    }
+
+    /** Guards against a length in a record that makes every reader run out of memory. */
+    @Test
+    fun `a record that claims a huge list or text is malformed`() {
+        val claims = mapOf("keyHashes" to 0x9a, "author" to 0xba, "name" to 0x7a)
+        val decisions = claims.map { (field, header) ->
+            val at = String(valid, Charsets.ISO_8859_1).indexOf(field) + field.length
+            val huge = byteArrayOf(header.toByte(), 0x7f, -1, -1, -1)
+            val bytes = valid.copyOf(at) + huge + valid.drop(at + 1)
+            SettingsState.EMPTY.apply(Fixtures.record(1, bytes)).decision
+        }
+        expectThat(decisions.filter { it !is Decision.Malformed }).isEqualTo(emptyList())
+    }
+}
--- a/settings/src/test/kotlin/io/greengageport/settings/SettingsPublisherTest.kt
+++ b/settings/src/test/kotlin/io/greengageport/settings/SettingsPublisherTest.kt
@@ -63,7 +63,10 @@
     @Test
     fun `without the log the outcome stays open, and can be decided later`() = runBlocking<Unit> {
         val dying = object : LogService by log {
-            override suspend fun append(s: String, payload: ByteArray): Result<Long, LogError> {
+            override suspend fun append(
+                stream: String,
+                payload: ByteArray
+            ): Result<Long, LogError> {
                 log.down = true
                 return Err(LogError.Uncertain("connection closed"))
             }
--- a/settings/src/test/kotlin/io/greengageport/settings/SettingsWorld.kt
+++ b/settings/src/test/kotlin/io/greengageport/settings/SettingsWorld.kt
@@ -30,6 +30,7 @@
     private val config = SettingsStoreConfig(
         pageRecords = 7,
         snapshotEvery = 12,
+        scanBack = 30,
         snapshotPartBytes = 400,
         snapshotStagger = 1.milliseconds,
         snapshotQuiet = 1.milliseconds,
