--- a/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
@@ -130,11 +130,13 @@
 
     private fun pause() {
         val d = backoff.next()
-        synchronized(lock) {
+        val first = synchronized(lock) {
+            val known = retryAt != null
             retryAt = clock.monotonicMillis() + d.inWholeMilliseconds
             probing = false
+            !known
         }
-        Logger.warn("ledger: log takes no records, next attempt in $d")
+        if (first) Logger.warn("ledger: log takes no records, $size wait")
     }
 
     /**
