Replay an outcome that is known only at its claimant during an outage

Cause: the new specs found that a retry during an outage of the log was refused although its claimant had the outcome in memory, because a copy older than 5 s was not used at all. Change: the claimant is asked in any case; only new claims and a reused key need a current copy.

--- a/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
@@ -97,19 +97,19 @@
                 call.deadline,
                 clock.monotonicMillis() + settings.maxOutcomeWait.inWholeMilliseconds
             )
-            val seen = inspect(call)
-            decided(call, seen)?.let { return it }
-            if (!ready) awaitCurrent(call)?.let { return it }
-            // The view is taken again, since it may have been stale before the stream was read.
-            val r = when (val view = inspect(call)) {
-                is KeyView.Claimed -> {
-                    if (differs(call, view.bodyHash)) return BeginResult.KeyReused
-                    awaitOutcome(call, view, waitUntil)
-                }
-
-                KeyView.Free -> claim(call, takenOver = null)
-
-                KeyView.Expired, is KeyView.Done -> decided(call, view)
+            val view = inspect(call)
+            decided(call, view)?.let { return it }
+            val claimed = view as? KeyView.Claimed
+            val reused = claimed != null && differs(call, claimed.bodyHash)
+            // A claimant can be asked at any time; the rest must not be decided on a stale copy.
+            if (!ready && (claimed == null || reused)) {
+                awaitCurrent(call)?.let { return it }
+                continue
+            }
+            val r = when {
+                reused -> BeginResult.KeyReused
+                claimed != null -> awaitOutcome(call, claimed, waitUntil)
+                else -> claim(call, takenOver = null)
             }
             if (r != null) return r
         }
--- /dev/null
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
@@ -0,0 +1,235 @@
+package io.greengageport.ledger
+
+import io.greengageport.common.InstanceId
+import io.greengageport.testkit.ManualClock
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+class OrderLedgerTest {
+    private val time = VirtualTime(Random(SEED))
+    private val log = SimulatedLog(time, Random(SEED))
+    private val peers = SimulatedPeers()
+    private val a = start("a")
+    private val b = start("b")
+    private val outcome = OrderSimulation.outcome(1)
+
+    init {
+        time.advance(1_000)
+    }
+
+    private fun start(id: String, settings: LedgerSettings = LedgerSettings()) =
+        SimulatedInstance(InstanceId(id), time, log, peers, id.hashCode(), settings).start()
+
+    private fun call(
+        key: String = "k",
+        body: Long = 1,
+        wait: Long = 5_000,
+        issuedAt: Long = ISSUED,
+        deduplicates: Boolean = false
+    ) = OrderCall(
+        OrderSimulation.key(key),
+        Digest(body, body),
+        issuedAt,
+        time.monotonicMillis() + wait,
+        deduplicates
+    )
+
+    private fun begin(on: SimulatedInstance, call: OrderCall = call()) =
+        time.run { on.ledger.begin(call) }
+
+    private fun win(on: SimulatedInstance, call: OrderCall = call()): SendPermit =
+        (begin(on, call) as BeginResult.Won).permit
+
+    private fun finish(permit: SendPermit) = permit.use {
+        check(it.startSending())
+        it.complete(outcome)
+    }
+
+    @Nested
+    inner class Retries {
+        @Test
+        fun `an outcome is replayed at every instance and bound to its body`() {
+            finish(win(a))
+            time.advance(1_000)
+            expectThat(listOf(a, b).map { begin(it) }).isEqualTo(
+                listOf(BeginResult.Replay(outcome), BeginResult.Replay(outcome))
+            )
+            expectThat(begin(b, call(body = 2))).isEqualTo(BeginResult.KeyReused)
+        }
+
+        @Test
+        fun `a retry elsewhere waits for the call in progress until its deadline`() {
+            val permit = win(a)
+            permit.startSending()
+            expectThat(begin(b, call(wait = 500))).isEqualTo(BeginResult.InProgress(a.id))
+            time.after(1_000) { permit.complete(outcome) }
+            expectThat(begin(b)).isEqualTo(BeginResult.Replay(outcome))
+        }
+
+        @Test
+        fun `concurrent calls with one key get one permit`() {
+            val results = time.run {
+                List(6) { async { listOf(a, b)[it % 2].ledger.begin(call(wait = 900)) } }.awaitAll()
+            }
+            expectThat(results.count { it is BeginResult.Won }).isEqualTo(1)
+            expectThat(results.count { it is BeginResult.InProgress }).isEqualTo(5)
+        }
+
+        @Test
+        fun `a large outcome body is not kept`() {
+            val big = CallOutcome(200, emptyMap(), ByteArray(16 * 1024 + 1))
+            win(a).use { check(it.startSending()).also { _ -> it.complete(big) } }
+            time.advance(1_000)
+            expectThat(begin(b)).isEqualTo(BeginResult.Replay(big.withoutBody()))
+        }
+    }
+
+    @Nested
+    inner class Crashes {
+        @Test
+        fun `the call of a dead claimant stays unknown`() {
+            win(a).startSending()
+            a.lane.kill()
+            expectThat(begin(b)).isEqualTo(BeginResult.OutcomeUnknown)
+            expectThat(begin(start("a"))).isEqualTo(BeginResult.OutcomeUnknown)
+        }
+
+        @Test
+        fun `a dead claimant is replaced where the backend server deduplicates`() {
+            win(a, call(deduplicates = true)).startSending()
+            a.lane.kill()
+            finish(win(b, call(deduplicates = true)))
+            time.advance(1_000)
+            expectThat(begin(start("c"))).isEqualTo(BeginResult.Replay(outcome))
+        }
+
+        @Test
+        fun `a permit that was not settled is released or unknown when closed`() {
+            win(a).close()
+            val second = win(b)
+            second.use { it.startSending() }
+            expectThat(begin(a)).isEqualTo(BeginResult.OutcomeUnknown)
+            second.complete(outcome)
+            expectThat(begin(a)).isEqualTo(BeginResult.OutcomeUnknown)
+        }
+
+        @Test
+        fun `a holder of a permit that is paused past the send window does not send`() {
+            val permit = win(a)
+            time.advance(LedgerSettings().sendWindow.inWholeMilliseconds)
+            expectThat(permit.startSending()).isEqualTo(false)
+            finish(win(b))
+        }
+    }
+
+    @Nested
+    inner class Outages {
+        @Test
+        fun `a call is refused at once while the log is down`() {
+            log.store.down = true
+            begin(a)
+            val before = time.monotonicMillis()
+            val r = begin(a, call(key = "other"))
+            expectThat(r).isA<BeginResult.LogUnavailable>()
+                .get { retryAfterMillis }.isGreaterThan(0)
+            expectThat(time.monotonicMillis() - before).isLessThan(3)
+        }
+
+        @Test
+        fun `outcomes and releases are appended after the outage`() {
+            val (first, second) = win(a) to win(a, call(key = "other"))
+            check(first.startSending())
+            log.store.down = true
+            time.advance(500)
+            first.complete(outcome)
+            second.abandon()
+            time.advance(60_000)
+            expectThat(begin(a)).isEqualTo(BeginResult.Replay(outcome))
+            log.store.down = false
+            time.advance(10_000)
+            expectThat(begin(b)).isEqualTo(BeginResult.Replay(outcome))
+            finish(win(b, call(key = "other")))
+            expectThat(time.run { a.ledger.flush(1.seconds) }).isEqualTo(true)
+        }
+
+        @Test
+        fun `a call whose claim had an uncertain append is not run and may be retried`() {
+            log.faults = 1.0
+            val told = List(5) { begin(a, call(key = "k$it")) }
+            log.faults = 0.0
+            time.advance(30_000)
+            told.forEachIndexed { i, r ->
+                if (r !is BeginResult.Won) expectThat(r).isA<BeginResult.LogUnavailable>()
+                if (r !is BeginResult.Won) finish(win(b, call(key = "k$i")))
+            }
+            expectThat(told.count { it is BeginResult.LogUnavailable }).isGreaterThan(0)
+        }
+
+        @Test
+        fun `an instance that has not read the stream is not ready`() {
+            log.store.down = true
+            expectThat(begin(start("c"))).isA<BeginResult.NotReady>()
+        }
+
+        @Test
+        fun `claims of many keys share appends`() {
+            val before = log.store.appends
+            time.run {
+                List(200) { async { a.ledger.begin(call(key = "k$it")) } }.awaitAll()
+            }
+            expectThat(log.store.appends - before).isLessThan(5)
+        }
+    }
+
+    @Nested
+    inner class Retention {
+        @Test
+        fun `keys outside the time remembered or in the future are refused`() {
+            val now = time.wallMillis()
+            val day = 24 * 3_600_000L
+            expectThat(listOf(now - day - 1, now + 40_000).map { begin(a, call(issuedAt = it)) })
+                .isEqualTo(listOf(BeginResult.KeyExpired, BeginResult.IssuedInFuture))
+        }
+
+        @Test
+        fun `a call that ran before the horizon does not run again at a new instance`() {
+            // Issued ahead of the log's clock by less than the skew, and appended at once.
+            val early = call(issuedAt = time.wallMillis() + 20_000)
+            finish(win(a, early))
+            time.advance(1_000)
+            val horizon = time.wallMillis()
+            finish(win(a, call(key = "later", issuedAt = horizon)))
+            time.advance(1_000)
+            log.store.expire(horizon)
+            expectThat(begin(start("c"), early)).isEqualTo(BeginResult.KeyExpired)
+        }
+
+        @Test
+        fun `damaged appends do not stop the reader`() {
+            log.store.store("orders", byteArrayOf(7, 7, 7))
+            finish(win(a))
+        }
+
+        @Test
+        fun `a paused instance reads the stream before it answers`() {
+            a.lane.pause(60_000)
+            finish(win(b))
+            time.advance(60_001)
+            expectThat(begin(a)).isEqualTo(BeginResult.Replay(outcome))
+        }
+    }
+
+    private companion object {
+        const val SEED = 11
+        const val ISSUED = ManualClock.START_WALL_MILLIS
+    }
+}
