Test membership under faults and fix what the tests found

Cause: the core and the transport had no tests. A failure to accept a connection no longer ends the accept loop (no test: it needs a full file table).

--- a/membership/src/main/kotlin/io/greengageport/membership/Connection.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/Connection.kt
@@ -72,6 +72,11 @@
     @Volatile
     var lastUse: Long = openedAt
 
+    @Volatile
+    private var lastReceived: Long = openedAt
+    private var pingedAt: Long? = null
+    private var checkedAt: Long = openedAt
+
     val isOpen: Boolean get() = !isClosed.get()
 
     val isBusy: Boolean get() = pending.isNotEmpty() || handling.get() > 0
@@ -113,6 +118,37 @@
         pending.remove(frame.correlation)?.complete(frame)
     }
 
+    /** Notes that a frame arrived. */
+    fun received(now: Long) {
+        lastUse = now
+        lastReceived = now
+    }
+
+    fun answerPing(now: Long) {
+        offer(Frame(FrameKind.PONG.ordinal, 0, "", ByteArray(0)), now)
+    }
+
+    /**
+     * True if requests wait, nothing arrived for [limit] milliseconds, and a ping had no answer for
+     * as long again. Called periodically by one coroutine; a pause of this process counts as no
+     * silence of the peer.
+     */
+    fun isSilent(now: Long, limit: Long): Boolean {
+        val wasPaused = now - checkedAt > limit
+        checkedAt = now
+        val pinged = pingedAt
+        if (pending.isEmpty() || now - lastReceived <= limit || wasPaused) {
+            pingedAt = null
+            return false
+        }
+        if (pinged == null) {
+            pingedAt = now
+            offer(Frame(FrameKind.PING.ordinal, 0, "", ByteArray(0)), now)
+            return false
+        }
+        return now - pinged > limit
+    }
+
     fun close(error: ConnectionError? = null) {
         if (!isClosed.compareAndSet(false, true)) return
         outgoing.close()
--- a/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
@@ -55,6 +56,9 @@
     private val refusals = LogLimiter(clock)
     private var server: ServerSocket? = null
 
+    @Volatile
+    private var isClosing = false
+
     val size: Int get() = all.size
 
     /** Listens at the address and returns the bound port. */
@@ -86,9 +90,16 @@
         old.close()
     }
 
-    fun closeIdle(now: Long, neighbours: Set<InstanceId>) {
+    /** Closes idle connections and those that went silent while requests wait on them. */
+    fun maintain(now: Long, neighbours: Set<InstanceId>) {
         val idle = timings.idleConnection.inWholeMilliseconds
+        val silence = timings.probeTimeout.inWholeMilliseconds * SILENT_TIMEOUTS
         for (connection in all) {
+            if (connection.isSilent(now, silence)) {
+                traffic.replaced.increment()
+                Logger.info { "membership: silent connection to ${connection.peer} closed" }
+                connection.close()
+            }
             val isKept = connection.peer in neighbours && current[connection.peer] === connection
             val limit = if (connection.isDialled) idle else ACCEPTOR_PATIENCE * idle
             if (!isKept && !connection.isBusy && now - connection.lastUse > limit) {
@@ -98,13 +109,14 @@
     }
 
     fun close() {
+        isClosing = true
         server?.close()
         all.forEach { it.close() }
         selector.close()
     }
 
     override fun onFrame(connection: Connection, frame: Frame) {
-        connection.lastUse = clock.monotonicMillis()
+        connection.received(clock.monotonicMillis())
         onFrame.invoke(connection, frame)
     }
 
@@ -134,13 +146,14 @@
     }
 
     private suspend fun acceptAll(server: ServerSocket) {
-        while (true) {
-            val socket = server.accept()
+        while (!isClosing) {
+            val socket = acceptOne(server) ?: continue
             if (unproved.incrementAndGet() > MAX_UNPROVED || all.size > MAX_CONNECTIONS) {
                 unproved.decrementAndGet()
                 socket.close()
                 continue
             }
+            val address = socket.remoteAddress
             scope.launch {
                 val result = attempt {
                     closingOnFailure(socket) { input, output ->
@@ -149,11 +162,24 @@
                     }
                 }
                 unproved.decrementAndGet()
-                result.fold(success = {}, failure = { refused(socket, it) })
+                result.fold(success = {}, failure = { refused("$address", it) })
             }
         }
     }
 
+    /** A failure to accept, such as too many open files, must not end the accept loop. */
+    private suspend fun acceptOne(server: ServerSocket): Socket? = try {
+        server.accept()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        if (!isClosing) {
+            refusals.log { Logger.warn { "membership: no connection accepted: ${e.message}" } }
+            delay(timings.tick)
+        }
+        null
+    }
+
     private fun connection(
         id: InstanceId,
         isDialled: Boolean,
@@ -171,11 +197,11 @@
         return connection
     }
 
-    private fun refused(socket: Socket, error: ConnectionError) {
+    private fun refused(address: String, error: ConnectionError) {
         traffic.refused.increment()
         if (error is ConnectionError.BadFrame) traffic.badFrames.increment()
         refusals.log {
-            Logger.warn { "membership: connection from ${socket.remoteAddress} refused: $error" }
+            Logger.warn { "membership: connection from $address refused: $error" }
         }
     }
 
@@ -209,6 +235,7 @@
 
     private companion object {
         const val ACCEPTOR_PATIENCE = 3
+        const val SILENT_TIMEOUTS = 4
         const val MAX_UNPROVED = 256
         const val MAX_CONNECTIONS = 1_024
     }
--- a/membership/src/main/kotlin/io/greengageport/membership/Frame.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/Frame.kt
@@ -19,7 +19,11 @@
     RESPONSE,
 
     /** The request was not handled or its handler failed; the channel field holds the reason. */
-    FAILURE
+    FAILURE,
+
+    /** Checks a connection on which requests wait; answered by [PONG] at once. */
+    PING,
+    PONG
 }
 
 /** A frame after the handshake; [correlation] ties a response to its request. */
--- a/membership/src/main/kotlin/io/greengageport/membership/GossipSender.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/GossipSender.kt
@@ -22,7 +22,10 @@
         refill(now)
         if (peers.isEmpty() || (events.isEmpty() && items.isEmpty())) return emptyList()
         rotation = (rotation + 1) % peers.size
-        return (peers.drop(rotation) + peers.take(rotation)).mapNotNull { peer ->
+        // With few tokens left, one larger message to one peer saves headers.
+        val isScarce = tokens < bytesPerSecond * MILLIS_PER_SECOND / 2
+        val order = peers.drop(rotation) + peers.take(rotation)
+        return order.take(if (isScarce) 1 else order.size).mapNotNull { peer ->
             val empty = SwimMessage(SwimKind.GOSSIP.ordinal)
             val message = fill(empty, peer.id, instances, HEADER_BYTES, MAX_FLOOD_BYTES)
             Effect.Send(peer.id, peer.address, message)
@@ -64,7 +67,9 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
         const val EVENT_OVERHEAD_BYTES = 18
-        const val HEADER_BYTES = 60
+
+        /** The frame's fields, its segment's headers and those of the acknowledgement. */
+        const val HEADER_BYTES = 130
         const val MAX_FLOOD_BYTES = 1_200
         const val MAX_PIGGYBACK_BYTES = 400
     }
--- a/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
@@ -78,6 +78,11 @@
         }
     }
 
+    /** The bound address `ip:port`; null before [start]. */
+    @Volatile
+    public var listenAddress: String? = null
+        private set
+
     override val self: InstanceId get() = settings.id
 
     override fun live(): List<Member> = core?.view ?: listOf(record(settings.listenPort).toMember())
@@ -108,6 +113,7 @@
             val address = "${settings.listenHost}:${settings.listenPort}"
             return Err(StartError.CannotListen(address, e.message ?: e.javaClass.simpleName))
         }
+        listenAddress = "${settings.listenHost}:$port"
         val self = record(port)
         val started = SwimCore(self, timings, random)
         started.addSeeds(settings.seeds)
@@ -207,7 +213,7 @@
             try {
                 val now = clock.monotonicMillis()
                 run(core.tick(now), null)
-                pool.closeIdle(now, core.neighbours())
+                pool.maintain(now, core.neighbours())
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Exception) {
@@ -229,6 +235,10 @@
             FrameKind.REQUEST -> handlers.handle(connection, frame)
 
             FrameKind.RESPONSE, FrameKind.FAILURE -> connection.complete(frame)
+
+            FrameKind.PING -> connection.answerPing(clock.monotonicMillis())
+
+            FrameKind.PONG -> Unit
         }
     }
 
@@ -280,7 +290,7 @@
 
     private fun record(port: Int): MemberRecord = MemberRecord(
         settings.id,
-        "${settings.advertisedHost}:$port",
+        "${settings.advertisedHost}:${settings.advertisedPort ?: port}",
         settings.dataCentre,
         boot = clock.wallMillis(),
         incarnation = 0,
--- a/membership/src/main/kotlin/io/greengageport/membership/PeerSettings.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/PeerSettings.kt
@@ -12,7 +12,8 @@
  * Identity and addresses of an instance, as given in its settings file.
  *
  * A [listenPort] of 0 takes an ephemeral port. [advertisedHost] is the IP number that peers use;
- * it defaults to [listenHost]. [seeds] are peer addresses in the form `ip:port`.
+ * it defaults to [listenHost], and [advertisedPort] to the bound port. [seeds] are peer addresses
+ * in the form `ip:port`.
  */
 public data class PeerSettings(
     val id: InstanceId,
@@ -20,6 +21,7 @@
     val listenHost: String,
     val listenPort: Int = 0,
     val advertisedHost: String = listenHost,
+    val advertisedPort: Int? = null,
     val seeds: List<String> = emptyList()
 )
 
@@ -39,8 +41,8 @@
     val failedRetention: Duration = 6.hours,
     val leftRetention: Duration = 10.minutes,
     val seedPeriod: Duration = 60.seconds,
-    /** Bytes of events and items sent per second, with an estimated 60 B of headers a message. */
-    val gossipBytesPerSecond: Int = 2_500,
+    /** Bytes of events and items sent per second, with an estimated 130 B of headers a message. */
+    val gossipBytesPerSecond: Int = 1_500,
     val itemLifetime: Duration = 1.hours,
     val maxItems: Int = 4_096,
     val maxItemBytes: Int = 2 * 1_024 * 1_024,
--- a/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
@@ -33,6 +33,7 @@
     private val schedule = Schedule(timings, random)
     private var neighbours: Set<InstanceId> = emptySet()
     private var wantedItems = 0
+    private var isCatchingUp = false
 
     /** Live members, this instance included, sorted by id. */
     @Volatile
@@ -93,7 +94,14 @@
             for (record in message.events) {
                 val notice =
                     if (isSync) table.mergeFromSync(record, now) else table.merge(record, now)
-                effects += note(notice, record.id, from, isRumour = message.sequence != JOINING)
+                effects +=
+                    note(
+                        notice,
+                        record.id,
+                        from,
+                        isRumour =
+                            message.sequence != Synchroniser.JOINING
+                    )
             }
             effects += respond(from, message, now)
             effects
@@ -144,7 +152,9 @@
             SwimKind.SYNC_UPDATE -> reply(synchroniser.items(message, now))
 
             SwimKind.SYNC_ITEMS -> emptyList<Effect>().also {
-                if (message.items.size < wantedItems) schedule.synchroniseSoon(now)
+                isCatchingUp = message.sequence == Synchroniser.JOINING &&
+                    message.items.size < wantedItems
+                if (isCatchingUp) schedule.synchroniseSoon(now)
             }
         }
 
@@ -182,7 +192,7 @@
     private fun synchronise(live: List<MemberRecord>, now: Long): List<Effect> {
         if (live.isEmpty() || !schedule.isSyncDue(now)) return emptyList()
         val peer = live.random(random)
-        return listOf(Effect.Send(peer.id, peer.address, synchroniser.open(isJoining = false)))
+        return listOf(Effect.Send(peer.id, peer.address, synchroniser.open(isCatchingUp)))
     }
 
     private fun contactSeed(live: List<MemberRecord>, now: Long): List<Effect> {
@@ -226,7 +236,6 @@
     }
 
     private companion object {
-        const val JOINING = 1L
         const val MAX_SEEDS = 1_000
     }
 }
--- a/membership/src/main/kotlin/io/greengageport/membership/Synchroniser.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/Synchroniser.kt
@@ -15,6 +15,9 @@
     private val store: ItemStore,
     private val random: Random
 ) {
+    /** Bounds of one message of an exchange. */
+    private class Bounds(val records: Int, val summaries: Int, val itemBytes: Int)
+
     fun open(isJoining: Boolean): SwimMessage = SwimMessage(
         SwimKind.SYNC.ordinal,
         sequence = if (isJoining) JOINING else 0,
@@ -28,17 +31,17 @@
         val memberBuckets = differing(message.memberDigest, table.digest())
         val itemBuckets = differing(message.itemDigest, store.digest())
         if (memberBuckets.isEmpty() && itemBuckets.isEmpty()) return null
-        val limit = if (message.sequence == JOINING) MAX_JOIN_RECORDS else MAX_RECORDS
+        val bounds = boundsOf(message)
+        val summaries = summarise(itemBuckets, bounds.summaries)
         val records = table.all().filter { MemberTable.bucketOf(it) in memberBuckets }
         return SwimMessage(
             SwimKind.SYNC_DIFFERENCE.ordinal,
             message.sequence,
             table.self,
-            events = records.shuffled(random).take(limit),
-            summaries = itemBuckets.flatMap { store.summaries(it) }.shuffled(random)
-                .take(MAX_SUMMARIES),
+            events = records.shuffled(random).take(bounds.records),
+            summaries = summaries.values.flatten(),
             memberBuckets = memberBuckets.toList(),
-            itemBuckets = itemBuckets.toList()
+            itemBuckets = summaries.keys.toList()
         )
     }
 
@@ -47,7 +50,7 @@
         val known = message.events.associateBy { it.id }
         val newer = table.all().filter { MemberTable.bucketOf(it) in message.memberBuckets }
             .filter { own -> known[own.id]?.let { own > it } ?: own.isLive }
-            .shuffled(random).take(MAX_RECORDS)
+            .shuffled(random).take(boundsOf(message).records)
         val theirs = message.summaries.associateBy { it.idHash }
         val ours = message.itemBuckets.filter { it in 0 until ItemStore.SHARDS }
             .flatMap { store.summaries(it) }.associateBy { it.idHash }
@@ -63,20 +66,33 @@
             message.sequence,
             table.self,
             events = newer,
-            items = collect(push.map { it.idHash }.shuffled(random), now),
+            items = collect(push.map { it.idHash }.shuffled(random), boundsOf(message), now),
             wanted = want.map { it.idHash }.shuffled(random).take(MAX_WANTED)
         )
     }
 
-    fun items(message: SwimMessage, now: Long): SwimMessage? = collect(message.wanted, now)
-        .takeIf { it.isNotEmpty() }
-        ?.let { SwimMessage(SwimKind.SYNC_ITEMS.ordinal, message.sequence, items = it) }
+    fun items(message: SwimMessage, now: Long): SwimMessage? =
+        collect(message.wanted, boundsOf(message), now)
+            .takeIf { it.isNotEmpty() }
+            ?.let { SwimMessage(SwimKind.SYNC_ITEMS.ordinal, message.sequence, items = it) }
+
+    /** Summaries of whole buckets in random order, as many buckets as [limit] allows. */
+    private fun summarise(buckets: Set<Int>, limit: Int): Map<Int, List<ItemSummary>> {
+        var count = 0
+        return buckets.shuffled(random).associateWith { store.summaries(it) }
+            .filterValues { (count < limit).also { _ -> count += it.size } }
+    }
+
+    private fun boundsOf(message: SwimMessage): Bounds =
+        if (message.sequence == JOINING) AT_JOIN else PERIODIC
 
-    private fun collect(ids: List<Long>, now: Long): List<GossipItem> {
+    private fun collect(ids: List<Long>, bounds: Bounds, now: Long): List<GossipItem> {
         var bytes = 0
         return ids.asSequence().mapNotNull { store.find(it, now) }
             .filter { it.remainingMillis >= MIN_REMAINING_MILLIS }
-            .takeWhile { item -> (bytes + item.size <= MAX_ITEM_BYTES).also { bytes += item.size } }
+            .takeWhile { item ->
+                (bytes + item.size <= bounds.itemBytes).also { bytes += item.size }
+            }
             .toList()
     }
 
@@ -87,15 +103,16 @@
             emptySet()
         }
 
-    private companion object {
+    companion object {
+        /** Sequence number of the exchange by which an instance joins. */
         const val JOINING = 1L
-        const val MAX_RECORDS = 64
-        const val MAX_JOIN_RECORDS = 2_000
-        const val MAX_SUMMARIES = 2_000
-        const val MAX_WANTED = 500
-        const val MAX_ITEM_BYTES = 16 * 1_024
+
+        /** Keeps a periodic exchange near 10 KB, 1 KB/s at one exchange in 10 s. */
+        private val PERIODIC = Bounds(records = 64, summaries = 100, itemBytes = 2 * 1_024)
+        private val AT_JOIN = Bounds(records = 2_000, summaries = 5_000, itemBytes = 64 * 1_024)
+        private const val MAX_WANTED = 1_000
 
         /** Items about to expire are not copied, or peers would hand them around at the end. */
-        const val MIN_REMAINING_MILLIS = 2_000L
+        private const val MIN_REMAINING_MILLIS = 2_000L
     }
 }
--- /dev/null
+++ b/membership/src/test/kotlin/io/greengageport/membership/MembershipMeter.kt
@@ -0,0 +1,169 @@
+package io.greengageport.membership
+
+import com.sun.management.OperatingSystemMXBean
+import io.greengageport.common.DataCentre
+import io.greengageport.common.InstanceId
+import java.lang.management.ManagementFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+
+/**
+ * Prints the cost of membership and the speed of gossip as a Markdown table, with the arguments
+ * `sockets <seed> <sizes>` over loopback or `core <seed> <sizes>` over the simulated network.
+ *
+ * Bytes are sent plus received frames, plus an estimate for TCP/IP: 60 B for the segment of each
+ * frame, 60 B for its acknowledgement and 780 B for each connection opened.
+ */
+internal object MembershipMeter {
+    private const val SETTLE_MILLIS = 20_000L
+    private const val IDLE_MILLIS = 30_000L
+    private const val ITEMS = 100
+    private const val ITEM_PERIOD_MILLIS = 200L
+
+    private class Row(
+        val size: Int,
+        val idleBytes: Long,
+        val idleMessages: Double,
+        val busyBytes: Long,
+        val cpu: String,
+        val connections: String,
+        val spread: List<Long>,
+        val lost: Int,
+        val detection: Long
+    ) {
+        override fun toString(): String = listOf(
+            size, idleBytes, "%.1f".format(idleMessages), busyBytes, cpu, connections,
+            spread[spread.size / 2], spread.last(), lost, detection
+        ).joinToString(" | ", "| ", " |")
+    }
+
+    @JvmStatic
+    fun main(args: Array<String>) {
+        val (mode, seed) = args[0] to args[1].toLong()
+        println(
+            "seed $seed, ${args.joinToString(" ")}, $ITEMS items, one each $ITEM_PERIOD_MILLIS ms"
+        )
+        println(
+            "| instances | B/s idle | messages/s idle | B/s with items | CPU % idle, with items " +
+                "| connections | spread p50 ms | spread max ms | items not everywhere | detection ms |"
+        )
+        println("|---|---|---|---|---|---|---|---|---|---|")
+        args.drop(2).map { it.toInt() }.forEach { size ->
+            println(if (mode == "core") core(size, seed) else runBlocking { sockets(size, seed) })
+        }
+    }
+
+    private fun core(size: Int, seed: Long): Row {
+        val simulation = SwimSimulation(seed)
+        repeat(size) {
+            simulation.start("n%03d".format(it))
+            simulation.run(20)
+        }
+        simulation.run(3 * SETTLE_MILLIS)
+        val all = simulation.nodes.values.toList()
+        check(all.all { it.core.view.size == size }) { "the instances did not find each other" }
+        val cost = { all.sumOf { it.traffic.total() } / size to all.sumOf { it.traffic.messages } }
+        val start = cost()
+        simulation.run(IDLE_MILLIS)
+        val idle = cost()
+        val random = Random(seed)
+        val published = (0 until ITEMS).associate { number ->
+            val key = "k$number"
+            simulation.publish("n%03d".format(random.nextInt(size)), key, 1)
+            (key to simulation.now).also { simulation.run(ITEM_PERIOD_MILLIS) }
+        }
+        val busy = cost()
+        simulation.run(SETTLE_MILLIS)
+        val spread = published.filterKeys { key -> all.all { key in it.delivered } }
+            .map { (key, at) -> all.maxOf { it.delivered.getValue(key) } - at }.sorted()
+        simulation.kill("n000")
+        val killed = simulation.now
+        while (simulation.nodes.values.any { it.core.view.size == size }) simulation.run(50)
+        val busyMillis = ITEMS * ITEM_PERIOD_MILLIS
+        return Row(
+            size,
+            (idle.first - start.first) * 1000 / IDLE_MILLIS,
+            (idle.second - start.second) * 1000.0 / IDLE_MILLIS / size,
+            (busy.first - idle.first) * 1000 / busyMillis,
+            cpu = "not run",
+            connections = "not run",
+            spread,
+            lost = ITEMS - spread.size,
+            simulation.now - killed
+        )
+    }
+
+    private suspend fun sockets(size: Int, seed: Long): Row {
+        val seen = ConcurrentHashMap<String, ConcurrentLinkedQueue<Long>>()
+        val nodes = ArrayList<PeerNode>()
+        var seeds = emptyList<String>()
+        repeat(size) { number ->
+            val settings =
+                PeerSettings(
+                    InstanceId("n%03d".format(number)),
+                    DataCentre("dc-1"),
+                    "127.0.0.1",
+                    seeds = seeds
+                )
+            val node = PeerNode(settings, ByteArray(32) { 7 }, random = Random(seed + number))
+            node.subscribe("t") { key, _, _ ->
+                seen.getOrPut(key) { ConcurrentLinkedQueue() } += System.nanoTime()
+            }
+            node.start()
+            if (seeds.isEmpty()) seeds = listOf(checkNotNull(node.listenAddress))
+            nodes += node
+        }
+        delay(SETTLE_MILLIS.milliseconds)
+        check(nodes.all { it.live().size == size }) { "the instances did not find each other" }
+        val start = sample(nodes)
+        delay(IDLE_MILLIS.milliseconds)
+        val idle = sample(nodes)
+        val connections = nodes.map { it.stats().openConnections }
+        val random = Random(seed)
+        val published = (0 until ITEMS).associate { number ->
+            val at = System.nanoTime()
+            nodes.random(random).publish("t", "k$number", 1, ByteArray(32))
+            delay(ITEM_PERIOD_MILLIS.milliseconds)
+            "k$number" to at
+        }
+        val busy = sample(nodes)
+        delay(SETTLE_MILLIS.milliseconds)
+        val spread = published.filterKeys { seen[it]?.size == size }
+            .map { (key, at) -> (seen.getValue(key).max() - at) / 1_000_000 }.sorted()
+        val killedAt = System.nanoTime()
+        nodes.removeFirst().stop()
+        while (nodes.any { it.live().size == size }) delay(20.milliseconds)
+        val detection = (System.nanoTime() - killedAt) / 1_000_000
+        nodes.forEach { it.stop() }
+        return Row(
+            size,
+            ((idle.bytes - start.bytes) / size / idle.secondsSince(start)).toLong(),
+            (idle.frames - start.frames) / size / idle.secondsSince(start),
+            ((busy.bytes - idle.bytes) / size / busy.secondsSince(idle)).toLong(),
+            "%.2f, %.2f".format(idle.cpuSince(start) / size, busy.cpuSince(idle) / size),
+            "%.1f (max %d)".format(connections.average(), connections.max()),
+            spread,
+            lost = ITEMS - spread.size,
+            detection
+        )
+    }
+
+    private class Sample(val at: Long, val cpu: Long, val frames: Long, val bytes: Long) {
+        fun secondsSince(other: Sample): Double = (at - other.at) / 1e9
+
+        fun cpuSince(other: Sample): Double = 100.0 * (cpu - other.cpu) / (at - other.at)
+    }
+
+    private fun sample(nodes: List<PeerNode>): Sample {
+        val system = ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean
+        val stats = nodes.map { it.stats() }
+        val frames = stats.sumOf { it.sentFrames + it.receivedFrames }
+        val bytes = stats.sumOf { it.sentBytes + it.receivedBytes } + 2 * 60 * frames +
+            stats.sumOf { it.openedConnections } * SimulatedTraffic.CONNECTION_BYTES
+        return Sample(System.nanoTime(), system.processCpuTime, frames, bytes)
+    }
+}
