--- a/routing/src/main/kotlin/io/greengageport/routing/CostModel.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CostModel.kt
@@ -22,7 +22,7 @@
 ) {
     /** The cost of running any part of [request] on [runner]. */
     public fun runnerCost(runner: Runner, request: RoutingRequest): RunnerCost {
-        val load = loads.load(runner.id, runner.tokensPerSecond)
+        val load = load(runner)
         val rate = load.tokensPerSecond * slowStart.share(runner, clock.monotonicMillis())
         val saved = savedTokens(runner, request)
         val work = (request.promptTokens - saved) * prefillWeight + request.outputTokens
@@ -36,6 +36,9 @@
         )
     }
 
+    internal fun load(runner: Runner): EstimatedLoad =
+        loads.load(runner.id, runner.tokensPerSecond, clock.wallMillis())
+
     /** Time that the hops of all tokens of [request] over one link take, in milliseconds. */
     public fun linkMillis(hopMillis: Double, request: RoutingRequest): Double =
         hopMillis * request.outputTokens
--- a/routing/src/main/kotlin/io/greengageport/routing/FirstFit.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/FirstFit.kt
@@ -23,7 +23,7 @@
         request: RoutingRequest
     ): Result<RoutingDecision, RoutingFailure> =
         GreedyChain.plan(this, costs, fleet, request) { candidates ->
-            candidates.minBy { costs.loads.load(it.id, it.tokensPerSecond).queuedTokens }
+            candidates.minBy { costs.load(it).queuedTokens }
         }
 }
 
--- a/routing/src/main/kotlin/io/greengageport/routing/LoadEstimator.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/LoadEstimator.kt
@@ -6,17 +6,23 @@
  * Estimates the work queued at each runner from lagged reports and this instance's own work.
  *
  * A report tells the queue as of its time. What this instance sent or saw finished later isn't in
- * it and is added or subtracted; what it did earlier is, and is forgotten. Times are those of the
- * wall clock, because a report's time comes from another process. Thread-safe; runners are spread
- * over shards with a lock each.
+ * it and is added or subtracted; what it did earlier is, and is forgotten. The reported queue is
+ * reduced by [drainShare] of what the runner could have done since. At 1 the estimate forgets what
+ * other instances send, at 0 a stale report of a long queue keeps work away for too long.
+ *
+ * Times are those of the wall clock, because a report's time comes from another process.
+ * Thread-safe; runners are spread over shards with a lock each.
  *
  * ```
  * estimator.sent(id, tokens = 300.0, atMillis = now)
- * estimator.report(RunnerLoad(id, reportedAtMillis = now - 400, queuedTokens = 1200.0, rate))
- * estimator.load(id, nominalRate).queuedTokens // 1500.0
+ * estimator.report(RunnerLoad(id, now - 400, queuedTokens = 1200.0, tokensPerSecond = 1000.0))
+ * estimator.load(id, nominalRate, now).queuedTokens // 1200 - 0.5 * 400 + 300
  * ```
  */
-public class LoadEstimator(shards: Int = DEFAULT_SHARDS) {
+public class LoadEstimator(
+    shards: Int = DEFAULT_SHARDS,
+    private val drainShare: Double = DEFAULT_DRAIN_SHARE
+) {
     private val shards = Array(shards) { HashMap<RunnerId, LoadState>() }
 
     /** Takes in a report; one that is older than the newest of the same boot is ignored. */
@@ -31,10 +37,11 @@
         locked(runner) { it.change(-tokens, atMillis) }
 
     /** The estimate for a runner; [nominalRate] counts while no report states a rate. */
-    public fun load(runner: RunnerId, nominalRate: Double): EstimatedLoad {
+    public fun load(runner: RunnerId, nominalRate: Double, nowMillis: Long): EstimatedLoad {
         val shard = shardOf(runner)
         return synchronized(shard) {
-            shard[runner]?.estimate(nominalRate) ?: EstimatedLoad(0.0, nominalRate, null)
+            shard[runner]?.estimate(nominalRate, nowMillis, drainShare)
+                ?: EstimatedLoad(0.0, nominalRate, null)
         }
     }
 
@@ -53,6 +60,7 @@
 
     public companion object {
         public const val DEFAULT_SHARDS: Int = 16
+        public const val DEFAULT_DRAIN_SHARE: Double = 0.5
     }
 }
 
@@ -113,11 +121,13 @@
         changes.first().tokens += oldest.tokens
     }
 
-    fun estimate(nominalRate: Double): EstimatedLoad {
+    fun estimate(nominalRate: Double, nowMillis: Long, drainShare: Double): EstimatedLoad {
         val report = last
         val rate = report?.tokensPerSecond?.takeIf { it > 0 } ?: nominalRate
-        val queued = (report?.queuedTokens ?: 0.0) + own
-        return EstimatedLoad(maxOf(0.0, queued), rate, report?.reportedAtMillis)
+        val ageMillis = report?.let { maxOf(0, nowMillis - it.reportedAtMillis) } ?: 0
+        val drained = drainShare * rate * ageMillis / MILLIS_PER_SECOND
+        val reported = maxOf(0.0, (report?.queuedTokens ?: 0.0) - drained)
+        return EstimatedLoad(maxOf(0.0, reported + own), rate, report?.reportedAtMillis)
     }
 
     private companion object {
--- a/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
@@ -5,13 +5,21 @@
 import kotlin.random.Random
 
 /**
- * The chain with the least expected time, by dynamic programming over layer boundaries.
+ * The chain with the least expected time and congestion, by dynamic programming over layer boundaries.
  *
  * The state is the last stage and the boundary reached. A stage either runs on to the next boundary
  * or hands over to a runner that holds the next segment. Hop times depend on data centres but for a
  * few pairs of runners, so the best predecessor is looked up per data centre; this makes the cost
  * (segments x holders x data centres) instead of (segments x holders squared).
  *
+ * A stage also delays the work that is queued behind it, in proportion to the layers that it runs.
+ * Therefore a stage that runs its whole range is charged [congestionWeight] times its wait on top.
+ * Without this charge a sub-range costs as much wait as the whole range, and fleets with
+ * overlapping ranges reached half of their bound only.
+ *
+ * Equal times are decided by a random addition of up to [jitterMillis] to each wait; by a fixed
+ * order, idle runners that come late in it would get no work.
+ *
  * Of groups of more than [sampleAbove] interchangeable runners only [samples] random ones are
  * candidates. Instances that all see the same lagged reports would otherwise all send to the same
  * runner until the next report.
@@ -20,7 +28,9 @@
     private val costs: CostModel,
     private val random: Random,
     private val sampleAbove: Int = DEFAULT_SAMPLE_ABOVE,
-    private val samples: Int = DEFAULT_SAMPLES
+    private val samples: Int = DEFAULT_SAMPLES,
+    private val jitterMillis: Double = DEFAULT_JITTER_MILLIS,
+    private val congestionWeight: Double = DEFAULT_CONGESTION_WEIGHT
 ) : ChainPlanner {
     override val name: String get() = "shortest-chain"
 
@@ -41,7 +51,10 @@
         val eligible = Chains.eligible(fleet, request)
         Chains.failure(fleet, eligible)?.let { return Chains.fail(it) }
         for (group in fleet.groups) sample(group, eligible)
-        val search = ChainSearch(fleet, costs, request, eligible)
+        val weight = if (fleet.isPlain) 0.0 else congestionWeight
+        val search = ChainSearch(fleet, costs, request, eligible, weight) {
+            random.nextDouble() * jitterMillis
+        }
         val chain = if (fleet.isPlain) search.bestRunner() else search.bestChain()
         return Chains.decide(
             this,
@@ -67,6 +80,8 @@
     public companion object {
         public const val DEFAULT_SAMPLE_ABOVE: Int = 2
         public const val DEFAULT_SAMPLES: Int = 2
+        public const val DEFAULT_CONGESTION_WEIGHT: Double = 4.0
+        public const val DEFAULT_JITTER_MILLIS: Double = 0.01
     }
 }
 
@@ -75,11 +90,13 @@
     private val fleet: ServiceFleet,
     private val costs: CostModel,
     private val request: RoutingRequest,
-    private val eligible: BooleanArray
+    private val eligible: BooleanArray,
+    congestionWeight: Double,
+    jitter: () -> Double
 ) {
     private val size = fleet.runners.size
-    private val runnerCosts =
-        Array(size) { if (eligible[it]) costs.runnerCost(fleet.runners[it], request) else null }
+    private val waits = DoubleArray(size)
+    private val millisPerLayer = DoubleArray(size)
     private val centres = fleet.dataCentres.size
     private val hops = DoubleArray(centres * centres) {
         val (from, to) = fleet.dataCentres[it / centres] to fleet.dataCentres[it % centres]
@@ -89,6 +106,16 @@
         if (eligible[it]) costs.links.deviationsInto(fleet.runners[it].id) else emptyMap()
     }
 
+    init {
+        for (i in 0 until size) {
+            if (!eligible[i]) continue
+            val cost = costs.runnerCost(fleet.runners[i], request)
+            waits[i] = cost.waitMillis + jitter()
+            val layers = fleet.runners[i].layers?.size ?: 1
+            millisPerLayer[i] = cost.millisPerLayer + congestionWeight * cost.waitMillis / layers
+        }
+    }
+
     /** The runner of a plain service with the least expected time. */
     fun bestRunner(): List<Pair<Runner, LayerRange?>> {
         val best = fleet.runners.indices.filter { eligible[it] }.minBy { entryCost(it) }
@@ -97,10 +124,9 @@
 
     /** Expected time until the first layer is done, if the chain starts at runner [i]. */
     private fun entryCost(i: Int): Double {
-        val cost = checkNotNull(runnerCosts[i])
         val hop = costs.links.hopMillis(request.dataCentre, fleet.runners[i].dataCentre)
-        return cost.waitMillis + costs.linkMillis(hop, request) +
-            if (fleet.isPlain) cost.millisPerLayer else 0.0
+        return waits[i] + costs.linkMillis(hop, request) +
+            if (fleet.isPlain) millisPerLayer[i] else 0.0
     }
 
     fun bestChain(): List<Pair<Runner, LayerRange?>> {
@@ -126,7 +152,6 @@
         next: DoubleArray,
         from: IntArray
     ) {
-        val cost = checkNotNull(runnerCosts[i])
         var best = reached[i]
         from[i] = i
         if (heads == null) {
@@ -134,14 +159,14 @@
             from[i] = ENTRY
         } else {
             val previous = predecessor(i, segment, heads, reached)
-            val entered = reached[previous] + hop(previous, i) + cost.waitMillis
+            val entered = reached[previous] + hop(previous, i) + waits[i]
             if (entered < best) {
                 best = entered
                 from[i] = previous
             }
         }
         val layers = fleet.boundaries[segment + 1] - fleet.boundaries[segment]
-        next[i] = best + cost.millisPerLayer * layers
+        next[i] = best + millisPerLayer[i] * layers
     }
 
     private fun predecessor(i: Int, segment: Int, heads: CentreHeads, reached: DoubleArray): Int =
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/ChainPlannerTest.kt
@@ -0,0 +1,264 @@
+package io.greengageport.routing
+
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RunnerId
+import kotlin.math.abs
+import kotlin.random.Random
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+
+class ChainPlannerTest {
+    private val world = World()
+
+    private fun chain(fleet: ServiceFleet, request: RoutingRequest = request()) =
+        world.exact.plan(fleet, request).value.stages.map { "${it.id}${it.layers}" }
+
+    @Nested
+    inner class Differential {
+        /** Guards against a predecessor or sub-range that the dynamic programme overlooks. */
+        @Test
+        fun `finds the chain that an exhaustive search finds`() {
+            val worse = (1..400).filter { seed ->
+                val random = Random(seed)
+                val layers = random.nextInt(2, 9)
+                val runners = randomRunners(random, layers, random.nextInt(2, 7))
+                val world = randomWorld(random, runners)
+                val request = request(output = random.nextInt(1, 50))
+                val found = world.exact.plan(fleet(layers, runners), request).value
+                val best = exhaustive(world.costs, fleet(layers, runners), request)
+                abs(charge(found.stages) - best) > 1e-9 * best
+            }
+            println("seeds 1..400, chains that differ from the exhaustive search: $worse")
+            expectThat(worse).isEqualTo(emptyList())
+        }
+
+        /** Guards against a layer that is skipped or run twice, by any planner. */
+        @Test
+        fun `every planner covers all layers exactly once with distinct allowed runners`() {
+            val broken = (1..400).filter { seed ->
+                val random = Random(seed)
+                val layers = random.nextInt(2, 30)
+                val runners = randomRunners(random, layers, random.nextInt(2, 40))
+                val costs = randomWorld(random, runners).costs
+                val request = request(excluded = setOf(runners.last().id))
+                listOf(ShortestChain(costs, random), FirstFit(costs), LeastQueue(costs)).any {
+                    val plan = it.plan(fleet(layers, runners), request)
+                    plan.isOk && !isValid(plan.value, layers, request)
+                }
+            }
+            expectThat(broken).isEqualTo(emptyList())
+        }
+
+        private fun isValid(plan: RoutingDecision, layers: Int, request: RoutingRequest): Boolean {
+            val ranges = plan.stages.map { checkNotNull(it.layers) }
+            return LayerRange.coversExactly(ranges, layers) &&
+                plan.stages.distinctBy { it.id }.size == plan.stages.size &&
+                plan.stages.all { request.allows(it.runner) && it.layers!! in it.runner.layers!! }
+        }
+    }
+
+    @Nested
+    inner class Choice {
+        private val halves = fleet(
+            8,
+            listOf("a", "b").map { runner(it, LayerRange(0, 4)) } +
+                listOf("c", "d").map { runner(it, LayerRange(4, 8)) }
+        )
+
+        @Test
+        fun `avoids the longer queue`() {
+            world.queue("a", 500.0)
+            world.queue("c", 500.0)
+            expectThat(chain(halves)).isEqualTo(listOf("b[0,4)", "d[4,8)"))
+        }
+
+        @Test
+        fun `counts own work sent since the report`() {
+            world.queue("a", 50.0)
+            world.loads.sent(RunnerId("b"), 100.0, world.clock.wallMillis())
+            expectThat(chain(halves).first()).isEqualTo("a[0,4)")
+        }
+
+        /** Guards against the failure of an attempt being repeated on the same runner. */
+        @Test
+        fun `skips excluded, leaving and, for marked requests, busy runners`() {
+            val a = setOf(RunnerId("a"))
+            expectThat(
+                listOf(
+                    chain(halves, request(excluded = a)),
+                    chain(halves, request(marked = true, markedBusy = a)),
+                    chain(halves, request(marked = false, markedBusy = a)),
+                    chain(
+                        fleet(8, halves.runners.map { it.copy(leaving = it.id.value == "a") })
+                    )
+                ).map { it.first() }
+            ).isEqualTo(listOf("b[0,4)", "b[0,4)", "a[0,4)", "b[0,4)"))
+        }
+
+        @Test
+        fun `prefers the runner with the cached prefix until its queue outweighs it`() {
+            val blocks = PrefixIndex.blocks("sheets", "p".repeat(2_560))
+            blocks.forEachIndexed { i, block ->
+                world.prefixes.onEvent(RunnerId("b"), CacheEvent.Stored(i.toLong(), block))
+            }
+            val request = request(prompt = 640, blocks = blocks)
+            val cached = chain(halves, request).first()
+            world.queue("b", 100.0)
+            expectThat(listOf(cached, chain(halves, request).first()))
+                .isEqualTo(listOf("b[0,4)", "a[0,4)"))
+        }
+
+        @Test
+        fun `prefers the own data centre, and a far one when the near queue is long`() {
+            val fleet = fleet(
+                4,
+                listOf(
+                    runner("far", LayerRange(0, 4), centre = centres[1]),
+                    runner("near", LayerRange(0, 4))
+                )
+            )
+            val near = chain(fleet)
+            world.queue("near", 300.0)
+            expectThat(near + chain(fleet)).isEqualTo(listOf("near[0,4)", "far[0,4)"))
+        }
+
+        @Test
+        fun `warms a new runner up`() {
+            val fleet = fleet(
+                4,
+                listOf(
+                    runner("new", LayerRange(0, 4), rate = 1_100.0).copy(joinedAtMillis = 0),
+                    runner("old", LayerRange(0, 4))
+                )
+            )
+            val cold = chain(fleet)
+            world.clock.advance(SlowStart.DEFAULT_WINDOW_MILLIS)
+            expectThat(cold + chain(fleet)).isEqualTo(listOf("old[0,4)", "new[0,4)"))
+        }
+
+        /** Guards against activations of one version that reach layers of another. */
+        @Test
+        fun `never mixes versions of a model`() {
+            val mixed = fleet(
+                8,
+                listOf(
+                    runner("a", LayerRange(0, 4), rate = 2_000.0, version = "v1"),
+                    runner("b", LayerRange(4, 8), rate = 100.0, version = "v1"),
+                    runner("c", LayerRange(0, 4), rate = 100.0, version = "v2"),
+                    runner("d", LayerRange(4, 8), rate = 1_000.0, version = "v2"),
+                    runner("e", LayerRange(4, 8), rate = 900.0, version = "v3")
+                )
+            )
+            val all = listOf(world.exact, FirstFit(world.costs), LeastQueue(world.costs))
+                .map { p -> p.plan(mixed, request()).value.stages.map { it.runner.version } }
+            expectThat(all).all { get { distinct().size }.isEqualTo(1) }
+        }
+
+        @Test
+        fun `picks the least expected wait of a plain service`() {
+            val plain = fleet(0, listOf(runner("a"), runner("b", rate = 4_000.0), runner("c")))
+            world.queue("a", 100.0)
+            world.queue("b", 200.0)
+            world.queue("c", 100.0)
+            expectThat(world.exact.plan(plain, request()).value.stages.map { it.id.value })
+                .isEqualTo(listOf("b"))
+        }
+
+        /** Guards against all instances choosing one runner between two reports. */
+        @Test
+        fun `spreads equal runners when it samples`() {
+            val equal = fleet(0, List(10) { runner("p$it") })
+            val planner = ShortestChain(world.costs, Random(7))
+            val chosen = List(200) { planner.plan(equal, request()).value.stages.single().id }
+            expectThat(chosen.toSet().size).isEqualTo(10)
+        }
+    }
+
+    @Nested
+    inner class Failures {
+        private val gap = fleet(
+            8,
+            listOf(runner("a", LayerRange(0, 3)), runner("b", LayerRange(6, 8)))
+        )
+
+        @Test
+        fun `names the layers without a runner and whether some are excluded`() {
+            val whole = fleet(8, gap.runners + runner("c", LayerRange(2, 7)))
+            val excluded = request(excluded = setOf(RunnerId("c")))
+            expectThat(
+                listOf(
+                    world.exact.plan(gap, request()).error,
+                    world.exact.plan(whole, excluded).error,
+                    world.exact.plan(fleet(8, emptyList()), request()).error,
+                    world.exact.plan(fleet(0, listOf(runner("c"))), excluded).error
+                )
+            ).isEqualTo(
+                listOf(
+                    RoutingFailure.UncoveredLayers(LayerRange(3, 6), excluded = false),
+                    RoutingFailure.UncoveredLayers(LayerRange(3, 6), excluded = true),
+                    RoutingFailure.NoRunners(service),
+                    RoutingFailure.AllExcluded(service, 1)
+                )
+            )
+        }
+    }
+
+    @Nested
+    inner class Index {
+        @Test
+        fun `follows changes of the fleet and leaves other services alone`() {
+            val fleet = Fleet()
+            fleet.setLayers(service, 4)
+            fleet.put(runner("a", LayerRange(0, 4)))
+            val before = fleet.service(service)
+            fleet.put(runner("a", LayerRange(0, 4)))
+            expectThat(fleet.service(service) === before).isTrue()
+            fleet.put(runner("b", LayerRange(2, 4)))
+            fleet.remove(RunnerId("a"))
+            expectThat(fleet.service(service).runners.map { it.id.value }).isEqualTo(listOf("b"))
+        }
+    }
+
+    @Nested
+    inner class Queueing {
+        /** Guards against a change that makes the planner lose to its baselines. */
+        @Test
+        fun `beats the baselines at four fifths of the bound`() {
+            val comparison = QueueingComparison(seed = 11, load = 0.8)
+            val chosen = comparison.run { costs, random -> ShortestChain(costs, random) }
+            val least = comparison.run { costs, _ -> LeastQueue(costs) }
+            val first = comparison.run { costs, _ -> FirstFit(costs) }
+            println("seed 11: shortest-chain $chosen, least-queue $least, first-fit $first")
+            expectThat(chosen.share).isGreaterThan(first.share).isGreaterThan(least.share * 0.99)
+            expectThat(chosen.p95).isLessThan(least.p95).isLessThan(first.p95)
+        }
+    }
+}
+
+/** Expected time with the charge for congestion. */
+private fun charge(stages: List<PlannedStage>): Double = stages.sumOf {
+    val share = it.layers!!.size.toDouble() / it.runner.layers!!.size
+    it.totalMillis + ShortestChain.DEFAULT_CONGESTION_WEIGHT * it.waitMillis * share
+}
+
+/** The least charge of all chains without repeated runners. */
+private fun exhaustive(costs: CostModel, fleet: ServiceFleet, request: RoutingRequest): Double {
+    val ends = fleet.runners.flatMap { listOf(it.layers!!.from, it.layers!!.until) }.toSet()
+    fun search(chain: List<Pair<Runner, LayerRange?>>, next: Int): Double {
+        if (next == fleet.layers) return charge(costs.explain(chain, request))
+        return fleet.runners
+            .filter { r -> next in r.layers!!.from until r.layers!!.until }
+            .filter { r -> chain.none { it.first == r } }
+            .flatMap { r ->
+                ends.filter { it > next && it <= r.layers!!.until }
+                    .map { search(chain + (r to LayerRange(next, it)), it) }
+            }.minOrNull() ?: Double.POSITIVE_INFINITY
+    }
+    return search(emptyList(), 0)
+}
