Test the limits module and compare its queue with FIFO

Cause: the API landed without tests. Demand above a limit is capped in reports: it took 7 s to decay and held back the share of an instance whose callers had just arrived.

--- a/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
@@ -41,7 +41,12 @@
         updateView(live)
         grants.values.removeIf { !isValid(it, nowMillis) }
         for (d in demands.values) d.decay()
-        for (u in usage) demands.getOrPut(u.organisation, ::Demand).add(u)
+        for (u in usage) {
+            val policy = policyOf(u.organisation) ?: continue
+            // Demand above the limit has no meaning and would take longer to decay.
+            val limit = policy.tokensPerSecond ?: Double.MAX_VALUE
+            demands.getOrPut(u.organisation, ::Demand).add(u, limit)
+        }
         demands.values.removeIf { it.tokens < NEGLIGIBLE_TOKENS && it.concurrent == 0 }
         val due = demands.entries.mapNotNull { (name, d) -> dueReport(name, d, nowMillis) }
             .sortedWith(compareByDescending<Due> { it.excess }.thenBy { it.name.value })
@@ -120,8 +125,8 @@
             concurrent = 0
         }
 
-        fun add(usage: OrganisationUsage) {
-            tokens += SMOOTHING * usage.tokensPerSecond
+        fun add(usage: OrganisationUsage, limit: Double) {
+            tokens += SMOOTHING * minOf(usage.tokensPerSecond.toDouble(), limit)
             concurrent = usage.concurrent
         }
     }
--- /dev/null
+++ b/limits/src/test/kotlin/io/greengageport/limits/AdmissionControllerTest.kt
@@ -0,0 +1,236 @@
+package io.greengageport.limits
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
+import io.greengageport.common.InstanceId
+import io.greengageport.common.RequestError
+import io.greengageport.testkit.ManualClock
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.yield
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+class AdmissionControllerTest {
+    private val clock = ManualClock()
+    private val decisions = mutableListOf<String>()
+    private val policies = mapOf(
+        org("limited") to OrganisationPolicy(tokensPerSecond = 100.0, concurrent = 2)
+    )
+    private val limits =
+        OrganisationLimits(policies::get, UsageReporter(InstanceId("i"), policies::get))
+
+    private fun controller(slots: Int = 1, maxLength: Int = 10, rate: Double? = null) =
+        AdmissionController(
+            clock,
+            FairQueue(QueueSettings(ranks(), maxLength)),
+            limits,
+            Capacity(slots, rate),
+            observer = {
+                val retry = it.retryAfterMillis?.let { ms -> " retry=$ms" }.orEmpty()
+                val r = it.request
+                decisions += "${clock.monotonicMillis()} ${r.id} ${r.rank} ${r.organisation} " +
+                    "${it.outcome} waited=${it.waitedMillis}$retry"
+            }
+        )
+
+    private fun CoroutineScope.admit(c: AdmissionController, request: QueuedRequest) =
+        async(start = CoroutineStart.UNDISPATCHED) { c.admit(request) }
+
+    private fun Result<Permit, RequestError>.text(): String = mapBoth(
+        success = { "admitted" },
+        failure = { "${it.status} ${it.code} retry=${it.retryAfterMillis}" }
+    )
+
+    private suspend fun Deferred<Result<Permit, RequestError>>.permit(): Permit =
+        await().mapBoth({ it }, { error("refused: $it") })
+
+    @Nested
+    inner class Refusals {
+        /** Guards against refusals without a type or a time to retry. */
+        @Test
+        fun `state the error and when to retry`() = runBlocking<Unit> {
+            val c = controller(maxLength = 1)
+            val running = admit(c, request("limited-1", organisation = "limited"))
+            val queued = admit(c, request("queued", MIDDLE, deadline = 50))
+            val full = admit(c, request("full", LOWEST))
+            val tooMany = List(2) { admit(c, request("limited-2$it", LOWEST, "limited")) }
+            clock.advance(51)
+            c.tick()
+            c.stopAdmitting()
+            val late = admit(c, request("late"))
+            val results = listOf(running, queued, full) + tooMany + late
+            expectThat(results.awaitAll().map { it.text() }).isEqualTo(
+                listOf(
+                    "admitted",
+                    "503 overloaded retry=100",
+                    "503 overloaded retry=100",
+                    "503 overloaded retry=100",
+                    "503 overloaded retry=100",
+                    "503 not_serving retry=100"
+                )
+            )
+        }
+
+        /** Guards against a limit that leaks when requests end or that ignores the real tokens. */
+        @Test
+        fun `apply the limits of the organisation`() = runBlocking<Unit> {
+            val c = controller(slots = 10)
+            suspend fun ask(id: String) = c.admit(request(id, organisation = "limited"))
+            val first = List(2) { admit(c, request("a$it", organisation = "limited")).permit() }
+            expectThat(ask("concurrent").text()).isEqualTo("429 over_limit retry=500")
+            first.forEach { it.release(actualTokens = 200) }
+            expectThat(ask("tokens").text()).isEqualTo("429 over_limit retry=2001")
+            clock.advance(2_001)
+            expectThat(ask("later").text()).isEqualTo("admitted")
+        }
+    }
+
+    @Nested
+    inner class Permits {
+        /** Guards against a slot that is returned twice, which would exceed the capacity. */
+        @Test
+        fun `are released once`() = runBlocking<Unit> {
+            val c = controller()
+            val permit = admit(c, request("a")).permit()
+            val waiting = List(2) { admit(c, request("b$it")) }
+            expectThat(
+                listOf(permit.release(10), permit.release(10))
+            ).isEqualTo(listOf(true, false))
+            expectThat(waiting.map { it.isCompleted || c.state.queued == 0 })
+                .isEqualTo(listOf(false, false))
+            yield()
+            expectThat(waiting.map { it.isCompleted }).isEqualTo(listOf(true, false))
+            waiting[0].permit().release(10)
+            waiting[1].permit().release(10)
+            expectThat(c.state.inFlight).isEqualTo(0)
+        }
+
+        /** Guards against places in the queue and permits held for callers that are gone. */
+        @Test
+        fun `and places of cancelled callers are free at once`() = runBlocking<Unit> {
+            val c = controller()
+            val permit = admit(c, request("a")).permit()
+            val queued = admit(c, request("queued", organisation = "limited"))
+            queued.cancel()
+            queued.join()
+            expectThat(c.state.queued).isEqualTo(0)
+            val granted = admit(c, request("granted", organisation = "limited"))
+            permit.release(10)
+            granted.cancel()
+            granted.join()
+            expectThat(c.state.inFlight).isEqualTo(0)
+            val again = List(2) { admit(c, request("again$it", organisation = "limited")) }
+            yield()
+            expectThat(again.map { it.isCompleted }).isEqualTo(listOf(true, false))
+            again.forEach { it.cancel() }
+        }
+
+        /** Guards against lost slots or answers when threads release, cancel and resize at once. */
+        @Property(tries = 20, seed = SEED)
+        fun `survive concurrent use`(@ForAll seed: Int) = runBlocking<Unit> {
+            val c = controller(slots = 4, maxLength = 50)
+            withContext(Dispatchers.Default) {
+                repeat(300) { i ->
+                    val random = Random(seed * 1_000L + i)
+                    val job = launch {
+                        c.admit(request(i, organisation = random.nextInt(5))).mapBoth(
+                            success = { p ->
+                                yield()
+                                expectThat(p.release(random.nextLong(300))).isTrue()
+                                expectThat(p.release(1)).isFalse()
+                            },
+                            failure = { }
+                        )
+                    }
+                    if (random.nextInt(5) == 0) job.cancel()
+                    if (random.nextInt(20) == 0) c.updateCapacity(Capacity(1 + random.nextInt(6)))
+                }
+            }
+            c.drain()
+            expectThat(c.state.copy(slots = 0)).describedAs("seed $seed")
+                .isEqualTo(AdmissionState(0, 0, 0, 0, isStopping = true))
+        }
+    }
+
+    @Nested
+    inner class Changes {
+        /** Guards against queued requests that stay queued when the fleet grows. */
+        @Test
+        fun `of capacity admit queued requests`() = runBlocking<Unit> {
+            val c = controller(slots = 0)
+            val waiting = List(3) { admit(c, request(it)) }
+            c.updateCapacity(Capacity(2))
+            expectThat(c.state).isEqualTo(AdmissionState(1, 100, 2, 2, isStopping = false))
+            waiting[2].cancel()
+        }
+
+        /** Guards against a stop that cuts queued or running requests. */
+        @Test
+        fun `of state to stopping drain the queue`() = runBlocking<Unit> {
+            val c = controller()
+            val running = admit(c, request("running")).permit()
+            val queued = admit(c, request("queued"))
+            val drain = launch(start = CoroutineStart.UNDISPATCHED) { c.drain() }
+            running.release(10)
+            val last = queued.permit()
+            expectThat(drain.isCompleted).isFalse()
+            last.release(10)
+            drain.join()
+        }
+
+        /** Guards against a rate limit that never refills without traffic. */
+        @Test
+        fun `of time refill the token rate`() = runBlocking<Unit> {
+            val c = controller(slots = 9, rate = 100.0)
+            val first = admit(c, request("a", tokens = 150))
+            val second = admit(c, request("b", tokens = 150))
+            expectThat(listOf(c.state.inFlight, c.tick().toInt())).isEqualTo(listOf(1, 501))
+            clock.advance(501)
+            c.tick()
+            expectThat(c.state.inFlight).isEqualTo(2)
+            listOf(first, second).forEach { it.permit().release(150) }
+        }
+    }
+
+    /** Guards against unnoticed changes of decisions over a whole session. */
+    @Test
+    fun `repeats the golden session`() = runBlocking<Unit> {
+        val random = Random(7)
+        val c = controller(slots = 2, maxLength = 4, rate = 400.0)
+        val running = ArrayDeque<Deferred<Result<Permit, RequestError>>>()
+        repeat(40) { i ->
+            clock.advance(random.nextLong(120))
+            val rank = listOf(URGENT, MIDDLE, LOWEST)[random.nextInt(3)]
+            val name = listOf("large", "large", "small", "limited")[random.nextInt(4)]
+            val deadline = clock.monotonicMillis() + random.nextLong(200, 1_500)
+            running += admit(c, request(i, rank, name, random.nextLong(20, 120), deadline))
+            if (i % 13 == 12) running.last().cancel()
+            yield()
+            val done = running.firstOrNull { it.isCompleted && !it.isCancelled }
+            if (random.nextInt(3) > 0 && done != null) {
+                running.remove(done)
+                done.await().mapBoth({ it.release(random.nextLong(20, 160)) }, { })
+            }
+            c.tick()
+        }
+        c.updateCapacity(Capacity(40))
+        running.forEach { it.cancel() }
+        val golden = checkNotNull(javaClass.getResource("/session.golden")).readText()
+        expectThat(decisions.joinToString("\n", postfix = "\n")).isEqualTo(golden)
+    }
+}
--- /dev/null
+++ b/limits/src/test/kotlin/io/greengageport/limits/QueueComparison.kt
@@ -0,0 +1,172 @@
+package io.greengageport.limits
+
+import io.greengageport.common.OrganisationName
+import io.greengageport.common.RankName
+import io.greengageport.common.RequestId
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+
+/** Poisson arrivals of one rank and class of organisations, as a part of the capacity. */
+internal class Stream(
+    val rank: RankName,
+    val organisations: List<OrganisationName>,
+    val load: Double
+)
+
+/**
+ * Queueing at one instance of the two-year scale on a manual clock: [SLOTS] slots, each serving a
+ * token in 57 ms. Above [realSlots], requests wait in the engine's own queue, first in, first out.
+ */
+internal class Simulation(
+    private val queue: RequestQueue,
+    private val realSlots: Int = SLOTS,
+    private val adaptive: AimdLimit? = null
+) {
+    private class Run(val request: QueuedRequest, val dispatchedAt: Long, val startedAt: Long)
+
+    val waits = HashMap<Pair<RankName, Boolean>, MutableList<Long>>()
+    val refused = HashMap<Pair<RankName, Boolean>, Int>()
+    val served = HashMap<RankName, Long>()
+    private val ends =
+        PriorityQueue<Pair<Long, Run>>(compareBy({ it.first }, { it.second.request.id.value }))
+    private val engineQueue = ArrayDeque<Run>()
+    private val arrivedAt = HashMap<RequestId, Long>()
+    private var active = 0
+
+    fun run(streams: List<Stream>, seed: Long, millis: Long = 240_000): Simulation {
+        queue.updateServiceRate(RATE * realSlots / SLOTS)
+        for ((at, request) in arrivals(streams, seed, millis)) {
+            while (ends.isNotEmpty() && ends.peek().first <= at) end(ends.poll())
+            arrivedAt[request.id] = at
+            when (val offer = queue.offer(request, at)) {
+                is Offer.Queued -> offer.shed.forEach(::refuse)
+                is Offer.Refused -> (offer.shed + request).forEach(::refuse)
+            }
+            dispatch(at)
+        }
+        return this
+    }
+
+    private fun dispatch(now: Long) {
+        queue.expire(now).forEach(::refuse)
+        val limit = adaptive?.limit ?: SLOTS
+        while (active + engineQueue.size < limit) {
+            val run = Run(queue.poll() ?: return, now, now)
+            if (active < realSlots) start(run, now) else engineQueue += run
+        }
+    }
+
+    private fun start(run: Run, now: Long) {
+        active++
+        val wait = now - arrivedAt.getValue(run.request.id)
+        if (now > WARM_UP_MILLIS) {
+            waits.getOrPut(run.request.group(), ::mutableListOf) += wait
+            served.merge(run.request.rank, run.request.estimatedTokens, Long::plus)
+        }
+        val inFlight = active + engineQueue.size
+        adaptive?.record(now - run.dispatchedAt, TARGET_MILLIS, inFlight, now)
+        ends += (now + run.request.estimatedTokens * TOKEN_MILLIS) to run
+    }
+
+    private fun end(event: Pair<Long, Run>) {
+        active--
+        queue.complete(event.second.request.id, event.second.request.estimatedTokens)
+        engineQueue.removeFirstOrNull()?.let { start(it, event.first) }
+        dispatch(event.first)
+    }
+
+    private fun refuse(request: QueuedRequest) {
+        if (arrivedAt.getValue(request.id) > WARM_UP_MILLIS) {
+            refused.merge(request.group(), 1, Int::plus)
+        }
+    }
+
+    /** Each stream has its own seed, so that a flood leaves the other arrivals as they are. */
+    private fun arrivals(streams: List<Stream>, seed: Long, millis: Long) =
+        streams.flatMapIndexed { i, s ->
+            val random = Random(seed * 100 + i)
+            val gap = MEAN_TOKENS / (RATE * s.load) * 1_000
+            generateSequence(0.0) { it - gap * ln(1 - random.nextDouble()) }.drop(1)
+                .takeWhile { it < millis }.mapIndexed { n, at ->
+                    val deadline = at.toLong() + SLACK_MILLIS.getValue(s.rank)
+                    val o = s.organisations[random.nextInt(s.organisations.size)]
+                    at.toLong() to
+                        request("$i-$n", s.rank, o.value, random.nextLong(61, 662), deadline)
+                }.toList()
+        }.sortedBy { it.first }
+
+    companion object {
+        const val SLOTS = 741
+        const val RATE = 13_000.0
+        const val TARGET_MILLIS = 340L
+        private const val MEAN_TOKENS = 361.0
+        private const val TOKEN_MILLIS = 57L
+        private const val WARM_UP_MILLIS = 60_000L
+        private val SLACK_MILLIS = mapOf(URGENT to 2_000L, MIDDLE to 10_000L, LOWEST to 60_000L)
+    }
+}
+
+internal val LARGE = listOf(org("large"))
+internal val SMALL = List(50) { org("small$it") }
+
+internal fun QueuedRequest.group() = rank to (organisation in LARGE)
+
+/** The percentile, or -1 if no request was served. */
+internal fun List<Long>.percentile(p: Double): Long =
+    sorted().getOrElse(((size - 1) * p).toInt()) { -1 }
+
+internal fun fair() = FairQueue(QueueSettings(ranks(), maxLength = 2_000))
+
+/** Prints the tables of the comparison: `QueueComparisonKt`, arguments: seeds. */
+internal fun main(args: Array<String>) {
+    fun mix(large: Double, factor: Map<RankName, Double> = emptyMap(), small: Double = 1.0) =
+        mapOf(URGENT to 0.3, MIDDLE to 0.3, LOWEST to 0.4).flatMap { (rank, part) ->
+            val f = part * (factor[rank] ?: 1.0)
+            listOf(Stream(rank, LARGE, large * f), Stream(rank, SMALL, 0.4 * part * small))
+        }
+    val scenarios = mapOf(
+        "large caller at 0.55 of capacity, small callers at 0.4" to mix(0.55),
+        "large caller at 0.8 of capacity, small callers at 0.4" to mix(0.8),
+        "large caller at 8.0 of capacity, small callers at 0.4" to mix(8.0),
+        "large caller floods the lowest rank (x20)" to mix(0.55, mapOf(LOWEST to 20.0)),
+        "large caller floods the lowest rank (x80)" to mix(0.55, mapOf(LOWEST to 80.0)),
+        "large caller floods the urgent rank (x20)" to mix(0.55, mapOf(URGENT to 20.0)),
+        "large caller floods the urgent rank (x80)" to mix(0.55, mapOf(URGENT to 80.0))
+    )
+    for (seed in args.map { it.toLong() }.ifEmpty { listOf(1L) }) {
+        for ((name, streams) in scenarios) {
+            println("\n## $name, seed $seed")
+            report("fifo", Simulation(FifoQueue(QueueSettings(ranks(), 2_000))).run(streams, seed))
+            report("fair", Simulation(fair()).run(streams, seed))
+        }
+        println("\n## 500 of 741 slots left, capacity not updated, load 0.9, seed $seed")
+        val aimd = AimdLimit(min = 50, max = Simulation.SLOTS)
+        report("fixed", Simulation(fair(), 500).run(mix(0.5), seed))
+        report("aimd", Simulation(fair(), 500, aimd).run(mix(0.5), seed))
+    }
+}
+
+private fun report(queue: String, s: Simulation) {
+    val total = s.served.values.sum().toDouble()
+    for (rank in listOf(URGENT, MIDDLE, LOWEST)) {
+        for (isLarge in listOf(true, false)) {
+            val waits = s.waits[rank to isLarge].orEmpty()
+            val refused = s.refused[rank to isLarge] ?: 0
+            val line =
+                "%-5s %-6s %-5s p50 %5d ms  p95 %5d ms  served %5d  refused %5.1f%%  share %4.1f%%"
+            println(
+                line.format(
+                    queue,
+                    rank,
+                    if (isLarge) "large" else "small",
+                    waits.percentile(0.5),
+                    waits.percentile(0.95),
+                    waits.size,
+                    100.0 * refused / maxOf(1, refused + waits.size),
+                    100 * (s.served[rank] ?: 0) / total
+                )
+            )
+        }
+    }
+}
--- /dev/null
+++ b/limits/src/test/kotlin/io/greengageport/limits/UsageSharingTest.kt
@@ -0,0 +1,163 @@
+package io.greengageport.limits
+
+import io.greengageport.common.InstanceId
+import io.greengageport.common.OrganisationName
+import kotlin.random.Random
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+class UsageSharingTest {
+    private val policy = OrganisationPolicy(tokensPerSecond = 900.0, concurrent = 90)
+    private val policies = { _: OrganisationName -> policy }
+    private val name = org("a")
+
+    /** A fleet in which each instance runs both sides of usage sharing. */
+    private inner class Fleet(size: Int) {
+        var live = List(size) { InstanceId("i$it") }
+        var now = 0L
+        val cutOff = mutableSetOf<InstanceId>()
+        private val reporters = live.associateWith { UsageReporter(it, policies) }
+        private val aggregators = live.associateWith { UsageAggregator(policies) }
+
+        /** Runs one second; returns the local token shares, 0 for instances that are not live. */
+        fun second(demand: (Int) -> Double): List<Double> {
+            now += 1_000
+            for ((i, id) in live.withIndex()) {
+                val usage = OrganisationUsage(name, demand(i).toFloat(), 0)
+                val reports = reporters.getValue(id).report(listOf(usage), live, now)
+                for ((to, report) in reports) {
+                    if (id in cutOff || to in cutOff) continue
+                    val reply = aggregators.getValue(to).onReport(id, report, live.toSet(), now)
+                    reporters.getValue(id).onReply(to, reply, now)
+                }
+            }
+            return live.map { reporters.getValue(it).shareOf(name, policy, now).tokensPerSecond!! }
+        }
+
+        /** What the organisation can use in all: its share, or its demand where that is less. */
+        fun used(demand: (Int) -> Double): Double =
+            second(demand).withIndex().sumOf { (i, share) -> minOf(share, demand(i)) }
+    }
+
+    @Nested
+    inner class Shares {
+        /** Guards against more than the limit while demand moves between reporting instances. */
+        @Property(tries = 100, seed = SEED)
+        fun `of reporting instances never exceed the limit`(
+            @ForAll seed: Long,
+            @ForAll @IntRange(min = 1, max = 40) size: Int
+        ) {
+            val random = Random(seed)
+            val fleet = Fleet(size)
+            repeat(15) {
+                // Above the equal share, so that every instance reports in every period.
+                val demand = List(size) { 900.0 / size * random.nextDouble(1.1, 20.0) }
+                expectThat(fleet.second { demand[it] }.sum()).describedAs("seed $seed")
+                    .isLessThanOrEqualTo(900.0)
+            }
+        }
+
+        /** Guards against sums above the demand or the limit in the division itself. */
+        @Property(tries = 300, seed = SEED)
+        fun `are max-min fair`(@ForAll seed: Long) {
+            val random = Random(seed)
+            val demands = List(random.nextInt(1, 30)) { random.nextDouble(100.0) }
+            val pool = random.nextDouble(2_000.0)
+            val shares = maxMinShares(pool, demands)
+            expectThat(shares.sum()).describedAs("seed $seed").isLessThanOrEqualTo(pool + 1e-9)
+            // Whoever gets less than its demand has the largest share.
+            val unmet = shares.zip(demands).filter { (share, demand) -> share < demand - 1e-9 }
+            expectThat(unmet).all { get { first }.isGreaterThanOrEqualTo(shares.max() - 1e-9) }
+        }
+
+        /** Guards against an organisation that is held to one instance's part of its limit. */
+        @Test
+        fun `follow the demand to few instances`() {
+            val fleet = Fleet(9)
+            val demand = { i: Int -> if (i < 2) 5_000.0 else 0.0 }
+            val used = List(6) { fleet.used(demand) }
+            // The equal shares of two instances at first, then all but the reserve of seven.
+            expectThat(used.first()).isEqualTo(200.0)
+            expectThat(used.last()).isGreaterThanOrEqualTo(549.0)
+        }
+
+        /** Guards against a share that stays with an instance whose callers moved away. */
+        @Test
+        fun `follow the demand within five seconds when it moves`() {
+            val fleet = Fleet(9)
+            repeat(8) { fleet.second { i -> if (i == 0) 5_000.0 else 0.0 } }
+            val used = List(8) { fleet.used { i -> if (i == 8) 5_000.0 else 0.0 } }
+            expectThat(used[4]).isGreaterThanOrEqualTo(0.98 * 500)
+            expectThat(used.last()).isGreaterThanOrEqualTo(499.0)
+        }
+    }
+
+    @Nested
+    inner class ErrorBound {
+        /** Guards against an overshoot above the stated bound while instances are cut off. */
+        @Test
+        fun `is half the part of the instances that are cut off`() {
+            val fleet = Fleet(9)
+            fleet.cutOff += List(6) { InstanceId("i$it") }
+            val sums = List(12) { fleet.second { 5_000.0 }.sum() }
+            expectThat(sums).all { isLessThanOrEqualTo(900.0 * (1 + 0.5 * 6 / 9)) }
+        }
+
+        /** Guards against a longer or larger overshoot when all silent instances start at once. */
+        @Test
+        fun `is below half the limit for one period after a start`() {
+            val fleet = Fleet(9)
+            repeat(8) { fleet.second { i -> if (i == 0) 5_000.0 else 0.0 } }
+            // Before their first report, the others may use their equal share.
+            val start = fleet.second { i -> if (i == 0) 5_000.0 else 0.0 }.sum()
+            expectThat(start).isGreaterThan(900.0).isLessThanOrEqualTo(1_350.0)
+            repeat(2) { expectThat(fleet.second { 5_000.0 }.sum()).isLessThanOrEqualTo(900.0) }
+        }
+
+        /** Guards against overshoot when the aggregator of an organisation leaves. */
+        @Test
+        fun `holds when the aggregator changes`() {
+            val fleet = Fleet(9)
+            repeat(8) { fleet.second { i -> 500.0 * i } }
+            val aggregator = Rendezvous(fleet.live).owner(name)
+            fleet.live = fleet.live - aggregator
+            val sums = List(6) { fleet.second { i -> 500.0 * i }.sum() }
+            expectThat(sums).all { isLessThanOrEqualTo(900.0 * 1.0625) }
+            expectThat(sums.last()).isGreaterThanOrEqualTo(800.0)
+        }
+    }
+
+    /** Guards against overrunning the runners and against starving an instance. */
+    @Property(tries = 100, seed = SEED)
+    fun `the fleet's capacity is shared without a central counter`(@ForAll seed: Long) {
+        val random = Random(seed)
+        val shares = FleetShare()
+        val used = DoubleArray(9)
+        repeat(30) { round ->
+            // The balancer sends most callers to the first instance, then to the last one.
+            val demand = DoubleArray(9) { random.nextDouble(300.0) }
+            demand[if (round < 15) 0 else 8] = 5_000.0
+            val total = used.sum()
+            for (i in used.indices) {
+                val limit = shares.share(900.0, total, used[i], liveInstances = 9)
+                expectThat(limit).describedAs("seed $seed").isGreaterThanOrEqualTo(20.0 - 1e-9)
+                used[i] = minOf(limit, demand[i])
+            }
+            expectThat(used.sum()).isLessThanOrEqualTo(900.0 + 1e-6)
+        }
+        repeat(25) {
+            val total = used.sum()
+            for (i in used.indices) used[i] = shares.share(900.0, total, used[i], 9)
+        }
+        expectThat(used.toList()).all { isGreaterThan(99.0) }
+    }
+}
