--- a/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
@@ -41,7 +41,12 @@
         updateView(live)
         grants.values.removeIf { !isValid(it, nowMillis) }
         for (d in demands.values) d.decay()
-        for (u in usage) demands.getOrPut(u.organisation, ::Demand).add(u)
+        for (u in usage) {
+            val policy = policyOf(u.organisation) ?: continue
+            // Demand above the limit has no meaning and would take longer to decay.
+            val limit = policy.tokensPerSecond ?: Double.MAX_VALUE
+            demands.getOrPut(u.organisation, ::Demand).add(u, limit)
+        }
         demands.values.removeIf { it.tokens < NEGLIGIBLE_TOKENS && it.concurrent == 0 }
         val due = demands.entries.mapNotNull { (name, d) -> dueReport(name, d, nowMillis) }
             .sortedWith(compareByDescending<Due> { it.excess }.thenBy { it.name.value })
@@ -52,6 +57,12 @@
         }, { it.usage() }).mapValues { UsageReport(it.value) }
     }
 
+    /** Sets the live instances, for the equal share before the first [report]. */
+    public fun updateView(live: Collection<InstanceId>) {
+        val members = live.toSet() + self
+        if (members != view.members) view = View(members)
+    }
+
     /** Takes the reply of [from] to the report sent at [sentAtMillis]. */
     public fun onReply(from: InstanceId, reply: UsageReply, sentAtMillis: Long) {
         val until = sentAtMillis + sharing.validMillis(view.size)
@@ -79,11 +90,6 @@
     private fun isValid(grant: Grant, now: Long): Boolean =
         now < grant.until && view.owner(grant.share.organisation) == grant.from
 
-    private fun updateView(live: Collection<InstanceId>) {
-        val members = live.toSet() + self
-        if (members != view.members) view = View(members)
-    }
-
     private fun dueReport(name: OrganisationName, demand: Demand, now: Long): Due? {
         val policy = policyOf(name) ?: return null
         val live = view.size
@@ -120,8 +126,8 @@
             concurrent = 0
         }
 
-        fun add(usage: OrganisationUsage) {
-            tokens += SMOOTHING * usage.tokensPerSecond
+        fun add(usage: OrganisationUsage, limit: Double) {
+            tokens += SMOOTHING * minOf(usage.tokensPerSecond.toDouble(), limit)
             concurrent = usage.concurrent
         }
     }
