Add the experiment command with open-loop load, events and reports

The bench tool had only a demo. The experiment command runs a YAML file's caller groups with seeded Poisson arrivals against a local fleet, once for each policy variant, checks every answer against the model function and writes a Markdown table, a JSON file and an SVG plot. The engine stand-in can stop its load reports (reports_stopped).

--- /dev/null
+++ b/bench/src/main/kotlin/io/greengageport/bench/CallerClient.kt
@@ -0,0 +1,210 @@
+package io.greengageport.bench
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.request.url
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.utils.io.readLine
+import java.io.IOException
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+
+/** Sends one request as a caller does and reads its answer. */
+internal class CallerClient(private val check: AnswerCheck, private val now: () -> Long) :
+    AutoCloseable {
+    @Serializable
+    private data class CompletionBody(
+        val model: String,
+        val prompt: String,
+        @SerialName("max_tokens") val maxTokens: Int,
+        val stream: Boolean = true
+    )
+
+    @Serializable
+    private data class Event(val choices: List<Choice> = emptyList(), val error: Failure? = null)
+
+    @Serializable
+    private data class Choice(val text: String)
+
+    @Serializable
+    private data class Failure(
+        val code: String,
+        val execution: String = "",
+        @SerialName("retry_after_ms") val retryAfterMillis: Long? = null
+    )
+
+    private val http = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout) { connectTimeoutMillis = CONNECT_MILLIS }
+        engine {
+            maxConnectionsCount = MAX_CONNECTIONS
+            endpoint.maxConnectionsPerRoute = MAX_CONNECTIONS
+            endpoint.pipelineMaxSize = 1
+            endpoint.keepAliveTime = KEEP_ALIVE_MILLIS
+            requestTimeout = 0
+        }
+    }
+
+    /** Sends [a] to the instance at [address]; a hang past [limitMillis] counts as lost. */
+    suspend fun send(a: Arrival, address: String, key: OrderKey, limitMillis: Long): Attempt {
+        val expected = if (a.group.kind == CallKind.COMPLETION) {
+            check.expect(a.prompt, a.group.tokens)
+        } else {
+            emptyList()
+        }
+        val tokens = Received(expected)
+        return try {
+            withTimeout(limitMillis) {
+                when (a.group.kind) {
+                    CallKind.COMPLETION -> complete(a, address, tokens)
+                    CallKind.ORDER -> order(a, address, key)
+                    CallKind.LOOKUP -> lookup(a, address)
+                }
+            }
+        } catch (e: TimeoutCancellationException) {
+            lost(tokens, "hang")
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: IOException) {
+            lost(tokens, "connection_lost")
+        } catch (e: IllegalStateException) {
+            lost(tokens, "connection_lost")
+        }
+    }
+
+    override fun close(): Unit = http.close()
+
+    private class Received(val expected: List<String>) {
+        val texts = ArrayList<String>()
+        val times = ArrayList<Long>()
+    }
+
+    private fun lost(r: Received, code: String): Attempt {
+        return Attempt(
+            end = CallEnd.CONNECTION_LOST,
+            code = code,
+            tokens = r.texts.size,
+            tokenTimes = r.times,
+            fault = check.fault(r.expected, r.texts, complete = false)
+        )
+    }
+
+    private suspend fun complete(a: Arrival, address: String, r: Received): Attempt {
+        val body = CompletionBody(a.group.service, a.prompt, a.group.tokens)
+        return http.preparePost {
+            url("http://$address/v1/completions")
+            callerHeaders(a)
+            setBody(json.encodeToString(body))
+        }.execute { response ->
+            if (response.status.value != OK) refused(response) else stream(response, r)
+        }
+    }
+
+    private suspend fun stream(response: HttpResponse, r: Received): Attempt {
+        val channel = response.bodyAsChannel()
+        var failure: Failure? = null
+        var done = false
+        while (true) {
+            val line = channel.readLine() ?: break
+            if (!line.startsWith(DATA)) continue
+            val data = line.substring(DATA.length)
+            if (data == "[DONE]") {
+                done = true
+                continue
+            }
+            val event = json.decodeFromString<Event>(data)
+            failure = event.error ?: failure
+            event.choices.firstOrNull()?.let {
+                r.times += now()
+                r.texts += it.text
+            }
+        }
+        // An end of the stream without the end mark or an error event is a cut answer.
+        val complete = failure == null
+        val fault = check.fault(r.expected, r.texts, complete)
+            ?: AnswerFault.TRUNCATED.takeIf { complete && !done }
+        return Attempt(
+            end = if (failure == null) CallEnd.ANSWERED else CallEnd.INTERRUPTED,
+            status = OK,
+            code = failure?.code.orEmpty(),
+            execution = failure?.execution ?: "ran",
+            retryAfterMillis = failure?.retryAfterMillis,
+            tokens = r.texts.size,
+            tokenTimes = r.times,
+            fault = fault
+        )
+    }
+
+    private suspend fun order(a: Arrival, address: String, key: OrderKey): Attempt {
+        val response = http.post("http://$address/services/${a.group.service}/dispatches/1") {
+            callerHeaders(a)
+            header("Idempotency-Key", key.value)
+            header("Greengage-Issued-At", key.issuedAt.toString())
+            setBody(a.prompt)
+        }
+        return plain(response)
+    }
+
+    private suspend fun lookup(a: Arrival, address: String): Attempt =
+        plain(http.get("http://$address/services/${a.group.service}/hampers/1") { callerHeaders(a) })
+
+    private suspend fun plain(response: HttpResponse): Attempt {
+        if (response.status.value >= ERRORS) return refused(response)
+        response.bodyAsText()
+        return Attempt(
+            end = CallEnd.ANSWERED,
+            status = response.status.value,
+            execution = "ran",
+            tokenTimes = listOf(now())
+        )
+    }
+
+    private suspend fun refused(response: HttpResponse): Attempt {
+        val text = response.bodyAsText()
+        val failure = try {
+            json.decodeFromString<Event>(text).error
+        } catch (e: IllegalArgumentException) {
+            null
+        }
+        return Attempt(
+            end = CallEnd.REFUSED,
+            status = response.status.value,
+            code = failure?.code ?: "status_${response.status.value}",
+            execution = failure?.execution.orEmpty(),
+            retryAfterMillis = failure?.retryAfterMillis
+        )
+    }
+
+    private fun HttpRequestBuilder.callerHeaders(a: Arrival) {
+        header("Authorization", "Bearer ${a.key}")
+        header("Greengage-Rank", a.group.rank)
+        a.group.deadlineMillis?.let { header("Greengage-Deadline-Ms", it.toString()) }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val ERRORS = 400
+        const val DATA = "data: "
+        const val CONNECT_MILLIS = 2_000L
+        const val KEEP_ALIVE_MILLIS = 20_000L
+        const val MAX_CONNECTIONS = 10_000
+        val json = Json {
+            ignoreUnknownKeys = true
+            encodeDefaults = true
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/greengageport/bench/EventRunner.kt
@@ -0,0 +1,104 @@
+package io.greengageport.bench
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+
+/** Carries out the timed events of an experiment on its fleet. */
+internal class EventRunner(
+    private val fleet: LocalFleet,
+    private val fleetFile: FleetFile,
+    private val experiment: ExperimentFile,
+    private val nowNanos: () -> Long
+) {
+    private val ended = ConcurrentHashMap.newKeySet<String>()
+    private val crashes = AtomicInteger()
+
+    /** Events that could not be carried out. */
+    val problems: ConcurrentLinkedQueue<String> = ConcurrentLinkedQueue()
+
+    /** Number of engines that ended without an event that ends them. */
+    val enginesLost: Int get() = crashes.get()
+
+    /** Carries out the events at their times. */
+    fun start(scope: CoroutineScope): Job = scope.launch(Dispatchers.IO) {
+        launch { superviseEngines() }
+        for (e in experiment.events.sortedBy { it.atSeconds }) {
+            launch {
+                delay(((e.atSeconds * NANOS_PER_SECOND).toLong() - nowNanos()) / NANOS_PER_MILLI)
+                try {
+                    carryOut(e)
+                } catch (x: java.io.IOException) {
+                    problems += "$e failed: $x"
+                } catch (x: IllegalStateException) {
+                    problems += "$e failed: $x"
+                }
+            }
+        }
+    }
+
+    private fun carryOut(e: TimedEvent) {
+        e.kill?.let {
+            ended += it
+            fleet.process(it).kill()
+        }
+        e.terminate?.let {
+            ended += it
+            fleet.process(it).terminate()
+        }
+        e.freeze?.let { fleet.process(it).freeze() }
+        e.thaw?.let { fleet.process(it).thaw() }
+        e.restart?.let { restart(it) }
+        e.control?.let { c -> c.on.forEach { fleet.control(it, c.body) } }
+        e.publish?.let { publish(it) }
+    }
+
+    private fun restart(name: String) {
+        when {
+            fleetFile.engines.any { it.id == name } -> fleet.startEngine(name)
+            fleetFile.plain.any { it.id == name } -> fleet.startPlain(name)
+            else -> fleet.startInstance(name)
+        }
+        ended -= name
+    }
+
+    private fun publish(p: Publish) {
+        val through = fleet.instances.first { fleet.process(it).isAlive }
+        val page = fleet.page(p.path, through)
+        val r = fleet.publish(p.path, p.yaml, page.baseVersion, through)
+        if (r.statusCode() != OK) problems += "publish ${p.path}: ${r.statusCode()} ${r.body()}"
+    }
+
+    private suspend fun superviseEngines() {
+        val seen = ConcurrentHashMap.newKeySet<Long>()
+        while (scopeIsActive()) {
+            for (e in fleetFile.engines) {
+                val p = fleet.process(e.id)
+                if (p.isAlive || e.id in ended || !seen.add(p.pid)) continue
+                crashes.incrementAndGet()
+                val wait = experiment.restartCrashedMillis ?: continue
+                CoroutineScope(kotlin.coroutines.coroutineContext).launch {
+                    delay(wait)
+                    restart(e.id)
+                }
+            }
+            delay(SUPERVISE_MILLIS)
+        }
+    }
+
+    private suspend fun scopeIsActive() =
+        kotlin.coroutines.coroutineContext[Job]?.isActive ?: true
+
+    private companion object {
+        const val OK = 200
+        const val SUPERVISE_MILLIS = 50L
+        const val NANOS_PER_SECOND = 1e9
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
--- a/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
@@ -1,6 +1,7 @@
 package io.greengageport.bench
 
 import io.greengageport.entry.InstanceStatus
+import io.greengageport.entry.SettingsPage
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -150,6 +151,12 @@
         )
     }
 
+    /** The settings at [path] and the base version for a change of them. */
+    public fun page(path: String, through: String = instances.first()): SettingsPage {
+        val url = "http://${admin(through)}/admin/settings?path=${path.trim('/')}"
+        return json.decodeFromString(get(url, "Authorization" to "Bearer $adminKey").body())
+    }
+
     /** Sets faults of a stand-in. */
     public fun control(name: String, body: String) {
         val r = HttpRequest.newBuilder(URI("http://${process(name).address}/control"))
--- /dev/null
+++ b/bench/src/main/kotlin/io/greengageport/bench/Statistics.kt
@@ -0,0 +1,150 @@
+package io.greengageport.bench
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.HdrHistogram.Histogram
+
+/** Percentiles of a duration in milliseconds; all 0 without values. */
+@Serializable
+internal data class Percentiles(
+    val count: Long,
+    val p50: Double,
+    val p95: Double,
+    val p99: Double,
+    val max: Double
+) {
+    companion object {
+        private const val LONGEST_MICROS = 600_000_000L
+        private const val DIGITS = 3
+        private const val NANOS_PER_MICRO = 1_000L
+        private const val MICROS_PER_MILLI = 1_000.0
+
+        /** Percentiles of durations in nanoseconds, exact to 0.1%. */
+        fun ofNanos(nanos: Iterable<Long>): Percentiles {
+            val h = Histogram(LONGEST_MICROS, DIGITS)
+            for (n in nanos) h.recordValue((n / NANOS_PER_MICRO).coerceIn(0, LONGEST_MICROS))
+            if (h.totalCount == 0L) return Percentiles(0, 0.0, 0.0, 0.0, 0.0)
+            return Percentiles(
+                h.totalCount,
+                h.getValueAtPercentile(50.0) / MICROS_PER_MILLI,
+                h.getValueAtPercentile(95.0) / MICROS_PER_MILLI,
+                h.getValueAtPercentile(99.0) / MICROS_PER_MILLI,
+                h.maxValue / MICROS_PER_MILLI
+            )
+        }
+    }
+}
+
+/** Results of the callers of one rank and organisation class. */
+@Serializable
+internal data class ClassRow(
+    val rank: String,
+    @SerialName("class") val organisationClass: String,
+    val offered: Int,
+    val answered: Int,
+    val refused: Int,
+    val interrupted: Int,
+    @SerialName("connection_lost") val connectionLost: Int,
+    /** Tries beyond the first one of each request. */
+    val resent: Int,
+    @SerialName("first_token_ms") val firstToken: Percentiles,
+    @SerialName("between_tokens_ms") val betweenTokens: Percentiles,
+    @SerialName("tokens_per_second") val tokensPerSecond: Double
+) {
+    val answeredShare: Double get() = if (offered == 0) 1.0 else answered.toDouble() / offered
+}
+
+/** What one second of a rank looked like, by the intended time of sending. */
+@Serializable
+internal data class SecondRow(
+    val rank: String,
+    val second: Int,
+    val offered: Int,
+    val answered: Int,
+    @SerialName("p95_first_token_ms") val p95FirstToken: Double?
+)
+
+/** Computes the figures of a run from the results of its requests. */
+internal class Statistics(private val results: List<CallResult>, private val seconds: Int) {
+    /** One row for each rank and organisation class, in the order of the file. */
+    fun rows(): List<ClassRow> = results
+        .groupBy { it.rank to it.arrival.group.organisationClass }
+        .map { (k, r) -> row(k.first, k.second, r) }
+        .sortedWith(compareBy({ it.rank }, { it.organisationClass }))
+
+    /** The ranks in the order of first use. */
+    fun ranks(): List<String> = results.map { it.rank }.distinct().sorted()
+
+    /** Number of tries by code of refusal, interruption or loss, and by what they said. */
+    fun failures(): Map<String, Int> = results.flatMap { it.attempts }
+        .filter { it.end != CallEnd.ANSWERED }
+        .groupingBy { "${it.code} (${it.execution.ifEmpty { "nothing said" }})" }
+        .eachCount().toSortedMap()
+
+    /** Number of tries by fault of their text; empty in a correct run. */
+    fun faults(): Map<String, Int> = results.flatMap { it.attempts }.mapNotNull { it.fault }
+        .groupingBy { it.name.lowercase() }.eachCount().toSortedMap()
+
+    /** Tokens that callers received, in all tries. */
+    fun tokensReceived(): Long = results.sumOf { it.tokensReceived.toLong() }
+
+    /** One row for each rank and second. */
+    fun seconds(): List<SecondRow> = ranks().flatMap { rank ->
+        buckets(rank, 0.0, seconds.toDouble()).mapIndexed { i, b ->
+            SecondRow(rank, i, b.offered, b.answered, b.p95Millis)
+        }
+    }
+
+    /** Recovery times of all ranks after an event at [atSeconds], until [untilSeconds]. */
+    fun recovery(event: String, atSeconds: Double, untilSeconds: Double): List<RecoveryTime> =
+        ranks().map { rank ->
+            val first = maxOf(0.0, atSeconds - Recovery.BEFORE)
+            RecoveryTime(
+                event,
+                rank,
+                Recovery.seconds(
+                    before = buckets(rank, first, atSeconds),
+                    after = buckets(rank, atSeconds, untilSeconds)
+                )
+            )
+        }
+
+    private fun buckets(rank: String, from: Double, until: Double): List<Bucket> {
+        val count = maxOf(0, (until - from).toInt())
+        val start = (from * NANOS_PER_SECOND).toLong()
+        val bySecond = results.filter { it.rank == rank && it.arrival.atNanos >= start }
+            .groupBy { ((it.arrival.atNanos - start) / NANOS_PER_SECOND).toInt() }
+        return List(count) { i ->
+            val r = bySecond[i].orEmpty()
+            Bucket(
+                offered = r.size,
+                answered = r.count { it.isAnswered },
+                firstTokenMillis = r.filter { it.isAnswered }
+                    .mapNotNull { it.firstTokenNanos?.div(NANOS_PER_MILLI) }
+            )
+        }
+    }
+
+    private fun row(rank: String, organisationClass: String, r: List<CallResult>): ClassRow {
+        val answered = r.filter { it.isAnswered }
+        fun ended(end: CallEnd) = r.count { it.last.end == end }
+        return ClassRow(
+            rank = rank,
+            organisationClass = organisationClass,
+            offered = r.size,
+            answered = answered.size,
+            refused = ended(CallEnd.REFUSED),
+            interrupted = ended(CallEnd.INTERRUPTED),
+            connectionLost = ended(CallEnd.CONNECTION_LOST),
+            resent = r.sumOf { it.attempts.size - 1 },
+            firstToken = Percentiles.ofNanos(answered.mapNotNull { it.firstTokenNanos }),
+            betweenTokens = Percentiles.ofNanos(answered.flatMap { it.gapsNanos }),
+            tokensPerSecond = answered.sumOf { it.last.tokens }.toDouble() / seconds
+        )
+    }
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1_000_000_000L
+        const val NANOS_PER_MILLI = 1e6
+    }
+}
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -62,6 +62,9 @@
     @Volatile
     private var leaving = false
 
+    @Volatile
+    private var reportsStopped = false
+
     @Volatile
     private var hopMillis = settings.hopMillis
 
@@ -83,6 +86,9 @@
 
     val isLeaving: Boolean get() = leaving
 
+    /** Whether load reports are to be sent. */
+    val isReporting: Boolean get() = !reportsStopped
+
     /** Takes no new work from now on; streams that run go on. */
     fun leave() {
         leaving = true
@@ -278,6 +284,7 @@
         c.slowdown?.let { scheduler.slowdown = it }
         c.hopMillis?.let { hopMillis = it }
         c.leaving?.let { leaving = it }
+        c.reportsStopped?.let { reportsStopped = it }
         call.json("{}")
         if (c.crash) crash()
     }
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
@@ -34,6 +34,8 @@
     val slowdown: Double? = null,
     @SerialName("hop_ms") val hopMillis: Long? = null,
     val leaving: Boolean? = null,
+    /** Sends no load reports while true, so that the platform shows an old one. */
+    @SerialName("reports_stopped") val reportsStopped: Boolean? = null,
     val crash: Boolean = false
 )
 
--- a/standins/src/main/kotlin/io/greengageport/standins/Main.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/Main.kt
@@ -166,7 +166,9 @@
                 )
             }
             scope.repeatedly(settings.reportMillis) {
-                client.put("$url/v1/load") { setBody(json.encodeToString(engine.load())) }
+                if (engine.isReporting) {
+                    client.put("$url/v1/load") { setBody(json.encodeToString(engine.load())) }
+                }
             }
         }
         announce(address)
