Hold new work from a runner that a placement order is to change

An order that changes a runner's layers or version cut the answers in flight there. Change: the lease holder holds the runner by gossip before it orders, until the report shows the wanted state; the engine stand-in finishes its streams before it loads and checks the token again.

--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -45,6 +45,9 @@
     private val leaving = ConcurrentHashMap<RunnerId, String>()
     private val joinedAt = ConcurrentHashMap<RunnerId, Long>()
 
+    /** Runners that get no new work until the given wall time, because an order is to change them. */
+    private val heldUntil = ConcurrentHashMap<RunnerId, Long>()
+
     @Volatile
     private var hasListing = false
 
@@ -55,6 +58,7 @@
         gossip.subscribe(LEAVING_TOPIC) { key, _, payload ->
             noteLeaving(RunnerId(key), payload.decodeToString())
         }
+        gossip.subscribe(HOLD_TOPIC) { key, until, _ -> noteHeld(RunnerId(key), until) }
         gossip.subscribe(SUSPECT_TOPIC) { _, _, payload ->
             decodeSuspect(payload)?.let { suspects.merge(it) }?.let(::publish)
         }
@@ -106,6 +110,16 @@
         gossip.publish(LEAVING_TOPIC, runner.value, clock.wallMillis(), address.encodeToByteArray())
     }
 
+    /** Keeps new work from [runner] on all instances for [millis], or ends that with 0. */
+    fun hold(runner: RunnerId, millis: Long) {
+        val until = maxOf(clock.wallMillis() + millis, (heldUntil[runner] ?: 0) + 1)
+        noteHeld(runner, until)
+        gossip.publish(HOLD_TOPIC, runner.value, until, ByteArray(0))
+    }
+
+    /** Whether [runner] gets no new work because an order is to change it. */
+    fun isHeld(runner: RunnerId): Boolean = (heldUntil[runner] ?: 0) > clock.wallMillis()
+
     /** Publishes what is known of a suspect request. */
     fun publish(state: SuspectState) {
         Logger.warn("routing: suspect request ${state.fingerprint} marks=${state.marks.size}")
@@ -143,6 +157,11 @@
         return true
     }
 
+    private fun noteHeld(runner: RunnerId, until: Long) {
+        heldUntil.merge(runner, until, ::maxOf)
+        refresh(runner)
+    }
+
     private fun refresh(id: RunnerId) {
         val l = listed[id] ?: return
         val report = reports[id]
@@ -158,7 +177,9 @@
                 address = l.address,
                 bootId = report?.bootId.orEmpty(),
                 version = report?.version.orEmpty(),
-                leaving = l.state == ListedState.LEAVING || leaving[id] == l.address
+                leaving = l.state == ListedState.LEAVING ||
+                    leaving[id] == l.address ||
+                    isHeld(id)
             )
         )
     }
@@ -168,6 +189,7 @@
         reports.remove(id)
         leaving.remove(id)
         joinedAt.remove(id)
+        heldUntil.remove(id)
         fleet.remove(id)
         loads.forget(id)
         links.forget(id)
@@ -189,6 +211,7 @@
 
     private companion object {
         const val LEAVING_TOPIC = "runner-leaving"
+        const val HOLD_TOPIC = "runner-hold"
         const val SUSPECT_TOPIC = "suspect-requests"
         val cbor = Cbor { ignoreUnknownKeys = true }
     }
--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceStatusBuilder.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceStatusBuilder.kt
@@ -2,6 +2,7 @@
 
 import io.greengageport.common.Members
 import io.greengageport.common.RunnerId
+import io.greengageport.common.SystemClock
 import io.greengageport.ledger.OrderLedger
 import io.greengageport.routing.FleetBound
 import io.greengageport.settings.SettingsStore
@@ -61,7 +62,9 @@
 
     private fun runners(stateOf: (RunnerId) -> String) = backends.all().map { l ->
         val r = backends.fleet.runner(l.id)
-        val load = r?.let { backends.loads.load(l.id, it.tokensPerSecond) }
+        val load = r?.let {
+            backends.loads.load(l.id, it.tokensPerSecond, SystemClock.wallMillis())
+        }
         RunnerStatus(
             id = l.id,
             service = l.service,
--- a/entry/src/main/kotlin/io/greengageport/entry/PlacementService.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlacementService.kt
@@ -99,6 +99,8 @@
         val plan = planner.plan(models, runners)
         for (o in plan.orders) {
             val sent = pending[o.runner]
+            // No new work reaches the runner meanwhile, so that the order cuts no answer.
+            backends.hold(o.runner, HOLD_MILLIS)
             if (sent?.wanted == o.desired && !isDue(sent)) continue
             Logger.info(o.logLine())
             pending[o.runner] = Pending(o.desired, clock.monotonicMillis())
@@ -158,6 +160,7 @@
         val sent = pending[l.id]
         if (sent?.wanted?.sameLoad(current) == true) {
             pending.remove(l.id)
+            backends.hold(l.id, millis = 0)
             assignedAt[l.id] = clock.monotonicMillis()
         }
         return PlaceableRunner(
@@ -179,6 +182,7 @@
         const val LEASE = "placement"
         const val PERIOD_MILLIS = 2_000L
         const val ORDER_TIMEOUT_MILLIS = 5_000L
+        const val HOLD_MILLIS = 6_000L
         const val REPEAT_MILLIS = 10_000L
         const val BYTES_PER_LAYER = 1L shl 30
 
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -34,6 +34,7 @@
 import kotlin.system.exitProcess
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.encodeToString
 
 /** Stands in for a model engine that holds a range of layers and works in continuous batches. */
@@ -49,9 +50,10 @@
     private val cancels = AtomicLong()
     private val orders = AtomicLong()
     private val fencing = AtomicLong()
+    private val lastStepAt = AtomicLong(System.nanoTime() - IDLE_NANOS)
 
     @Volatile
-    private var version = ""
+    private var version = settings.version
 
     @Volatile
     private var layers = settings.layers
@@ -215,6 +217,7 @@
         val hop = s.route[s.position]
         if (!holds(hop)) return null
         steps.incrementAndGet()
+        lastStepAt.set(System.nanoTime())
         val start = System.nanoTime()
         val prefillSteps = when {
             s.promptTokens <= 0 || kvCache.containsKey(s.request) -> 0
@@ -273,13 +276,33 @@
             )
             return
         }
+        if (!awaitIdle()) {
+            call.json(
+                json.encodeToString(OrderReply(accepted = false, fencing = highest)),
+                HttpStatusCode.ServiceUnavailable
+            )
+            return
+        }
         delay(settings.loadMillis)
+        if (settings.checksFencing && o.fencing < fencing.get()) {
+            call.json(
+                json.encodeToString(OrderReply(accepted = false, fencing = fencing.get())),
+                HttpStatusCode.Conflict
+            )
+            return
+        }
         version = o.order.version
         o.order.layers?.let { layers = it }
         orders.incrementAndGet()
         call.json(json.encodeToString(OrderReply(accepted = true, fencing = highest)))
     }
 
+    /** Waits until the streams that this stage takes part in have ended. */
+    private suspend fun awaitIdle(): Boolean = withTimeoutOrNull(IDLE_LIMIT_MILLIS) {
+        while (lastStepAt.get() > System.nanoTime() - IDLE_NANOS) delay(IDLE_POLL_MILLIS)
+        true
+    } ?: false
+
     private suspend fun control(call: ApplicationCall) {
         val c = json.decodeFromString<EngineControl>(call.receiveText())
         c.frozen?.let { frozen = it }
@@ -303,6 +326,9 @@
 
     private companion object {
         const val HEX = 16
+        const val IDLE_NANOS = 1_000_000_000L
+        const val IDLE_POLL_MILLIS = 20L
+        const val IDLE_LIMIT_MILLIS = 4_000L
         const val NANOS_PER_MICRO = 1_000L
         const val FROZEN_POLL_MILLIS = 20L
         const val CRASH_STATUS = 134
--- a/standins/src/main/kotlin/io/greengageport/standins/Main.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/Main.kt
@@ -127,6 +127,9 @@
     @Option(names = ["--load-ms"], defaultValue = "200")
     var load: Long = 0
 
+    @Option(names = ["--model-version"], defaultValue = "v1")
+    lateinit var version: String
+
     @Option(names = ["--ignores-fencing"])
     var ignoresFencing: Boolean = false
 
@@ -145,6 +148,7 @@
             batch = batch,
             hopMillis = hop,
             loadMillis = load,
+            version = version,
             checksFencing = !ignoresFencing,
             crashMarker = crashMarker
         )
