--- a/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
@@ -5,7 +5,7 @@
 import kotlin.random.Random
 
 /**
- * The chain with the least expected time and congestion, by dynamic programming over layer boundaries.
+ * The chain with the least expected time and congestion, by dynamic programming over boundaries.
  *
  * The state is the last stage and the boundary reached. A stage either runs on to the next boundary
  * or hands over to a runner that holds the next segment. Hop times depend on data centres but for a
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/AnswerAssemblerTest.kt
@@ -0,0 +1,122 @@
+package io.greengageport.routing
+
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+import kotlin.random.Random
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class AnswerAssemblerTest {
+    private val id = RequestId("r1")
+    private val assembler = AnswerAssembler(id, layers = 8)
+
+    private fun trace(vararg ends: Int) = ends.toList().zipWithNext { a, b ->
+        TracedStage(RunnerId("e$a"), LayerRange(a, b))
+    }
+
+    private fun frame(
+        index: Int,
+        attempt: Int = 1,
+        request: RequestId = id,
+        last: Boolean = false,
+        layers: List<TracedStage> = trace(0, 4, 8)
+    ) = AnswerFrame(request, attempt, index, "t$index", layers, last)
+
+    @Nested
+    inner class Frames {
+        /** Guards against tokens of another request or attempt in an answer. */
+        @Test
+        fun `drops and counts crossed, late, repeated and early frames`() {
+            assembler.nextAttempt()
+            val frames = listOf(
+                frame(0),
+                frame(0),
+                frame(2),
+                frame(1, request = RequestId("r2")),
+                frame(1, attempt = 2),
+                frame(1, last = true),
+                frame(2)
+            )
+            expectThat(frames.map(assembler::accept)).isEqualTo(
+                listOf(
+                    FrameOutcome.Token(0, "t0", false),
+                    FrameOutcome.Dropped(DropReason.DUPLICATE),
+                    FrameOutcome.Dropped(DropReason.OUT_OF_ORDER),
+                    FrameOutcome.Dropped(DropReason.OTHER_REQUEST),
+                    FrameOutcome.Dropped(DropReason.OTHER_ATTEMPT),
+                    FrameOutcome.Token(1, "t1", true),
+                    FrameOutcome.Dropped(DropReason.ATTEMPT_ENDED)
+                )
+            )
+            expectThat(assembler.dropped()).isEqualTo(DropReason.entries.associateWith { 1 })
+        }
+
+        /** Guards against a layer that runs twice, is skipped or runs out of order. */
+        @Test
+        fun `a wrong trace ends the attempt`() {
+            val wrong = listOf(
+                trace(0, 4),
+                trace(0, 4) + trace(3, 8),
+                trace(4, 8) + trace(0, 4),
+                emptyList()
+            )
+            for (layers in wrong) {
+                assembler.nextAttempt()
+                val attempt = assembler.attempt
+                expectThat(
+                    listOf(frame(0, attempt, layers = layers), frame(0, attempt))
+                        .map(assembler::accept)
+                ).isEqualTo(
+                    listOf(
+                        FrameOutcome.WrongTrace(layers),
+                        FrameOutcome.Dropped(DropReason.ATTEMPT_ENDED)
+                    )
+                )
+            }
+        }
+    }
+
+    @Nested
+    inner class Resume {
+        @Test
+        fun `goes on after the delivered tokens and drops frames of the old attempt`() {
+            assembler.nextAttempt()
+            assembler.accept(frame(0))
+            assembler.accept(frame(1))
+            val resume = assembler.nextAttempt()
+            val late = assembler.accept(frame(2, attempt = 1))
+            val next = assembler.accept(frame(2, attempt = 2, last = true))
+            expectThat(listOf(resume, late, next, assembler.isComplete)).isEqualTo(
+                listOf(
+                    AttemptStart(2, 2, listOf("t0", "t1")),
+                    FrameOutcome.Dropped(DropReason.OTHER_ATTEMPT),
+                    FrameOutcome.Token(2, "t2", true),
+                    true
+                )
+            )
+        }
+
+        /** Guards against lost or repeated tokens under any mix of frames and attempts. */
+        @Test
+        fun `delivers each token once and in order whatever arrives`() {
+            for (seed in 1..200) {
+                val random = Random(seed)
+                val any = AnswerAssembler(id, layers = 8)
+                any.nextAttempt()
+                repeat(2_000) {
+                    if (any.isComplete) return@repeat
+                    if (random.nextInt(20) == 0) any.nextAttempt()
+                    val index = any.delivered.size + random.nextInt(-2, 3)
+                    val attempt = any.attempt - random.nextInt(2)
+                    any.accept(frame(index, attempt, last = index >= 20))
+                }
+                expectThat(any.delivered).describedAs("seed $seed")
+                    .isEqualTo(List(any.delivered.size) { "t$it" })
+                expectThat(any.isComplete).isEqualTo(true)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/DecisionLogTest.kt
@@ -0,0 +1,58 @@
+package io.greengageport.routing
+
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RunnerId
+import java.io.File
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class DecisionLogTest {
+    /** Guards against unnoticed changes of decisions and of their log lines. */
+    @Test
+    fun `a session is logged as in the golden file`() {
+        val golden = File("src/test/resources/golden/session.log")
+        expectThat(session().joinToString("\n", postfix = "\n")).isEqualTo(golden.readText())
+    }
+
+    private fun session(): List<String> {
+        val world = World()
+        val fleet = fleet(
+            12,
+            listOf(
+                runner("a1", LayerRange(0, 6)),
+                runner("a2", LayerRange(0, 6), rate = 2_000.0, centre = centres[1]),
+                runner("b1", LayerRange(4, 12)),
+                runner("b2", LayerRange(6, 12), rate = 500.0)
+            )
+        )
+        val lines = ArrayList<String>()
+        fun plan(request: RoutingRequest) {
+            lines += world.exact.plan(fleet, request)
+                .let { if (it.isOk) it.value.logLine() else it.error.logLine(request) }
+        }
+        plan(request("r1"))
+        world.queue("b1", 400.0)
+        plan(request("r2"))
+        world.clock.advance(200)
+        val detector = OutlierDetector(world.clock)
+        repeat(3) { detector.failed(RunnerId("a1")) }
+        detector.silent(RunnerId("b1"))
+        lines += detector.evaluate(fleet).map { it.logLine() }
+        plan(request("r3", excluded = detector.ejected()))
+        plan(request("r4", marked = true, markedBusy = setOf(RunnerId("a1"))))
+        plan(request("r5", excluded = setOf("a1", "a2").map(::RunnerId).toSet()))
+        world.clock.advance(5_000)
+        lines += detector.evaluate(fleet).map { it.logLine() }
+        lines += List(3) { detector.probed(RunnerId("b1"), true) }.mapNotNull { it?.logLine() }
+        plan(request("r6", excluded = detector.ejected()))
+        lines += PlacementPlanner(world.clock).plan(
+            listOf(ModelDemand(service, 12, 100.0, bytesPerLayer = 10, version = "v1")),
+            listOf(
+                PlaceableRunner(RunnerId("n1"), centres[0], "kind", 80, 1_200.0),
+                PlaceableRunner(RunnerId("n2"), centres[1], "kind", 60, 1_200.0)
+            )
+        ).orders.map { it.logLine() }
+        return lines
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
@@ -0,0 +1,192 @@
+package io.greengageport.routing
+
+import io.greengageport.common.RunnerId
+import io.greengageport.testkit.ManualClock
+import kotlin.random.Random
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+
+class EstimatorTest {
+    private val a = RunnerId("a")
+
+    @Nested
+    inner class Load {
+        private val loads = LoadEstimator(drainShare = 0.0)
+
+        private fun queued(now: Long = 0) = loads.load(a, 100.0, now).queuedTokens
+
+        /** Guards against own work being counted twice, in the report and by itself. */
+        @Test
+        fun `adds own work after the report's time and no earlier work`() {
+            loads.sent(a, 10.0, atMillis = 100)
+            loads.sent(a, 20.0, atMillis = 200)
+            loads.sent(a, 40.0, atMillis = 300)
+            loads.finished(a, 10.0, atMillis = 400)
+            val before = queued()
+            loads.report(RunnerLoad(a, reportedAtMillis = 200, queuedTokens = 500.0))
+            expectThat(listOf(before, queued())).isEqualTo(listOf(60.0, 530.0))
+        }
+
+        /** Guards against reports that arrive out of order, and a restart's lower clock. */
+        @Test
+        fun `ignores an older report unless the runner restarted`() {
+            loads.report(RunnerLoad(a, 300, 30.0, bootId = "x"))
+            loads.report(RunnerLoad(a, 200, 20.0, bootId = "x"))
+            val afterOld = queued()
+            loads.report(RunnerLoad(a, 100, 10.0, bootId = "y"))
+            expectThat(listOf(afterOld, queued())).isEqualTo(listOf(30.0, 10.0))
+        }
+
+        @Test
+        fun `deducts a share of the possible work from an old report`() {
+            val draining = LoadEstimator(drainShare = 0.5)
+            draining.report(RunnerLoad(a, 0, queuedTokens = 300.0, tokensPerSecond = 100.0))
+            expectThat(listOf(0L, 2_000L, 9_000L).map { draining.load(a, 1.0, it).queuedTokens })
+                .isEqualTo(listOf(300.0, 200.0, 0.0))
+        }
+
+        /** Guards against memory that grows while no report arrives, and against lost work. */
+        @Test
+        fun `agrees with a list of all changes`() {
+            val random = Random(5)
+            val changes = ArrayList<Pair<Long, Double>>()
+            var reported = 0L to 0.0
+            for (now in 1L..5_000L) {
+                val tokens = random.nextInt(1, 50).toDouble()
+                loads.sent(a, tokens, now)
+                changes += now to tokens
+                if (now % 700 == 0L) {
+                    reported = (now - random.nextLong(500)) to 100.0
+                    loads.report(RunnerLoad(a, reported.first, reported.second))
+                }
+                val expected =
+                    reported.second +
+                        changes.filter { it.first > reported.first }.sumOf { it.second }
+                expectThat(queued()).isEqualTo(expected)
+            }
+        }
+    }
+
+    @Nested
+    inner class Link {
+        private val links = LinkEstimator(maxPairs = 2)
+        private val x = runner("x")
+        private val y = runner("y")
+        private val z = runner("z")
+
+        @Test
+        fun `averages per data centre and singles out a slow pair`() {
+            links.observe(x, y, 1.0)
+            repeat(50) { links.observe(y, x, 1.0) }
+            repeat(50) { links.observe(x, z, 40.0) }
+            repeat(200) { links.observe(centres[0], centres[0], 1.0) }
+            links.observe(x, z, 40.0)
+            expectThat(links.hopMillis(x, z)).isEqualTo(40.0)
+            expectThat(links.hopMillis(y, x)).isLessThan(12.0)
+        }
+
+        @Test
+        fun `forgets the pair observed longest ago`() {
+            repeat(2) { links.observe(centres[0], centres[0], 1.0) }
+            for (to in listOf(y, z, x)) links.observe(x, to, 100.0)
+            val known = listOf(y, z, x).map { links.deviationsInto(it.id).isNotEmpty() }
+            links.forget(x.id)
+            val after = listOf(y, z, x).map { links.deviationsInto(it.id).isNotEmpty() }
+            expectThat(known + after).isEqualTo(listOf(false, true, true, false, false, false))
+        }
+    }
+
+    @Nested
+    inner class Prefix {
+        private val index = PrefixIndex()
+        private val blocks = PrefixIndex.blocks("sheets", "a".repeat(1_024))
+
+        private fun store(from: Long) = blocks.forEachIndexed { i, block ->
+            index.onEvent(a, CacheEvent.Stored(from + i, block))
+        }
+
+        @Test
+        fun `counts leading blocks, follows evictions and trusts less after a gap`() {
+            store(from = 0)
+            val all = index.cachedBlocks(a, blocks)
+            index.onEvent(a, CacheEvent.Evicted(4, blocks[2]))
+            val evicted = index.cachedBlocks(a, blocks)
+            index.onEvent(a, CacheEvent.Evicted(9, 1))
+            val gap = index.cachedBlocks(a, blocks)
+            index.onEvent(a, CacheEvent.Cleared(10))
+            expectThat(listOf(all, evicted, gap, index.cachedBlocks(a, blocks)))
+                .isEqualTo(listOf(4.0, 2.0, 1.0, 0.0))
+        }
+
+        @Test
+        fun `ignores an event that arrives again`() {
+            store(from = 0)
+            index.onEvent(a, CacheEvent.Evicted(2, blocks[0]))
+            expectThat(index.cachedBlocks(a, blocks)).isEqualTo(4.0)
+        }
+
+        /** Guards against prompts that differ late, or by service, being taken for equal. */
+        @Test
+        fun `hashes cover the prompt from its start and the service`() {
+            val other = PrefixIndex.blocks("sheets", "b" + "a".repeat(1_023))
+            val service = PrefixIndex.blocks("notes", "a".repeat(1_024))
+            expectThat((blocks + other + service).toSet().size).isEqualTo(12)
+        }
+    }
+
+    @Nested
+    inner class Budget {
+        private val clock = ManualClock()
+
+        /** Guards against more than 1.1 calls per admitted request in the 10 s before a retry. */
+        @Test
+        fun `keeps retries within a tenth of the requests of any 10 s`() {
+            for (seed in 1..20) {
+                val random = Random(seed)
+                val budget = RetryBudget(clock, random)
+                val admitted = ArrayList<Long>()
+                val retried = ArrayList<Long>()
+                repeat(4_000) {
+                    clock.advance(random.nextLong(if (it / 500 % 2 == 0) 8 else 400))
+                    val now = clock.monotonicMillis()
+                    if (random.nextInt(3) > 0) {
+                        budget.admitted()
+                        admitted += now
+                    } else if (budget.tryRetry(1, random.nextBoolean()) is RetryDecision.Allowed) {
+                        retried += now
+                        val since = now - RetryBudget.WINDOW_MILLIS
+                        val allowed = admitted.count { it > since } * 0.1 + 1e-9
+                        expectThat(retried.count { it > since }.toDouble())
+                            .describedAs("seed $seed").isLessThanOrEqualTo(allowed)
+                    }
+                }
+                expectThat(retried.size).describedAs("seed $seed").isGreaterThan(50)
+            }
+        }
+
+        @Test
+        fun `leaves half of the budget to urgent requests`() {
+            val budget = RetryBudget(clock, Random(1))
+            repeat(100) { budget.admitted() }
+            fun allowed(urgent: Boolean) =
+                (1..20).count { budget.tryRetry(1, urgent) is RetryDecision.Allowed }
+            expectThat(listOf(allowed(urgent = false), allowed(urgent = true)))
+                .isEqualTo(listOf(5, 5))
+        }
+
+        @Test
+        fun `draws delays below a bound that doubles up to the last`() {
+            val backoff = Backoff(baseMillis = 10, maxMillis = 100)
+            val longest = listOf(1, 2, 4, 60).map { attempt ->
+                val random = Random(3)
+                (1..2_000).maxOf { backoff.delayMillis(attempt, random) }
+            }
+            expectThat(longest).isEqualTo(listOf(10, 20, 80, 100))
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/PlacementPlannerTest.kt
@@ -0,0 +1,191 @@
+package io.greengageport.routing
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.testkit.ManualClock
+import kotlin.random.Random
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+
+class PlacementPlannerTest {
+    private val clock = ManualClock()
+    private val sheets = ModelDemand(service, 8, 100.0, bytesPerLayer = GIB)
+    private val notes = ModelDemand(ServiceName("notes"), 8, 100.0, bytesPerLayer = GIB)
+
+    private fun placeable(
+        id: String,
+        layers: LayerRange? = null,
+        model: ModelDemand = sheets,
+        centre: DataCentre = centres[0],
+        rate: Double = 800.0
+    ) = PlaceableRunner(
+        RunnerId(id),
+        centre,
+        "kind",
+        memoryBytes = 4 * GIB,
+        layerTokensPerSecond = rate,
+        current = layers?.let { Assignment(model.service, it) }
+    )
+
+    private fun planner(rules: PlacementRules = PlacementRules()) = PlacementPlanner(clock, rules)
+
+    /** What the runners report once all orders are done. */
+    private fun done(plan: PlacementPlan, runners: List<PlaceableRunner>) = runners.map {
+        val wanted = plan.desired[it.id]
+        if (wanted == it.current) {
+            it
+        } else {
+            it.copy(current = wanted, assignedAtMillis = clock.monotonicMillis())
+        }
+    }
+
+    @Nested
+    inner class Needs {
+        @Test
+        fun `fills an empty fleet with all layers of all models, then comes to rest`() {
+            val random = Random(3)
+            var runners = List(24) {
+                val rate = listOf(800.0, 1_600.0).random(random)
+                placeable("e%02d".format(it), centre = centres[it % 3], rate = rate)
+            }
+            repeat(10) {
+                val plan = planner().plan(listOf(sheets, notes), runners)
+                expectThat(plan.orders.size).isLessThan(5)
+                runners = done(plan, runners)
+                clock.advance(60_000)
+            }
+            expectThat(planner().plan(listOf(sheets, notes), runners).orders).isEmpty()
+            for (model in listOf(sheets, notes)) {
+                val held = runners.mapNotNull { r ->
+                    r.current?.takeIf { it.service == model.service }?.layers?.let { r to it }
+                }
+                for (layer in 0 until model.layers) {
+                    val holders = held.filter { layer in it.second.from until it.second.until }
+                    expectThat(holders.map { it.first.dataCentre }.distinct().size)
+                        .isGreaterThanOrEqualTo(2)
+                    expectThat(holders.sumOf { it.first.tokensPerSecond(it.second) })
+                        .isGreaterThanOrEqualTo(model.tokensPerSecond)
+                }
+            }
+        }
+
+        @Test
+        fun `says which layers find no room`() {
+            val plan = planner().plan(listOf(sheets), listOf(placeable("a", LayerRange(0, 4))))
+            expectThat(plan.orders).isEmpty()
+            expectThat(plan.obstacles.first())
+                .isEqualTo(PlacementObstacle.NoCapacity(service, LayerRange(4, 8)))
+        }
+    }
+
+    @Nested
+    inner class Damping {
+        /** Guards against moves that a small change of demand sends back and forth. */
+        @Test
+        fun `does not move a runner for a small imbalance`() {
+            val runners = listOf(sheets, notes).flatMap { model ->
+                List(4) {
+                    val from = it % 2 * 4
+                    placeable("${model.service}$it", LayerRange(from, from + 4), model)
+                }
+            }
+            val orders = (90..110).flatMap {
+                val demand = it * 3.4
+                val models = listOf(
+                    sheets.copy(tokensPerSecond = demand),
+                    notes.copy(tokensPerSecond = 680 - demand)
+                )
+                planner().plan(models, runners).orders
+            }
+            expectThat(orders).isEmpty()
+        }
+
+        /** Guards against two runners that both count as the other's replacement. */
+        @Test
+        fun `never moves the last serving holder of a layer`() {
+            for (seed in 1..200) {
+                val random = Random(seed)
+                val runners = List(16) {
+                    val model = listOf(sheets, notes).random(random)
+                    val from = random.nextInt(5)
+                    val held = LayerRange(from, from + 4).takeIf { random.nextInt(5) > 0 }
+                    placeable("e%02d".format(it), held, model, centres.random(random))
+                }
+                val models = listOf(sheets, notes)
+                    .map { it.copy(tokensPerSecond = random.nextDouble(0.0, 2_000.0)) }
+                val plan = planner(PlacementRules(maxConcurrentMoves = 8)).plan(models, runners)
+                val stays = runners.filter { r -> plan.orders.none { it.runner == r.id } }
+                val kept = models.all { model ->
+                    (0 until model.layers).all { layer ->
+                        !isHeld(runners, model, layer) || isHeld(stays, model, layer)
+                    }
+                }
+                expectThat(kept).describedAs("seed $seed").isTrue()
+            }
+        }
+
+        private fun isHeld(runners: List<PlaceableRunner>, model: ModelDemand, layer: Int) =
+            runners.mapNotNull { it.current }.any {
+                it.service == model.service && layer in it.layers.from until it.layers.until
+            }
+
+        @Test
+        fun `counts orders under way against the limits and repeats them`() {
+            val pending = placeable("a").copy(pending = Assignment(service, LayerRange(0, 4)))
+            val runners = listOf(pending, placeable("b"), placeable("c"))
+            val byMoves = planner(PlacementRules(maxConcurrentMoves = 1))
+            val byStore = planner(PlacementRules(weightBytesPerSecond = GIB / 30))
+            expectThat(listOf(byMoves, byStore).map { it.plan(listOf(sheets), runners) }).isEqualTo(
+                listOf(
+                    PlacementObstacle.MovesExhausted(1),
+                    PlacementObstacle.WeightStoreBusy(4 * GIB)
+                ).map {
+                    val wanted = checkNotNull(pending.pending)
+                    PlacementPlan(
+                        mapOf(pending.id to wanted),
+                        listOf(EngineOrder(pending.id, wanted, PlacementReason.Pending, 4 * GIB)),
+                        listOf(it)
+                    )
+                }
+            )
+        }
+    }
+
+    @Nested
+    inner class Versions {
+        /** Guards against a roll-out that leaves neither version with all layers. */
+        @Test
+        fun `rolls a version out with one version complete at any time`() {
+            var runners = List(6) {
+                val from = it % 2 * 4
+                placeable("e$it", LayerRange(from, from + 4), centre = centres[it % 3])
+            }
+            val wanted = sheets.copy(version = "v2")
+            val rules = PlacementRules(maxConcurrentMoves = 1)
+            repeat(6) {
+                val plan = planner(rules).plan(listOf(wanted), runners)
+                val moving = plan.orders.map { it.runner }
+                val serving = runners.filter { it.id !in moving }.mapNotNull { it.current }
+                val complete = listOf("", "v2").any { version ->
+                    serving.filter { it.version == version }.map { it.layers.from }.toSet().size ==
+                        2
+                }
+                expectThat(complete).isTrue()
+                runners = done(plan, runners)
+            }
+            expectThat(runners.map { it.current?.version }.distinct()).isEqualTo(listOf("v2"))
+        }
+    }
+
+    private companion object {
+        const val GIB = 1L shl 30
+    }
+}
--- a/routing/src/test/kotlin/io/greengageport/routing/QueueingComparison.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/QueueingComparison.kt
@@ -41,7 +41,7 @@
     private val bound = FleetBound.of(fleet).tokensPerSecond
     private val arrivals = arrivals(Random(seed + 1))
 
-    fun run(planner: (CostModel, Random) -> ChainPlanner): Outcome = Run(planner).run()
+    fun run(planner: (CostModel, Random) -> ChainPlanner): Outcome = Run(planner).outcome()
 
     private fun arrivals(random: Random): List<Arrival> {
         val perMillis = load * bound / MEAN_OUTPUT / 1_000
@@ -66,7 +66,7 @@
         private var done = 0.0
         private var nextReport = 0L
 
-        fun run(): Outcome {
+        fun outcome(): Outcome {
             arrivals.forEachIndexed { i, arrival ->
                 settle(arrival.atMillis)
                 dispatch(i, arrival)
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/SuspectRequestsTest.kt
@@ -0,0 +1,263 @@
+package io.greengageport.routing
+
+import io.greengageport.common.OrganisationName
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.testkit.ManualClock
+import kotlin.random.Random
+import net.jqwik.api.ForAll
+import net.jqwik.api.Label
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.LongRange
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+class SuspectRequestsTest {
+    private val clock = ManualClock()
+    private val suspects = SuspectRequests(clock)
+    private val a = RunnerId("a")
+    private val b = RunnerId("b")
+    private val c = RunnerId("c")
+    private val bad = Fingerprint("bad")
+    private val good = Fingerprint("good")
+
+    private fun start(
+        id: String,
+        fingerprint: Fingerprint,
+        runner: RunnerId,
+        next: RunnerId? = null
+    ) = suspects.tryStart(RequestId(id), fingerprint, listOfNotNull(runner, next))
+
+    private fun crash(runner: RunnerId): List<Fingerprint> {
+        suspects.connectionLost(runner)
+        return suspects.connectionRefused(runner).map { it.fingerprint }
+    }
+
+    private fun verdicts() = listOf(bad, good).map(suspects::verdict)
+
+    @Nested
+    inner class Marks {
+        /** Guards against the punishment of requests that shared a runner with the culprit. */
+        @Test
+        fun `marks all the first time and only marked ones after that`() {
+            start("1", bad, a)
+            start("2", good, a)
+            val first = crash(a)
+            suspects.ended(RequestId("1"))
+            suspects.completed(RequestId("2"))
+            start("3", bad, b)
+            start("4", good, b)
+            val second = crash(b)
+            expectThat(listOf(first, second)).isEqualTo(listOf(listOf(bad, good), listOf(bad)))
+            expectThat(verdicts()).isEqualTo(listOf(SuspectVerdict.BLOCKED, SuspectVerdict.CLEAR))
+        }
+
+        @Test
+        fun `runs at most one marked request on a runner, beside unmarked ones`() {
+            start("1", bad, a)
+            start("2", good, a)
+            crash(a)
+            suspects.ended(RequestId("1"))
+            suspects.ended(RequestId("2"))
+            val started = listOf(
+                start("3", bad, b, c),
+                start("4", good, c),
+                start("5", Fingerprint("new"), b, c),
+                start("6", good, a)
+            )
+            expectThat(started).isEqualTo(listOf(true, false, true, true))
+            expectThat(suspects.markedBusy()).isEqualTo(setOf(a, b, c))
+        }
+
+        /** Guards against a block by two crashes of one runner, which may itself be faulty. */
+        @Test
+        fun `two crashes of the same runner do not block`() {
+            repeat(2) {
+                start("$it", bad, a)
+                crash(a)
+                suspects.ended(RequestId("$it"))
+            }
+            expectThat(suspects.verdict(bad)).isEqualTo(SuspectVerdict.MARKED)
+        }
+
+        @Test
+        fun `marks expire after ten minutes and blocks after an hour`() {
+            start("1", bad, a)
+            crash(a)
+            clock.advance(SuspectState.MARK_MILLIS - 1)
+            val before = suspects.verdict(bad)
+            clock.advance(1)
+            val marked = suspects.verdict(bad)
+            start("2", bad, b)
+            crash(b)
+            start("3", bad, c)
+            crash(c)
+            clock.advance(SuspectState.BLOCK_MILLIS - 1)
+            val blocked = suspects.verdict(bad)
+            clock.advance(1)
+            expectThat(listOf(before, marked, blocked, suspects.verdict(bad))).isEqualTo(
+                listOf(
+                    SuspectVerdict.MARKED,
+                    SuspectVerdict.CLEAR,
+                    SuspectVerdict.BLOCKED,
+                    SuspectVerdict.CLEAR
+                )
+            )
+            expectThat(suspects.expire()).isEqualTo(0)
+        }
+    }
+
+    @Nested
+    inner class Evidence {
+        @Test
+        fun `a lost or a refused connection alone is no crash`() {
+            start("1", bad, a)
+            val refused = suspects.connectionRefused(a)
+            suspects.connectionLost(a)
+            clock.advance(SuspectRequests.EVIDENCE_MILLIS)
+            expectThat(refused + suspects.connectionRefused(a)).isEmpty()
+        }
+
+        @Test
+        fun `a planned stop is no crash`() {
+            start("1", bad, a)
+            suspects.bootId(a, "x", clock.wallMillis())
+            suspects.leaving(a)
+            suspects.connectionLost(a)
+            expectThat(suspects.connectionRefused(a) + suspects.bootId(a, "y", clock.wallMillis()))
+                .isEmpty()
+        }
+
+        /** Guards against a mark for requests that started after the restart. */
+        @Test
+        fun `a new boot id is a crash of what was in flight before it`() {
+            suspects.bootId(a, "x", clock.wallMillis())
+            start("1", bad, a)
+            clock.advance(1_000)
+            val restarted = clock.wallMillis()
+            clock.advance(500)
+            start("2", good, a)
+            expectThat(suspects.bootId(a, "y", restarted).map { it.fingerprint })
+                .isEqualTo(listOf(bad))
+        }
+
+        /** Guards against two marks for one crash. */
+        @Test
+        fun `a boot id after the refused connection is the same crash`() {
+            suspects.bootId(a, "x", clock.wallMillis())
+            start("1", bad, a)
+            val marked = crash(a)
+            expectThat(marked to suspects.bootId(a, "y", clock.wallMillis()))
+                .isEqualTo(listOf(bad) to emptyList())
+        }
+
+        @Test
+        fun `the same boot id after a lost connection is no crash`() {
+            suspects.bootId(a, "x", clock.wallMillis())
+            start("1", bad, a)
+            suspects.connectionLost(a)
+            clock.advance(10)
+            suspects.bootId(a, "x", clock.wallMillis())
+            expectThat(suspects.connectionRefused(a)).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class Gossip {
+        @Test
+        fun `marks of two instances block on both`() {
+            val other = SuspectRequests(clock)
+            start("1", bad, a)
+            suspects.connectionLost(a)
+            val here = suspects.connectionRefused(a).single()
+            other.tryStart(RequestId("2"), bad, listOf(b))
+            other.connectionLost(b)
+            val there = other.connectionRefused(b).single()
+            val union = suspects.merge(there)
+            expectThat(listOf(suspects.verdict(bad), other.verdict(bad)))
+                .isEqualTo(listOf(SuspectVerdict.BLOCKED, SuspectVerdict.MARKED))
+            expectThat(other.merge(checkNotNull(union))).isNull()
+            expectThat(other.merge(here)).isEqualTo(union)
+        }
+
+        @Test
+        fun `fingerprints differ by organisation, service and body`() {
+            val all = listOf("o s b", "os - b", "o sb -", "o s c").map { it.split(" ") }
+                .map { (o, s, b) ->
+                    Fingerprint.of(OrganisationName(o), ServiceName(s), b.toByteArray())
+                }
+            expectThat(all.toSet().size).isEqualTo(4)
+        }
+    }
+
+    private fun state(random: Random) = SuspectState(
+        bad,
+        List(random.nextInt(4)) {
+            SuspectMark(
+                RunnerId("e${random.nextInt(6)}"),
+                "boot${random.nextInt(2)}",
+                random.nextLong(1, 5) * SuspectState.MARK_MILLIS / 2
+            )
+        },
+        random.nextLong(3) * SuspectState.MARK_MILLIS / 2
+    ).let { it.merge(SuspectState(bad)) }
+
+    /** Guards against instances that end in different states after the same gossip. */
+    @Property(tries = 1_000, seed = "51")
+    @Label("the merge is commutative, associative and idempotent")
+    fun mergeLaws(@ForAll @LongRange(min = 0, max = 1_000_000) seed: Long) {
+        val random = Random(seed)
+        val (x, y, z) = List(3) { state(random) }
+        expectThat(x.merge(y)).isEqualTo(y.merge(x))
+        expectThat(x.merge(y).merge(z)).isEqualTo(x.merge(y.merge(z)))
+        expectThat(x.merge(y).merge(y)).isEqualTo(x.merge(y))
+    }
+
+    /** Guards against a verdict that differs from the rules applied to a list of all crashes. */
+    @Property(tries = 300, seed = "52")
+    @Label("verdicts equal those of a list of all marks")
+    fun verdictsEqualList(@ForAll @LongRange(min = 0, max = 1_000_000) seed: Long) {
+        val random = Random(seed)
+        val clock = ManualClock()
+        val suspects = SuspectRequests(clock)
+        var marks = emptyList<Pair<RunnerId, Long>>()
+        repeat(30) {
+            clock.advance(random.nextLong(SuspectState.MARK_MILLIS / 2))
+            val runner = listOf(a, b, c).random(random)
+            val now = clock.wallMillis()
+            if (suspects.tryStart(RequestId("$it"), bad, listOf(runner))) {
+                if (random.nextInt(3) == 0) {
+                    suspects.completed(RequestId("$it"))
+                    if (marks.any { now - it.second < SuspectState.MARK_MILLIS }) {
+                        marks = emptyList()
+                    }
+                } else {
+                    suspects.connectionLost(runner)
+                    suspects.connectionRefused(runner)
+                    suspects.ended(RequestId("$it"))
+                    marks = marks.filter { it.first != runner } + (runner to now)
+                }
+            }
+            expectThat(suspects.verdict(bad)).isEqualTo(verdict(marks, now))
+        }
+    }
+
+    private fun verdict(marks: List<Pair<RunnerId, Long>>, now: Long): SuspectVerdict {
+        val blocks = marks.flatMap { x -> marks.map { y -> x to y } }
+            .filter { (x, y) -> x.first != y.first && y.second >= x.second }
+            .filter { (x, y) -> y.second - x.second < SuspectState.MARK_MILLIS }
+        return when {
+            blocks.any { now - it.second.second < SuspectState.BLOCK_MILLIS } ->
+                SuspectVerdict.BLOCKED
+
+            marks.any { now - it.second < SuspectState.MARK_MILLIS } -> SuspectVerdict.MARKED
+
+            else -> SuspectVerdict.CLEAR
+        }
+    }
+}
