Keep the runner with the cached prefix among the sampled candidates

Sampling two of a group dropped the runner that holds the prompt's prefix in most decisions, so the saving was lost in large groups. The runner with the most cached blocks of a group now stays a candidate.

--- a/routing/src/main/kotlin/io/greengageport/routing/ChainPlanner.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ChainPlanner.kt
@@ -76,7 +76,7 @@
                 result += runner to layers
             } else {
                 val from = checkNotNull(result[seen].second).from
-                while (result.size > seen) result.removeLast()
+                while (result.size > seen) result.removeAt(result.lastIndex)
                 result += runner to LayerRange(from, checkNotNull(layers).until)
             }
         }
--- a/routing/src/main/kotlin/io/greengageport/routing/CostModel.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CostModel.kt
@@ -66,11 +66,13 @@
         )
     }
 
-    private fun savedTokens(runner: Runner, request: RoutingRequest): Double {
-        if (request.prefixBlocks.isEmpty()) return 0.0
-        val blocks = prefixes.cachedBlocks(runner.id, request.prefixBlocks)
-        return minOf(blocks * PrefixIndex.BLOCK_TOKENS, request.promptTokens.toDouble())
-    }
+    internal fun cachedBlocks(runner: Runner, request: RoutingRequest): Double =
+        prefixes.cachedBlocks(runner.id, request.prefixBlocks)
+
+    private fun savedTokens(runner: Runner, request: RoutingRequest): Double = minOf(
+        cachedBlocks(runner, request) * PrefixIndex.BLOCK_TOKENS,
+        request.promptTokens.toDouble()
+    )
 
     public companion object {
         /** Engines compute about ten prompt tokens in the time of one output token. */
--- a/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
@@ -21,8 +21,10 @@
  * order, idle runners that come late in it would get no work.
  *
  * Of groups of more than [sampleAbove] interchangeable runners only [samples] random ones are
- * candidates. Instances that all see the same lagged reports would otherwise all send to the same
- * runner until the next report.
+ * candidates, and the one that has most of the prompt cached. Instances that all see the same
+ * lagged reports would otherwise all send to the same runner until the next report.
+ *
+ * Thread-safe if [random] is.
  */
 public class ShortestChain(
     private val costs: CostModel,
@@ -50,7 +52,7 @@
     ): Result<RoutingDecision, RoutingFailure> {
         val eligible = Chains.eligible(fleet, request)
         Chains.failure(fleet, eligible)?.let { return Chains.fail(it) }
-        for (group in fleet.groups) sample(group, eligible)
+        for (group in fleet.groups) sample(group, eligible, fleet, request)
         val weight = if (fleet.isPlain) 0.0 else congestionWeight
         val search = ChainSearch(fleet, costs, request, eligible, weight) {
             random.nextDouble() * jitterMillis
@@ -65,16 +67,24 @@
         )
     }
 
-    /** Keeps [samples] random ones of the eligible runners of a large group. */
-    private fun sample(group: IntArray, eligible: BooleanArray) {
+    /** Keeps some of the eligible runners of a large group. */
+    private fun sample(
+        group: IntArray,
+        eligible: BooleanArray,
+        fleet: ServiceFleet,
+        request: RoutingRequest
+    ) {
         if (group.size <= sampleAbove) return
         val live = group.filter { eligible[it] }.toIntArray()
         if (live.size <= sampleAbove) return
+        val cached = live.maxBy { costs.cachedBlocks(fleet.runners[it], request) }
+        val keepsCached = costs.cachedBlocks(fleet.runners[cached], request) > 0
         for (i in 0 until samples) {
             val j = random.nextInt(i, live.size)
             live[i] = live[j].also { live[j] = live[i] }
         }
         for (i in samples until live.size) eligible[live[i]] = false
+        if (keepsCached) eligible[cached] = true
     }
 
     public companion object {
--- a/routing/src/test/kotlin/io/greengageport/routing/ChainPlannerTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/ChainPlannerTest.kt
@@ -114,6 +114,18 @@
                 .isEqualTo(listOf("b[0,4)", "a[0,4)"))
         }
 
+        /** Guards against samples that leave out the runner with the cached prefix. */
+        @Test
+        fun `finds the cached prefix in a large group`() {
+            val equal = fleet(4, List(12) { runner("p$it", LayerRange(0, 4)) })
+            val blocks = PrefixIndex.blocks("sheets", "p".repeat(512))
+            world.prefixes.onEvent(RunnerId("p7"), CacheEvent.Stored(0, blocks[0]))
+            val planner = ShortestChain(world.costs, Random(1))
+            val request = request(prompt = 128, blocks = blocks)
+            val chosen = List(20) { planner.plan(equal, request).value.stages.single().id.value }
+            expectThat(chosen.distinct()).isEqualTo(listOf("p7"))
+        }
+
         @Test
         fun `prefers the own data centre, and a far one when the near queue is long`() {
             val fleet = fleet(
