Protect the last holder of a layer per version, and keep the role in roll-outs

Placement counted holders of all versions, so a balancing move could take the last holder of one version although chains never mix versions; and an order for a new version made a standby runner serve. Holders are now counted per version and the role is kept; both have tests.

--- a/routing/src/main/kotlin/io/greengageport/routing/PlacementPlanner.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/PlacementPlanner.kt
@@ -58,7 +58,7 @@
         supplyOf(settled)?.add(runner, settled.layers)
         val pending = runner.pending
         if (pending == null) {
-            supplyOf(settled)?.addServing(settled.layers)
+            supplyOf(settled)?.addServing(settled)
         } else {
             moved += runner.id
             val bytes = loadBytes(runner, pending)
@@ -171,7 +171,7 @@
                 obstacles += PlacementObstacle.LastHolder(runner.id)
                 continue
             }
-            val candidate = Candidate(runner, model, wanted.layers, loss = 0.0, isIdle = false)
+            val candidate = Candidate(runner, model, held.layers, 0.0, false, held.role)
             if (!order(candidate, reason)) return
         }
     }
@@ -200,7 +200,7 @@
         val donor = held?.let(::supplyOf)
             ?: return@mapNotNull Candidate(runner, supply.model, layers, 0.0, isIdle = true)
         if (donor === supply && held.layers == layers) return@mapNotNull null
-        if (!donor.canLose(held.layers)) return@mapNotNull null
+        if (!donor.canLose(held)) return@mapNotNull null
         if (!donor.keepsCentres(runner, held.layers)) return@mapNotNull null
         Candidate(runner, supply.model, layers, donor.loss(runner, held.layers), isIdle = false)
     }.sortedWith(
@@ -237,13 +237,14 @@
             model.service,
             candidate.layers,
             model.version,
-            adapters = model.adapters
+            candidate.role,
+            model.adapters
         )
         val bytes = loadBytes(runner, wanted)
         if (!withinLimits(bytes)) return false
         desired[runner.id]?.let { held ->
             supplyOf(held)?.add(runner, held.layers, sign = -1)
-            supplyOf(held)?.addServing(held.layers, sign = -1)
+            supplyOf(held)?.addServing(held, sign = -1)
         }
         supplyOf(wanted)?.add(runner, wanted.layers)
         desired[runner.id] = wanted
@@ -285,6 +286,7 @@
         val model: ModelDemand,
         val layers: LayerRange,
         val loss: Double,
-        val isIdle: Boolean
+        val isIdle: Boolean,
+        val role: RunnerRole = RunnerRole.SERVING
     )
 }
--- a/routing/src/main/kotlin/io/greengageport/routing/Supply.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/Supply.kt
@@ -7,7 +7,8 @@
  * Supply of one model per layer, kept up to date as placement adds and removes holders.
  *
  * [holders] counts runners that serve the layer now or will by a pending order; [serving] counts
- * only those that serve now, which is what the last-holder rule protects.
+ * only those that serve now, per version, which is what the last-holder rule protects: a chain uses
+ * one version only, so a holder of another version is no replacement.
  */
 internal class Supply(
     val model: ModelDemand,
@@ -16,7 +17,7 @@
 ) {
     private val rates = DoubleArray(model.layers)
     private val holders = IntArray(model.layers)
-    private val serving = IntArray(model.layers)
+    private val serving = HashMap<String, IntArray>()
     private val perCentre = Array(centres.size) { IntArray(model.layers) }
 
     fun add(runner: PlaceableRunner, layers: LayerRange, sign: Int = 1) {
@@ -29,13 +30,17 @@
         }
     }
 
-    fun addServing(layers: LayerRange, sign: Int = 1) {
-        for (l in layers.from until minOf(layers.until, model.layers)) serving[l] += sign
+    fun addServing(held: Assignment, sign: Int = 1) {
+        val counts = serving.getOrPut(held.version) { IntArray(model.layers) }
+        for (l in held.layers.from until minOf(held.layers.until, model.layers)) counts[l] += sign
     }
 
-    /** Whether all [layers] keep a serving holder if one is taken away. */
-    fun canLose(layers: LayerRange): Boolean =
-        (layers.from until minOf(layers.until, model.layers)).all { serving[it] > 1 }
+    /** Whether all layers of [held] keep a serving holder of its version without it. */
+    fun canLose(held: Assignment): Boolean {
+        val counts = serving[held.version] ?: return true
+        return (held.layers.from until minOf(held.layers.until, model.layers))
+            .all { counts[it] > 1 }
+    }
 
     /** Whether all [layers] stay in two data centres, where they are now, without [runner]. */
     fun keepsCentres(runner: PlaceableRunner, layers: LayerRange): Boolean {
--- a/routing/src/test/kotlin/io/greengageport/routing/PlacementPlannerTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/PlacementPlannerTest.kt
@@ -117,7 +117,9 @@
                     val model = listOf(sheets, notes).random(random)
                     val from = random.nextInt(5)
                     val held = LayerRange(from, from + 4).takeIf { random.nextInt(5) > 0 }
+                    val version = listOf("", "v0").random(random)
                     placeable("e%02d".format(it), held, model, centres.random(random))
+                        .let { r -> r.copy(current = r.current?.copy(version = version)) }
                 }
                 val models = listOf(sheets, notes)
                     .map { it.copy(tokensPerSecond = random.nextDouble(0.0, 2_000.0)) }
@@ -128,10 +130,17 @@
                         !isHeld(runners, model, layer) || isHeld(stays, model, layer)
                     }
                 }
-                expectThat(kept).describedAs("seed $seed").isTrue()
+                val usable = models.all { !isComplete(runners, it) || isComplete(stays, it) }
+                expectThat(kept && usable).describedAs("seed $seed").isTrue()
             }
         }
 
+        /** Whether some version of the model has all its layers. */
+        private fun isComplete(runners: List<PlaceableRunner>, model: ModelDemand) =
+            runners.groupBy { it.current?.version }.values.any { version ->
+                (0 until model.layers).all { isHeld(version, model, it) }
+            }
+
         private fun isHeld(runners: List<PlaceableRunner>, model: ModelDemand, layer: Int) =
             runners.mapNotNull { it.current }.any {
                 it.service == model.service && layer in it.layers.from until it.layers.until
@@ -161,6 +170,20 @@
 
     @Nested
     inner class Versions {
+        /** Guards against a new version that turns a standby runner into a serving one. */
+        @Test
+        fun `keeps the role of a runner that gets a new version`() {
+            val held = Assignment(service, LayerRange(0, 4), "v1", RunnerRole.STANDBY)
+            val model = sheets.copy(layers = 4, tokensPerSecond = 0.0, version = "v2")
+            val serving = placeable("b", LayerRange(0, 4))
+            val runners = listOf(
+                placeable("a").copy(current = held),
+                serving.copy(current = serving.current?.copy(version = "v2"))
+            )
+            val orders = planner().plan(listOf(model), runners).orders
+            expectThat(orders.map { it.desired }).isEqualTo(listOf(held.copy(version = "v2")))
+        }
+
         /** Guards against a roll-out that leaves neither version with all layers. */
         @Test
         fun `rolls a version out with one version complete at any time`() {
