--- a/routing/src/test/kotlin/io/greengageport/routing/DecisionCostMain.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/DecisionCostMain.kt
@@ -44,6 +44,12 @@
     runners.forEach(fleet::put)
     runners.forEach { world.queue(it.id.value, random.nextDouble(0.0, 900.0)) }
     repeat(200) { world.links.observe(runners.random(random), runners.random(random), 9.0) }
+    val bound = List(60) {
+        val start = System.nanoTime()
+        FleetBound.of(fleet.service(services[it % services.size]))
+        (System.nanoTime() - start) / 1_000.0
+    }.drop(20).sorted()
+    println("%5d runners bound p50=%.0f max=%.0f".format(size, bound[20], bound.last()))
     val planners = listOf(
         ShortestChain(world.costs, random),
         ShortestChain(world.costs, random, Int.MAX_VALUE),
