--- a/settings/src/test/kotlin/io/greengageport/settings/SettingsStoreTest.kt
+++ b/settings/src/test/kotlin/io/greengageport/settings/SettingsStoreTest.kt
@@ -1,6 +1,8 @@
 package io.greengageport.settings
 
 import io.greengageport.common.InstanceId
+import io.greengageport.platform.LogError
+import io.greengageport.platform.LogService
 import io.greengageport.settings.Fixtures.change
 import io.greengageport.settings.Fixtures.rank
 import io.greengageport.testkit.InMemoryLog
@@ -120,8 +122,61 @@
             expectThat(b.ready.value).isFalse()
             b.exchange()
             b.catchUp()
-            expectThat(b.view.value.hash).isEqualTo(a.view.value.hash)
             expectThat(b.state.through).isEqualTo(a.state.through)
+            // The log alone must do from here on.
+            fleet.cut += InstanceId("a")
+            val version = append(change("x", "ranks/x", 0, rank(20, 0.0)))
+            b.catchUp()
+            expectThat(b.state.version).isEqualTo(version)
+        }
+
+        /** Guards against folding on from a snapshot with a gap after it. */
+        @Test
+        fun `a complete snapshot from before the truncation point is not used`() =
+            runBlocking<Unit> {
+                appendRanks(9)
+                val a = store("a").also { it.catchUp() }
+                append(change("x", "ranks/x", 0, rank(20, 0.0)))
+                Snapshot.split(a.state, partBytes = 300).forEach(::append)
+                log.truncate("settings", 11)
+                val b = store("b").also { it.catchUp() }
+                expectThat(b.state.through).isEqualTo(0)
+            }
+
+        /** Guards against a log service that answers from a later offset than asked. */
+        @Test
+        fun `a page that starts late counts as truncated`() = runBlocking<Unit> {
+            val late = object : LogService by log {
+                override suspend fun read(stream: String, from: Long, max: Int, wait: Duration) =
+                    log.read(stream, from + 1, max, wait)
+            }
+            appendRanks(3)
+            expectThat(late.readFrom("settings", 1, 10, Duration.ZERO).error)
+                .isEqualTo(LogError.Truncated(2))
+        }
+
+        /** Guards against going back to an older state, whatever offers it. */
+        @Test
+        fun `an older state is not taken`() {
+            val states = listOf(3, 2).map { n ->
+                Fixtures.fold((1..n).map { change("c$it", "ranks/r$it", 0, rank(it, 0.0)) }).first
+            }
+            val holder = StateHolder()
+            expectThat(states.map { holder.offer(it) }).isEqualTo(listOf(true, false))
+            expectThat(holder.state.version).isEqualTo(3)
+        }
+
+        /** Guards against a snapshot that was damaged where only its own hash can tell. */
+        @Test
+        fun `a snapshot that does not fit its hash is not taken`() {
+            val (state, _) = Fixtures.fold(listOf(change("original", "ranks/r", 0, rank(1))))
+            val part = Snapshot.split(state).single()
+            val at = String(part.bytes, Charsets.ISO_8859_1).lastIndexOf("original")
+            val bytes = part.bytes.clone().also { it[at]++ }
+            val damaged = SnapshotPart(part.through, part.hash, 0, 1, bytes)
+            val assembler = SnapshotAssembler()
+            expectThat(listOf(damaged, part).map { assembler.add(it)?.through })
+                .isEqualTo(listOf(null, 1L))
         }
 
         /** Guards against snapshots that several writers keep from being complete. */
