Record an outcome without body when the log finds it too large

Cause: an outcome that the log rejects was dropped, so that a retry was told that it is unknown. Change: the outcome is queued again without body and headers. Claims are matched by key and id.

--- a/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
@@ -160,6 +160,11 @@
         val item = batch.single()
         Logger.error("ledger: log refuses a record for good: $reason")
         item.onFailed?.invoke(true)
+        // That the call ran matters more than its answer, which may be what makes it too large.
+        val r = item.record as? OrderRecord.Outcome ?: return
+        if (r.outcome.bodyKept) {
+            enqueue(r.copy(outcome = r.outcome.withoutBody().copy(headers = emptyMap())))
+        }
     }
 
     private fun putBack(items: List<Item>) = synchronized(lock) {
--- a/ledger/src/main/kotlin/io/greengageport/ledger/LeaseKeeper.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/LeaseKeeper.kt
@@ -27,7 +27,8 @@
 import org.tinylog.kotlin.Logger
 
 /**
- * Leases with fencing tokens over the log stream `leases`.
+ * Leases with fencing tokens over the log stream `leases`. The random numbers tell attempts apart,
+ * so they must differ between instances and between runs of one instance.
  *
  * ```
  * keeper.withLease("placement", engineChecksTokens = false) { lease ->
--- a/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
@@ -24,7 +24,8 @@
  * At-most-once execution of non-idempotent calls over the log stream `orders`.
  *
  * A call is sent only by the instance whose claim comes first in the log. [run] must run for as
- * long as [begin] is used; it follows the stream and appends the records.
+ * long as [begin] is used; it follows the stream and appends the records. The random numbers are
+ * the claim ids, so they must differ between instances and between runs of one instance.
  *
  * ```
  * when (val r = ledger.begin(call)) {
@@ -341,7 +342,7 @@
             if (skipped > 0) Logger.warn("ledger: skipped a bad record at ${record.offset}")
             for (r in records) {
                 val verdict = table.apply(r, record.appendedAtMillis)
-                val claim = claims[r.claimId] ?: continue
+                val claim = claims[r.claimId]?.takeIf { it.key == r.key } ?: continue
                 when (r) {
                     is OrderRecord.Claim, is OrderRecord.Takeover ->
                         claim.result.complete(ClaimResult.Folded(verdict))
--- a/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
@@ -174,6 +174,18 @@
             expectThat(told.count { it is BeginResult.LogUnavailable }).isGreaterThan(0)
         }
 
+        @Test
+        fun `an outcome that the log finds too large is recorded without body and headers`() {
+            log.maxBytes = 300
+            time.run { List(5) { async { a.ledger.begin(call(key = "k$it")) } }.awaitAll() }
+                .forEach { expectThat(it).isA<BeginResult.Won>() }
+            val big = CallOutcome(200, mapOf("H" to listOf("h")), ByteArray(1_000))
+            win(a).use { check(it.startSending()).also { _ -> it.complete(big) } }
+            time.advance(1_000)
+            expectThat(begin(b))
+                .isEqualTo(BeginResult.Replay(big.withoutBody().copy(headers = emptyMap())))
+        }
+
         @Test
         fun `an instance that has not read the stream is not ready`() {
             log.store.down = true
--- a/ledger/src/test/kotlin/io/greengageport/ledger/SimulatedWorld.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/SimulatedWorld.kt
@@ -26,10 +26,12 @@
     /** Share of appends whose acknowledgement, or which themselves, are lost or late. */
     var faults = 0.0
     var latency = 5L
+    var maxBytes = Int.MAX_VALUE
 
     override suspend fun append(stream: String, payload: ByteArray): Result<Long, LogError> {
         delay(random.nextLong(latency + 1))
         if (store.down) return Err(LogError.Unavailable("log is down"))
+        if (payload.size > maxBytes) return Err(LogError.Rejected("record too large"))
         val done = CompletableDeferred<Long>()
         val fault = if (random.nextDouble() < faults) random.nextInt(3) else null
         // The effect takes place in the log service, also when the writer is killed meanwhile.
