--- a/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
@@ -164,7 +164,8 @@
         @Test
         fun `a call whose claim had an uncertain append is not run and may be retried`() {
             log.faults = 1.0
-            val told = List(5) { begin(a, call(key = "k$it")) }
+            // The pauses let the backoff pass, so that each claim has an append of its own.
+            val told = List(12) { i -> begin(a, call(key = "k$i")).also { time.advance(6_000) } }
             log.faults = 0.0
             time.advance(30_000)
             told.forEachIndexed { i, r ->
