--- a/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
@@ -164,7 +164,8 @@
         @Test
         fun `a call whose claim had an uncertain append is not run and may be retried`() {
             log.faults = 1.0
-            val told = List(5) { begin(a, call(key = "k$it")) }
+            // The pauses let the backoff pass, so that each claim has an append of its own.
+            val told = List(12) { i -> begin(a, call(key = "k$i")).also { time.advance(6_000) } }
             log.faults = 0.0
             time.advance(30_000)
             told.forEachIndexed { i, r ->
@@ -174,6 +175,18 @@
             expectThat(told.count { it is BeginResult.LogUnavailable }).isGreaterThan(0)
         }
 
+        @Test
+        fun `an outcome that the log finds too large is recorded without body and headers`() {
+            log.maxBytes = 300
+            time.run { List(5) { async { a.ledger.begin(call(key = "k$it")) } }.awaitAll() }
+                .forEach { expectThat(it).isA<BeginResult.Won>() }
+            val big = CallOutcome(200, mapOf("H" to listOf("h")), ByteArray(1_000))
+            win(a).use { check(it.startSending()).also { _ -> it.complete(big) } }
+            time.advance(1_000)
+            expectThat(begin(b))
+                .isEqualTo(BeginResult.Replay(big.withoutBody().copy(headers = emptyMap())))
+        }
+
         @Test
         fun `an instance that has not read the stream is not ready`() {
             log.store.down = true
