--- a/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
@@ -25,7 +25,9 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
@@ -75,11 +77,20 @@
     suspend fun open(peer: InstanceId?, address: String): Result<Connection, ConnectionError> {
         peer?.let { find(it) }?.let { return Ok(it) }
         val key = "${peer?.value}@$address"
-        val attempt = opening.computeIfAbsent(key) {
-            scope.async(start = CoroutineStart.LAZY) { dial(peer, address) }
-                .also { started -> started.invokeOnCompletion { opening.remove(key, started) } }
+        val created = scope.async(start = CoroutineStart.LAZY) { dial(peer, address) }
+        val attempt = opening.putIfAbsent(key, created) ?: created
+        if (attempt === created) {
+            created.invokeOnCompletion { opening.remove(key, created) }
+        } else {
+            created.cancel()
+        }
+        return try {
+            attempt.await()
+        } catch (e: CancellationException) {
+            // A stopped node cancels the attempt; that must not look like a cancelled caller.
+            currentCoroutineContext().ensureActive()
+            Err(ConnectionError.Refused("the node is stopped"))
         }
-        return attempt.await()
     }
 
     /** Closes the connection in use to [peer], which did not answer a probe. */
--- a/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
@@ -110,6 +110,7 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
+            isStarted.set(false)
             val address = "${settings.listenHost}:${settings.listenPort}"
             return Err(StartError.CannotListen(address, e.message ?: e.javaClass.simpleName))
         }
--- a/membership/src/test/kotlin/io/greengageport/membership/PeerNodeTest.kt
+++ b/membership/src/test/kotlin/io/greengageport/membership/PeerNodeTest.kt
@@ -3,7 +3,9 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.map
+import io.greengageport.common.DataCentre
 import io.greengageport.common.InstanceId
 import io.greengageport.common.PeerError
 import io.ktor.network.selector.SelectorManager
@@ -97,6 +99,28 @@
         }
     }
 
+    @Nested
+    inner class Lifecycle {
+        /** A caller must not be cancelled because the node that it uses has stopped. */
+        @Test
+        fun `a call of a stopped node fails as unreachable`() = onCluster {
+            val (a, _) = startAll("a", "b")
+            a.stop()
+            expectThat(a.echo("b", "x")).isEqualTo(Err(PeerError.Unreachable(InstanceId("b"))))
+        }
+
+        @Test
+        fun `starting twice or on a used port fails with a typed error`() = onCluster {
+            val (a, address) = start("a")
+            val port = address.substringAfter(':').toInt()
+            val settings = PeerSettings(InstanceId("b"), DataCentre("d"), "127.0.0.1", port)
+            val b = PeerNode(settings, SocketCluster.SECRET)
+            val errors = listOf(a.start(), b.start()).map { it.getError()?.javaClass?.simpleName }
+            b.stop()
+            expectThat(errors).isEqualTo(listOf("AlreadyStarted", "CannotListen"))
+        }
+    }
+
     @Nested
     inner class Items {
         @Test
