Bound the memory of the fair queue for ever new organisations

Cause: requests of ever new organisations did not move the virtual time of a rank, so their accounts were never forgotten (test: 10,000 of 10,000 kept). Failed try: moving the virtual time to the highest tag whenever a rank's queue becomes empty.

--- a/limits/src/main/kotlin/io/greengageport/limits/RankQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/RankQueue.kt
@@ -11,7 +11,8 @@
  * grows by work divided by weight. An organisation that becomes active starts at the virtual time,
  * so that it neither saves up service while idle nor waits for the backlog of others. Over any
  * interval in which two organisations are both backlogged, their work per weight differs by at most
- * one request of each.
+ * one request of each. Tags outlive an empty queue: resetting them raised the p95 wait of small
+ * callers by a third at light overload, where the queue is often empty.
  */
 internal class RankQueue(var policy: RankPolicy) {
     private val organisations = HashMap<OrganisationName, OrganisationQueue>()
@@ -34,6 +35,9 @@
     var tokens: Long = 0
         private set
 
+    /** Number of organisations in memory, idle ones included. */
+    val knownOrganisations: Int get() = organisations.size
+
     fun isEmpty(): Boolean = size == 0
 
     fun add(entry: Entry, weight: Double) {
@@ -124,9 +128,14 @@
         }
     }
 
-    /** Forgets idle organisations; the doubling threshold makes it O(1) amortised. */
+    /**
+     * Forgets idle organisations. The virtual time first moves up to the queued tags, since the
+     * requests of ever new organisations would not move it. Doubling the threshold makes it O(1)
+     * amortised.
+     */
     private fun sweep() {
         if (organisations.size < sweepAt) return
+        virtualTime = if (isEmpty()) organisations.values.maxOf { it.tag } else byTag.first().tag
         organisations.values.removeIf {
             it.entries.isEmpty() && it.running <= 0 && it.tag <= virtualTime
         }
--- a/limits/src/main/kotlin/io/greengageport/limits/UsageAggregator.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/UsageAggregator.kt
@@ -15,7 +15,8 @@
  * instances uses its whole equal share without a share from the aggregator, because it started
  * within the last period or does not reach the aggregator, the sum exceeds the limit by at most
  * `s * (1 - silentReserve)`, that is by less than 50%, for one period and one round trip, or for as
- * long as those instances are in the membership view and cut off.
+ * long as those instances are in the membership view and cut off. A concurrency limit below the
+ * number of instances is exceeded by up to one request per instance, since each may run one.
  */
 public class UsageAggregator(
     private val policyOf: (OrganisationName) -> OrganisationPolicy?,
--- a/limits/src/test/kotlin/io/greengageport/limits/FairQueueTest.kt
+++ b/limits/src/test/kotlin/io/greengageport/limits/FairQueueTest.kt
@@ -211,6 +211,18 @@
         }
     }
 
+    /** Guards against memory and leads that grow with every organisation ever seen. */
+    @Test
+    fun `forgets idle organisations`() {
+        val rank = RankQueue(ranks().first())
+        repeat(10_000) { i ->
+            rank.add(Entry(request(i, organisation = i), i.toLong()), weight = 1.0)
+            rank.poll()
+            rank.complete(org(i), correction = 50)
+        }
+        expectThat(rank.knownOrganisations).isLessThanOrEqualTo(2_048)
+    }
+
     /** Guards against a large caller's flood that slows small callers of the same rank. */
     @Test
     fun `keeps the p95 wait of small callers within a tenth during a flood of their rank`() {
