Bound the threads of the programs that an experiment starts

Twenty programs with ten cores and 64 threads for input and output each spent most of their time waking and parking idle threads. Two I/O threads are too few: each selector occupies one.

--- a/bench/src/main/kotlin/io/greengageport/bench/FleetWatch.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/FleetWatch.kt
@@ -1,5 +1,6 @@
 package io.greengageport.bench
 
+import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -56,7 +57,7 @@
         val p = fleet.process(engine)
         if (!p.isAlive) return
         val n = try {
-            val body = fleet.get("http://${p.address}/counters").body()
+            val body = fleet.get("http://${p.address}/counters", LIMIT).body()
             Json.parseToJsonElement(body).jsonObject["steps"]?.jsonPrimitive?.long ?: return
         } catch (e: java.io.IOException) {
             return
@@ -66,5 +67,8 @@
 
     private companion object {
         const val POLL_MILLIS = 500L
+
+        /** A frozen engine does not hold up the polls of the others for longer. */
+        val LIMIT: Duration = Duration.ofMillis(300)
     }
 }
--- a/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
@@ -129,7 +129,11 @@
 
     /** Status of the instance [name], or null if it does not answer. */
     public fun statusOrNull(name: String): InstanceStatus? = try {
-        val r = get("http://${admin(name)}/admin/status", "Authorization" to "Bearer $adminKey")
+        val r = get(
+            "http://${admin(name)}/admin/status",
+            Duration.ofSeconds(CONTROL_SECONDS),
+            "Authorization" to "Bearer $adminKey"
+        )
         if (r.statusCode() == OK) json.decodeFromString<InstanceStatus>(r.body()) else null
     } catch (e: java.io.IOException) {
         null
@@ -172,7 +176,17 @@
 
     /** Sends a GET and returns the answer. */
     public fun get(url: String, vararg headers: Pair<String, String>): HttpResponse<String> =
-        http.send(request(url, headers).GET().build(), HttpResponse.BodyHandlers.ofString())
+        get(url, Duration.ofSeconds(CALL_SECONDS), *headers)
+
+    /** Sends a GET and returns the answer if it comes within [limit]. */
+    public fun get(
+        url: String,
+        limit: Duration,
+        vararg headers: Pair<String, String>
+    ): HttpResponse<String> = http.send(
+        request(url, headers).timeout(limit).GET().build(),
+        HttpResponse.BodyHandlers.ofString()
+    )
 
     /** Sends a POST and returns the answer. */
     public fun post(
--- a/bench/src/main/kotlin/io/greengageport/bench/ProgramProcess.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ProgramProcess.kt
@@ -26,10 +26,8 @@
             "-Xss512k",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=${System.getProperty("greengageport.tier", "4")}",
-            "-XX:+UseStringDeduplication",
-            "-jar",
-            jar.toString()
-        ) + arguments
+            "-XX:+UseStringDeduplication"
+        ) + processorOptions() + listOf("-jar", jar.toString()) + arguments
     ).redirectErrorStream(true).start()
 
     init {
@@ -105,5 +103,20 @@
         const val MAX_LINES = 20_000
         const val TAIL_LINES = 20
         const val DEFAULT_HEAP_MEGABYTES = 128
+
+        /**
+         * Many programs share one machine. With all its cores and 64 threads for input and output
+         * each, waking and parking idle threads takes more time than their work. Each selector of
+         * Ktor occupies one of these threads for good, so that fewer than [IO_THREADS] block all.
+         */
+        fun processorOptions(): List<String> =
+            System.getProperty("greengageport.processors")?.let {
+                listOf(
+                    "-XX:ActiveProcessorCount=$it",
+                    "-Dkotlinx.coroutines.io.parallelism=$IO_THREADS"
+                )
+            }.orEmpty()
+
+        const val IO_THREADS = 8
     }
 }
