Don't block requests that a dead runner didn't run

Cause: a runner that had ended but was still listed got a second and third round of marks, from requests sent to it after its end; with one real crash later such a request was blocked with request_crashes_runners. A marked request for which all runners of a stage ran other marked ones was ended with "no live runner" instead of waiting for one of them.

Change: a boot of a runner crashes once; only the requests at the first loss of the connection are suspect; a request that reached no runner isn't; a probe that a process at its end still accepted counts as a lost connection; marked requests wait for each other until their deadline.

--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -120,22 +120,12 @@
         while (true) {
             val verdict = suspects.verdict(call.fingerprint)
             if (verdict == SuspectVerdict.BLOCKED) return blocked()
-            val request = RoutingRequest(
-                id = context.id,
-                service = context.service.name,
-                dataCentre = parts.dataCentre,
-                attempt = assembler.attempt + 1,
-                promptTokens = call.promptTokens + assembler.delivered.size,
-                outputTokens = maxOf(1, call.maxTokens - assembler.delivered.size),
-                prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
-                excluded = excluded + parts.backends.outliers.ejected(),
-                marked = verdict == SuspectVerdict.MARKED,
-                markedBusy = suspects.markedBusy()
-            )
-            val fleet = parts.backends.fleet.service(context.service.name)
-            val decision = parts.planner.plan(fleet, request)
-                .getOrElse { return noChain(it, request) }
-            if (suspects.tryStart(context.id, call.fingerprint, decision.stages.map { it.id })) {
+            val request = routingRequest(marked = verdict == SuspectVerdict.MARKED)
+            val decision = plan(request).getOrElse {
+                if (!waitsForMarked(request)) return noChain(it, request)
+                null
+            }
+            if (decision != null && tryStart(decision)) {
                 parts.decisions.record(context.id, "routing", decision.describe())
                 return Ok(decision)
             }
@@ -144,6 +134,30 @@
         }
     }
 
+    /** Whether only other marked requests, which end in time, keep this one from a chain. */
+    private fun waitsForMarked(request: RoutingRequest): Boolean =
+        request.marked && request.markedBusy.isNotEmpty() &&
+            plan(routingRequest(marked = false)).isOk
+
+    private fun plan(request: RoutingRequest): Result<RoutingDecision, RoutingFailure> =
+        parts.planner.plan(parts.backends.fleet.service(request.service), request)
+
+    private fun routingRequest(marked: Boolean) = RoutingRequest(
+        id = context.id,
+        service = context.service.name,
+        dataCentre = parts.dataCentre,
+        attempt = assembler.attempt + 1,
+        promptTokens = call.promptTokens + assembler.delivered.size,
+        outputTokens = maxOf(1, call.maxTokens - assembler.delivered.size),
+        prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
+        excluded = excluded + parts.backends.outliers.ejected(),
+        marked = marked,
+        markedBusy = suspects.markedBusy()
+    )
+
+    private fun tryStart(d: RoutingDecision) =
+        suspects.tryStart(context.id, call.fingerprint, d.stages.map { it.id })
+
     private fun blocked(): Result<RoutingDecision, RequestError> {
         parts.decisions.record(context.id, "routing", "blocked, it crashed two runners")
         return Err(RequestError.CrashesRunners())
@@ -261,6 +275,8 @@
             suspects.ended(context.id)
             return
         }
+        // A request that reached no runner can't have crashed one.
+        if (end is StreamEnd.Unreachable) suspects.ended(context.id)
         val results = parts.probe.probe(
             d.stages.map { RouteHop(it.id, it.runner.address, 0, 1) }
         )
@@ -286,6 +302,8 @@
         }
 
         ProbeResult.Silent -> {
+            // A process that is just ending may still take connections.
+            suspects.connectionLost(hop.runner)
             parts.backends.outliers.silent(hop.runner)
             excluded += hop.runner
             true
--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -86,8 +86,8 @@
     public fun connectionLost(runner: RunnerId) {
         val now = clock.wallMillis()
         val earlier = lost[runner]?.takeIf { now - it.atMillis < EVIDENCE_MILLIS }
-        val all = earlier?.fingerprints.orEmpty() + inFlight(runner, now)
-        lost[runner] = Lost(all, now)
+        // Requests that were sent after the first loss may have met a runner that had ended.
+        if (earlier == null) lost[runner] = Lost(inFlight(runner, now), now)
     }
 
     /** A new connection was refused. This alone is no crash: the runner may have stopped. */
@@ -97,7 +97,8 @@
         val now = clock.wallMillis()
         if (runner in leaving || now - record.atMillis >= EVIDENCE_MILLIS) return emptyList()
         val boot = boots[runner].orEmpty()
-        if (boot.isNotEmpty()) crashedBoots[runner] = boot
+        // A process crashes once; requests sent to it before its end was known aren't suspect.
+        if (boot.isNotEmpty() && crashedBoots.put(runner, boot) == boot) return emptyList()
         return crashed(runner, boot, record.fingerprints, now)
     }
 
