Test streams under the failure of runners as separate processes

The tests kill, freeze or crash a runner in the middle of answers and compare each answer with the model function. The stand-in engine can start with a model version, so that a fleet needs no placement first, and an entry instance of a fleet file can be started later.

A request whose runners crash twice is blocked by design, so the test of two failures freezes the second runner.

--- a/bench/src/main/kotlin/io/greengageport/bench/FleetFile.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/FleetFile.kt
@@ -39,7 +39,9 @@
     @SerialName("data_centre") val dataCentre: String = "dc1",
     val policies: Map<String, String> = emptyMap(),
     val times: Map<String, Long> = emptyMap(),
-    @SerialName("heap_mb") val heapMegabytes: Int = 192
+    @SerialName("heap_mb") val heapMegabytes: Int = 192,
+    /** Not started with the fleet, but by a later call. */
+    @SerialName("starts_later") val startsLater: Boolean = false
 )
 
 /** A model engine. */
@@ -56,7 +58,9 @@
     @SerialName("load_ms") val loadMillis: Long = 200,
     val accelerator: String = "standard",
     @SerialName("ignores_fencing") val ignoresFencing: Boolean = false,
-    @SerialName("crash_marker") val crashMarker: String? = null
+    @SerialName("crash_marker") val crashMarker: String? = null,
+    /** Model version that the engine holds at its start. */
+    val version: String = ""
 ) {
     internal fun arguments(platform: String): List<String> = buildList {
         add("engine")
@@ -73,6 +77,7 @@
         option("--accelerator", accelerator)
         if (ignoresFencing) add("--ignores-fencing")
         crashMarker?.let { option("--crash-marker", it) }
+        if (version.isNotEmpty()) option("--version-loaded", version)
     }
 }
 
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -51,7 +51,7 @@
     private val fencing = AtomicLong()
 
     @Volatile
-    private var version = ""
+    private var version = settings.version
 
     @Volatile
     private var layers = settings.layers
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
@@ -23,6 +23,7 @@
     val checksFencing: Boolean = true,
     val loadMillis: Long = 200,
     val crashMarker: String? = null,
+    val version: String = "",
     val reportMillis: Long = 250
 )
 
--- a/standins/src/main/kotlin/io/greengageport/standins/Main.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/Main.kt
@@ -133,6 +133,9 @@
     @Option(names = ["--crash-marker"], description = ["Crashes on prompts with this text."])
     var crashMarker: String? = null
 
+    @Option(names = ["--version-loaded"], description = ["Model version held at the start."])
+    var version: String = ""
+
     override fun call(): Int = runBlocking {
         val settings = EngineSettings(
             id = RunnerId(id),
@@ -146,7 +149,8 @@
             hopMillis = hop,
             loadMillis = load,
             checksFencing = !ignoresFencing,
-            crashMarker = crashMarker
+            crashMarker = crashMarker,
+            version = version
         )
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         val client = newHttpClient()
--- /dev/null
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamedAnswer.kt
@@ -0,0 +1,94 @@
+package io.greengageport.systemtest
+
+import io.greengageport.bench.LocalFleet
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+
+/** A streamed completion, read by a thread of its own as a caller would read it. */
+internal class StreamedAnswer(url: String, body: String, headers: Map<String, String>) {
+    private val received = mutableListOf<String>()
+
+    @Volatile
+    var status: Int = 0
+        private set
+
+    @Volatile
+    var requestId: String = ""
+        private set
+
+    /** How the stream ended: `complete`, the code of an error, or `cut`; null while it runs. */
+    @Volatile
+    var end: String? = null
+        private set
+
+    private val thread = Thread({ read(url, body, headers) }, "stream").apply {
+        isDaemon = true
+        start()
+    }
+
+    val tokens: List<String> get() = synchronized(received) { received.toList() }
+
+    val text: String get() = tokens.joinToString("")
+
+    /** Waits until at least [count] tokens came. */
+    fun awaitTokens(count: Int): StreamedAnswer = apply {
+        LocalFleet.await("$count tokens, then end=$end status=$status") {
+            check(end == null || tokens.size >= count) { "ended early: $end, status $status" }
+            tokens.size >= count
+        }
+    }
+
+    fun awaitEnd(): StreamedAnswer = apply {
+        LocalFleet.await("the end of the stream after ${tokens.size} tokens") { end != null }
+        thread.join()
+    }
+
+    private fun read(url: String, body: String, headers: Map<String, String>) {
+        val request = HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(LIMIT_SECONDS))
+        headers.forEach { (name, value) -> request.header(name, value) }
+        end = try {
+            val r = client.send(
+                request.POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+                HttpResponse.BodyHandlers.ofLines()
+            )
+            status = r.statusCode()
+            requestId = r.headers().firstValue("Greengage-Request-Id").orElse("")
+            r.body().use { lines ->
+                lines.iterator().asSequence().mapNotNull(::event).firstOrNull()
+            }
+                ?: "cut"
+        } catch (e: IOException) {
+            "cut"
+        } catch (e: java.io.UncheckedIOException) {
+            "cut"
+        }
+    }
+
+    /** Takes in one line; the end that it says, or null. */
+    private fun event(line: String): String? {
+        val data = if (status == OK) line.substringAfter("data: ", "") else line
+        if (data.isEmpty()) return null
+        if (data == "[DONE]") return "complete"
+        val o = Json.parseToJsonElement(data).jsonObject
+        (o["error"] as? JsonObject)?.let { return it.getValue("code").jsonPrimitive.content }
+        val choice = o.getValue("choices").jsonArray.first().jsonObject
+        synchronized(received) { received += choice.getValue("text").jsonPrimitive.content }
+        return null
+    }
+
+    private companion object {
+        const val OK = 200
+        const val LIMIT_SECONDS = 120L
+        val client: HttpClient =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+    }
+}
--- /dev/null
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
@@ -0,0 +1,102 @@
+package io.greengageport.systemtest
+
+import io.greengageport.standins.ModelFunction
+import io.greengageport.systemtest.TestFleet.Companion.LAYERS
+import io.greengageport.systemtest.TestFleet.Companion.engine
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Answers stay whole when runners fail in the middle of them (invariants 1 and 2). */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+internal class StreamsTest {
+    private val fleet = TestFleet(
+        // Killed runners aren't started anew, so each half of the layers has enough copies.
+        engines = (1..5).map { engine("a$it", 0, 6) } + (1..5).map { engine("b$it", 6, 12) }
+    )
+
+    @AfterEach
+    fun thaw(): Unit = fleet.thaw()
+
+    @AfterAll
+    fun close(): Unit = fleet.close()
+
+    @Nested
+    inner class OneStreamGoesOnAtItsNextTokenWhen {
+        /** Guards against an answer that is cut or restarted when its first stage dies. */
+        @Test
+        fun `the first stage is killed`() = during("first killed") { it.first().kill() }
+
+        /** Guards against a middle or last stage whose death the first stage hides. */
+        @Test
+        fun `the last stage is killed`() = during("last killed") { it.last().kill() }
+
+        /** Guards against waiting for ever on a connection that is open and silent. */
+        @Test
+        fun `the first stage is frozen`() = during("first frozen") { it.first().freeze() }
+
+        /** Guards against a first stage that answers while the stage behind it is silent. */
+        @Test
+        fun `the last stage is frozen`() = during("last frozen") { it.last().freeze() }
+
+        /** Guards against tokens lost between the last flush and the crash. */
+        @Test
+        fun `the first stage crashes`() =
+            during("first crashed") { fleet.fault(it.first().name, "\"crash\":true") }
+
+        /**
+         * Guards against a resume that works only once for a request. The second runner is frozen,
+         * since a request whose runners crash twice is stopped by design (section 5).
+         */
+        @Test
+        fun `a stage is killed and later another one is frozen`() {
+            val answer = fleet.stream("entry-1", "two failures", TOKENS)
+            answer.awaitTokens(3)
+            fleet.process(fleet.busyChain().first()).kill()
+            answer.awaitTokens(answer.tokens.size + 3)
+            fleet.process(fleet.busyChain().last()).freeze()
+            expectWhole("two failures", answer)
+        }
+
+        private fun during(
+            prompt: String,
+            fail: (List<io.greengageport.bench.ProgramProcess>) -> Unit
+        ) {
+            val answer = fleet.stream("entry-1", prompt, TOKENS).awaitTokens(3)
+            fail(fleet.busyChain().map(fleet::process))
+            expectWhole(prompt, answer)
+        }
+    }
+
+    @Nested
+    inner class ManyStreams {
+        /** Guards against tokens that reach another caller when many answers resume at once. */
+        @Test
+        fun `all get their own whole answer while a runner dies`() {
+            val prompts = (1..STREAMS).map { "builder $it asks for run $it" }
+            val answers = prompts.mapIndexed { i, p ->
+                fleet.stream("entry-${i % INSTANCES + 1}", p, TOKENS)
+            }
+            answers.forEach { it.awaitTokens(2) }
+            fleet.process(fleet.liveEngines.first()).kill()
+            prompts.zip(answers).forEach { (p, a) -> expectWhole(p, a) }
+        }
+    }
+
+    private fun expectWhole(prompt: String, answer: StreamedAnswer) {
+        answer.awaitEnd()
+        if (answer.end != "complete") fleet.explain(answer.requestId)
+        val expected = ModelFunction.answer(prompt, TOKENS, LAYERS)
+        expectThat(answer.end to answer.tokens).isEqualTo("complete" to expected)
+    }
+
+    private companion object {
+        const val TOKENS = 40
+        const val STREAMS = 20
+        const val INSTANCES = 3
+    }
+}
--- /dev/null
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -0,0 +1,150 @@
+package io.greengageport.systemtest
+
+import io.greengageport.bench.EngineSpec
+import io.greengageport.bench.FleetFile
+import io.greengageport.bench.InstanceSpec
+import io.greengageport.bench.LocalFleet
+import io.greengageport.bench.PlainSpec
+import io.greengageport.bench.PlatformSpec
+import io.greengageport.bench.ProgramProcess
+import java.net.http.HttpResponse
+import java.nio.file.Path
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+
+/**
+ * The processes of one test class, with the calls and faults that the tests share.
+ *
+ * ```
+ * val fleet = TestFleet(engines = listOf(engine("a1", 0, 6), engine("b1", 6, 12)))
+ * fleet.stream("entry-1", "marble", tokens = 8).awaitEnd()
+ * ```
+ */
+internal class TestFleet(
+    instances: Int = 3,
+    private val engines: List<EngineSpec> = emptyList(),
+    private val plain: List<PlainSpec> = emptyList(),
+    platform: PlatformSpec = PlatformSpec(),
+    spare: List<String> = emptyList(),
+    settings: String = "settings.yaml"
+) : AutoCloseable {
+    val local: LocalFleet = LocalFleet(
+        Path.of(System.getProperty("greengageport.root")),
+        FleetFile(
+            platform = platform,
+            settings = settings,
+            instances = (1..instances).map { InstanceSpec("entry-$it") } +
+                spare.map { InstanceSpec(it, startsLater = true) },
+            engines = engines,
+            plain = plain
+        ),
+        Path.of(TestFleet::class.java.getResource("/$settings")!!.toURI()).parent
+    )
+
+    init {
+        try {
+            local.start()
+        } catch (e: IllegalStateException) {
+            local.close()
+            throw e
+        }
+    }
+
+    /** Starts a streamed completion at [instance] and returns at once. */
+    fun stream(instance: String, prompt: String, tokens: Int, key: String = BUILDERS) =
+        StreamedAnswer(
+            "http://${local.callers(instance)}/v1/completions",
+            completionBody(prompt, tokens, stream = true),
+            mapOf("Authorization" to "Bearer $key", "Greengage-Rank" to "urgent")
+        )
+
+    /** Sends a completion that is answered as a whole. */
+    fun complete(instance: String, prompt: String, tokens: Int): HttpResponse<String> = local.post(
+        "http://${local.callers(instance)}/v1/completions",
+        completionBody(prompt, tokens, stream = false),
+        "Authorization" to "Bearer $BUILDERS",
+        "Greengage-Rank" to "urgent"
+    )
+
+    /** Sets the fault [fields], the inside of a JSON object, of the stand-in [name]. */
+    fun fault(name: String, fields: String): Unit = local.control(name, "{$fields}")
+
+    fun process(name: String): ProgramProcess = local.process(name)
+
+    /** Counters of an engine or of the platform. */
+    fun counters(name: String): JsonObject =
+        Json.parseToJsonElement(local.get("http://${process(name).address}/counters").body())
+            .jsonObject
+
+    fun counter(name: String, field: String): Long =
+        counters(name).getValue(field).jsonPrimitive.long
+
+    val liveEngines: List<String>
+        get() = engines.map { it.id }.filter { process(it).isAlive }
+
+    /** The engines of the chain that now runs the only request in flight, first stage first. */
+    fun busyChain(): List<String> {
+        val live = liveEngines
+        val head = live.filter { counter(it, "running") > 0 }
+        val before = live.associateWith { counter(it, "steps") }
+        LocalFleet.await("steps at the stages after $head") {
+            live.any { it !in head && counter(it, "steps") > before.getValue(it) }
+        }
+        return head + live.filter { it !in head && counter(it, "steps") > before.getValue(it) }
+    }
+
+    /** Lets all frozen processes go on. */
+    fun thaw() {
+        (liveEngines + local.instances.filter(local::isRunning)).forEach { process(it).thaw() }
+    }
+
+    /** Effects at the runner [name] of a plain service, as the keys of the calls in order. */
+    fun effects(name: String): List<String> =
+        Json.parseToJsonElement(local.get("http://${process(name).address}/effects").body())
+            .jsonArray.map { it.jsonObject.getValue("key").jsonPrimitive.content }
+
+    /** Prints what the instances logged of [request], for the report of a failing test. */
+    fun explain(request: String) {
+        for (i in local.instances) {
+            val lines = process(i).output
+            lines.filter { request in it || "ejected" in it || "left the instance list" in it }
+                .forEach { println("$i: ${it.substringAfter("INFO ")}") }
+        }
+    }
+
+    override fun close(): Unit = local.close()
+
+    companion object {
+        const val BUILDERS = "line-one-key"
+        const val TEACHERS = "audit-office-key"
+        const val LAYERS = 12
+
+        /** The version in the settings; chains never mix versions. */
+        const val VERSION = "v1"
+
+        fun engine(
+            id: String,
+            from: Int,
+            until: Int,
+            stepMillis: Long = 15,
+            crashMarker: String? = null,
+            ignoresFencing: Boolean = false
+        ): EngineSpec = EngineSpec(
+            id = id,
+            service = "guide",
+            from = from,
+            until = until,
+            stepMillis = stepMillis,
+            crashMarker = crashMarker,
+            ignoresFencing = ignoresFencing,
+            version = VERSION
+        )
+
+        private fun completionBody(prompt: String, tokens: Int, stream: Boolean) =
+            """{"model":"guide","prompt":"$prompt","max_tokens":$tokens,"stream":$stream}"""
+    }
+}
