--- a/standins/src/main/kotlin/io/greengageport/standins/Main.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/Main.kt
@@ -136,6 +136,9 @@
     @Option(names = ["--crash-marker"], description = ["Crashes on prompts with this text."])
     var crashMarker: String? = null
 
+    @Option(names = ["--version-loaded"], description = ["Model version held at the start."])
+    var version: String = ""
+
     override fun call(): Int = runBlocking {
         val settings = EngineSettings(
             id = RunnerId(id),
@@ -150,7 +153,8 @@
             loadMillis = load,
             version = version,
             checksFencing = !ignoresFencing,
-            crashMarker = crashMarker
+            crashMarker = crashMarker,
+            version = version
         )
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         val client = newHttpClient()
