Let marked requests share runners once they have passed the crash, and charge resumes by work

Cause: after the death of a runner all requests in flight there were marked, and each waited until another marked one had its whole answer; two machine failures within ten minutes blocked innocent requests; and a resume cost as much of the retry budget as a whole request. Change: a mark keeps the token of the crash; a request that passes it by two tokens no longer runs alone. If several that passed are on a runner that crashes, none is blocked and they run alone again; a single one is blocked as before. A resume is charged for prompt and delivered tokens only. Ruled out: clearing the mark on progress, as a request that crashes late would never be blocked. Tests: SuspectRequestsTest.Progress and EstimatorTest.Budget, 4 new cases, green.

--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -16,6 +16,7 @@
 import io.greengageport.routing.AnswerAssembler
 import io.greengageport.routing.AnswerFrame
 import io.greengageport.routing.ChainPlanner
+import io.greengageport.routing.CostModel
 import io.greengageport.routing.Fingerprint
 import io.greengageport.routing.FrameOutcome
 import io.greengageport.routing.PrefixIndex
@@ -95,6 +96,9 @@
     private var current: Attempt? = null
     private var execution = Execution.NOT_RUN
 
+    /** Whether the attempt runs alone among marked requests and has not passed its crash yet. */
+    private var isMarked = false
+
     suspend fun run(): Result<Int, RequestError> {
         while (true) {
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
@@ -156,7 +160,9 @@
     )
 
     private fun tryStart(d: RoutingDecision) =
-        suspects.tryStart(context.id, call.fingerprint, d.stages.map { it.id })
+        suspects.tryStart(context.id, call.fingerprint, d.stages.map { it.id }) {
+            assembler.size
+        }.also { if (it) isMarked = suspects.verdict(call.fingerprint) != SuspectVerdict.CLEAR }
 
     private fun blocked(): Result<RoutingDecision, RequestError> {
         parts.decisions.record(context.id, "routing", "blocked, it crashed two runners")
@@ -235,6 +241,7 @@
             is FrameOutcome.Token -> {
                 execution = Execution.RAN
                 a.observer.onFrame(f)
+                if (isMarked) isMarked = !suspects.progressed(context.id, assembler.size)
                 sink.token(outcome.text, outcome.last)
                 if (outcome.last || isLate()) FrameUse.STOP else FrameUse.TAKEN
             }
@@ -324,7 +331,13 @@
         if (parts.retryPolicy == RetryPolicy.ALWAYS) return null
         // A refusal before the request ran costs the backend servers no work.
         if (end is StreamEnd.Refused && end.leaving) return null
-        return when (val r = parts.retries.tryRetry(assembler.attempt, context.isUrgent)) {
+        return when (
+            val r = parts.retries.tryRetry(
+                assembler.attempt,
+                context.isUrgent,
+                repeatedShare()
+            )
+        ) {
             is RetryDecision.Allowed -> {
                 delay(minOf(r.delayMillis, MAX_RESUME_DELAY_MILLIS))
                 null
@@ -341,6 +354,14 @@
         }
     }
 
+    /** The part of the request's work that another attempt does again. */
+    private fun repeatedShare(): Double {
+        if (assembler.size == 0) return 1.0
+        val again = (call.promptTokens + assembler.size) * CostModel.DEFAULT_PREFILL_WEIGHT
+        val whole = call.promptTokens * CostModel.DEFAULT_PREFILL_WEIGHT + call.maxTokens
+        return minOf(1.0, again / whole)
+    }
+
     private class Attempt(
         val decision: RoutingDecision,
         route: List<RouteHop>,
--- a/routing/src/main/kotlin/io/greengageport/routing/AnswerAssembler.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/AnswerAssembler.kt
@@ -35,6 +35,11 @@
     public var isComplete: Boolean = false
         private set
 
+    /** Number of accepted tokens; may be read by any thread. */
+    @Volatile
+    public var size: Int = 0
+        private set
+
     /** Texts of the accepted tokens. */
     public val delivered: List<String> get() = tokens.toList()
 
@@ -63,6 +68,7 @@
             return FrameOutcome.WrongTrace(frame.layers)
         }
         tokens += frame.text
+        size = tokens.size
         if (frame.last) {
             isComplete = true
             open = false
--- a/routing/src/main/kotlin/io/greengageport/routing/Fingerprint.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/Fingerprint.kt
@@ -43,9 +43,17 @@
     BLOCKED
 }
 
-/** A crash of [runner] at [atMillis] of the wall clock while the request was in flight on it. */
+/**
+ * A crash of [runner] at [atMillis] of the wall clock while the request was in flight on it and its
+ * answer had [tokens] tokens.
+ */
 @Serializable
-public data class SuspectMark(val runner: RunnerId, val bootId: String, val atMillis: Long)
+public data class SuspectMark(
+    val runner: RunnerId,
+    val bootId: String,
+    val atMillis: Long,
+    val tokens: Int = 0
+)
 
 /**
  * What is known of one fingerprint: at most one mark per runner, and the time of the last complete
--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -1,14 +1,16 @@
 package io.greengageport.routing
 
 import io.greengageport.common.Clock
+import kotlin.math.ceil
 import kotlin.random.Random
 
 /**
  * Bounds retries and resumes to a share of the requests admitted.
  *
  * Each admitted request adds [share] of a token, which lapses after [WINDOW_MILLIS]; a retry takes
- * one. Over any 10 s that end with a retry, calls to backend servers therefore stay at or below
- * `1 + share` times the requests admitted. Ranks that aren't urgent leave [urgentReserve] of the
+ * one, and a resume only the part of the request's work that is done again. Over any 10 s that end
+ * with a retry, the work at backend servers therefore stays at or below `1 + share` times that of
+ * the requests admitted. Ranks that aren't urgent leave [urgentReserve] of the
  * tokens to urgent ones. [minimum] retries per window are allowed in any case; with the default of
  * 0, fewer than 10 requests in 10 s allow no retry. Thread-safe.
  *
@@ -38,21 +40,25 @@
     /** Counts an admitted request. */
     @Synchronized
     public fun admitted() {
-        admitted.add(clock.monotonicMillis())
+        admitted.add(clock.monotonicMillis(), UNITS.toLong())
     }
 
-    /** Asks for a retry or resume after [attempt] attempts; an allowed one is counted. */
+    /**
+     * Asks for a retry or resume after [attempt] attempts; an allowed one is counted. [cost] is the
+     * part of the request's work that is done again: 1 unless an answer is resumed.
+     */
     @Synchronized
-    public fun tryRetry(attempt: Int, urgent: Boolean): RetryDecision {
+    public fun tryRetry(attempt: Int, urgent: Boolean, cost: Double = 1.0): RetryDecision {
+        require(cost > 0 && cost <= 1) { "the repeated work is a part of a request: $cost" }
         val now = clock.monotonicMillis()
         // Whole slots only for what is admitted, part slots too for retries: never too many.
-        val earned = admitted.inWholeSlots(now) * share
+        val earned = admitted.inWholeSlots(now) / UNITS * share
         val usable = if (urgent) earned else earned * (1 - urgentReserve)
-        val used = retries.inAllSlots(now)
-        if (used + 1 > maxOf(usable + ROUNDING, minimum.toDouble())) {
+        val used = retries.inAllSlots(now) / UNITS
+        if (used + cost > maxOf(usable + ROUNDING, minimum.toDouble())) {
             return RetryDecision.Denied(used, earned)
         }
-        retries.add(now)
+        retries.add(now, ceil(cost * UNITS).toLong())
         return RetryDecision.Allowed(backoff.delayMillis(attempt, random))
     }
 
@@ -61,6 +67,9 @@
         public const val DEFAULT_URGENT_RESERVE: Double = 0.5
         public const val WINDOW_MILLIS: Long = 10_000
 
+        /** Parts of a request in which work is counted. */
+        private const val UNITS = 1_000.0
+
         /** Keeps ten times 0.1 from being less than one. */
         private const val ROUNDING = 1e-9
     }
@@ -72,7 +81,7 @@
     public data class Allowed(val delayMillis: Long) : RetryDecision
 
     /** [used] retries of the window's [earned] were made. */
-    public data class Denied(val used: Long, val earned: Double) : RetryDecision
+    public data class Denied(val used: Double, val earned: Double) : RetryDecision
 }
 
 /** Exponential backoff with full jitter: a uniform delay below a bound that doubles. */
@@ -111,14 +120,14 @@
     private val counts = LongArray(SLOTS)
     private val slotNumbers = LongArray(SLOTS) { -1 }
 
-    fun add(nowMillis: Long) {
+    fun add(nowMillis: Long, amount: Long) {
         val number = nowMillis / SLOT_MILLIS
         val i = (number % SLOTS).toInt()
         if (slotNumbers[i] != number) {
             slotNumbers[i] = number
             counts[i] = 0
         }
-        counts[i]++
+        counts[i] += amount
     }
 
     /** Events of slots that lie in the last 10 s as a whole, and of the current slot. */
--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -9,8 +9,12 @@
  *
  * A runner has crashed if a connection to it was lost and a new one is then refused, or if it
  * reports a new boot id; a runner that announced that it leaves has not. The requests in flight on
- * it are suspects: those with a mark get one more, and only if there are none, all get their first.
- * So a request that shares a runner with a marked one is not punished for it. Thread-safe.
+ * it are suspects. Those with a mark get one more, and only if there are none, all get their first,
+ * so a request that shares a runner with a marked one is not punished for it.
+ *
+ * A marked request runs alone among marked ones until its answer has passed the token at which the
+ * runner crashed ([progressed]). If several that passed it are on a runner that crashes, a failure
+ * of the machine is the likelier cause: they keep their marks and run alone again. Thread-safe.
  *
  * ```
  * if (!suspects.tryStart(id, fingerprint, chain)) planAgain(markedBusy = suspects.markedBusy())
@@ -24,11 +28,12 @@
     private class Flight(
         val fingerprint: Fingerprint,
         val runners: List<RunnerId>,
-        val startedAtMillis: Long
+        val startedAtMillis: Long,
+        val tokens: () -> Int
     )
 
-    /** Requests that were in flight on a runner when the connection to it was lost. */
-    private class Lost(val fingerprints: Set<Fingerprint>, val atMillis: Long)
+    /** Requests on a runner when the connection to it was lost, with the tokens they had. */
+    private class Lost(val suspects: Map<Fingerprint, Int>, val atMillis: Long)
 
     private val states = LinkedHashMap<Fingerprint, SuspectState>()
     private val flights = HashMap<RequestId, Flight>()
@@ -37,35 +42,56 @@
     private val crashedBoots = HashMap<RunnerId, String>()
     private val leaving = HashSet<RunnerId>()
 
+    /** Marked fingerprints whose answer has passed the token of the crash. */
+    private val passed = HashSet<Fingerprint>()
+
     /** Whether requests with this fingerprint may run. */
     @Synchronized
     public fun verdict(fingerprint: Fingerprint): SuspectVerdict =
         states[fingerprint]?.verdict(clock.wallMillis()) ?: SuspectVerdict.CLEAR
 
-    /** Runners on which this instance runs a marked request. */
+    /** Runners on which this instance runs a marked request that has not passed its crash. */
     @Synchronized
     public fun markedBusy(): Set<RunnerId> = flights.values
-        .filter { verdict(it.fingerprint) != SuspectVerdict.CLEAR }.flatMap { it.runners }.toSet()
+        .filter { it.fingerprint !in passed }
+        .filter { verdict(it.fingerprint) != SuspectVerdict.CLEAR }
+        .flatMap { it.runners }.toSet()
 
     /**
      * Registers a request that is about to run on [runners]. Returns false, and registers nothing,
      * if the request is blocked or if it is marked and one of the runners runs a marked one.
+     * [tokens] tells how far its answer has come.
      */
     @Synchronized
     public fun tryStart(
         request: RequestId,
         fingerprint: Fingerprint,
-        runners: List<RunnerId>
+        runners: List<RunnerId>,
+        tokens: () -> Int = { 0 }
     ): Boolean {
         val allowed = when (verdict(fingerprint)) {
             SuspectVerdict.CLEAR -> true
             SuspectVerdict.MARKED -> markedBusy().let { busy -> runners.none { it in busy } }
             SuspectVerdict.BLOCKED -> false
         }
-        if (allowed) flights[request] = Flight(fingerprint, runners, clock.wallMillis())
+        if (allowed) {
+            // Each attempt has to pass the token of the crash anew.
+            passed -= fingerprint
+            flights[request] = Flight(fingerprint, runners, clock.wallMillis(), tokens)
+        }
         return allowed
     }
 
+    /** The answer of a marked request has [tokens] tokens; true once it has passed its crash. */
+    @Synchronized
+    public fun progressed(request: RequestId, tokens: Int): Boolean {
+        val fingerprint = flights[request]?.fingerprint ?: return true
+        val marks = states[fingerprint]?.marks.orEmpty()
+        val isPast = marks.all { tokens >= it.tokens + PASSING_TOKENS }
+        if (isPast && verdict(fingerprint) == SuspectVerdict.MARKED) passed += fingerprint
+        return isPast
+    }
+
     /** The request got its complete answer; returns the state to gossip if that cleared a mark. */
     @Synchronized
     public fun completed(request: RequestId): SuspectState? {
@@ -99,7 +125,7 @@
         val boot = boots[runner].orEmpty()
         // A process crashes once; requests sent to it before its end was known aren't suspect.
         if (boot.isNotEmpty() && crashedBoots.put(runner, boot) == boot) return emptyList()
-        return crashed(runner, boot, record.fingerprints, now)
+        return crashed(runner, boot, record.suspects, now)
     }
 
     /** The runner has announced that it leaves, so a refused connection is no crash. */
@@ -125,7 +151,7 @@
             return emptyList()
         }
         val recent = record?.takeIf { clock.wallMillis() - it.atMillis < EVIDENCE_MILLIS }
-        val suspects = recent?.fingerprints ?: inFlight(runner, atMillis)
+        val suspects = recent?.suspects ?: inFlight(runner, atMillis)
         return crashed(runner, previous, suspects, clock.wallMillis())
     }
 
@@ -141,6 +167,7 @@
     public fun expire(): Int {
         val now = clock.wallMillis()
         states.values.removeIf { it.isExpired(now) }
+        passed.retainAll(states.keys)
         return states.size
     }
 
@@ -153,20 +180,36 @@
         leaving.remove(runner)
     }
 
-    private fun inFlight(runner: RunnerId, untilMillis: Long): Set<Fingerprint> = flights.values
-        .filter { runner in it.runners && it.startedAtMillis <= untilMillis }
-        .map { it.fingerprint }.toSet()
+    private fun inFlight(runner: RunnerId, untilMillis: Long): Map<Fingerprint, Int> =
+        flights.values
+            .filter { runner in it.runners && it.startedAtMillis <= untilMillis }
+            .associate { it.fingerprint to it.tokens() }
 
     private fun crashed(
         runner: RunnerId,
         bootId: String,
-        suspects: Set<Fingerprint>,
+        suspects: Map<Fingerprint, Int>,
         now: Long
-    ): List<SuspectState> {
+    ): List<SuspectState> = guilty(suspects.keys).sorted().map {
+        val mark = SuspectMark(runner, bootId, now, suspects.getValue(it))
+        store(SuspectState(it, listOf(mark)))
+    }
+
+    private fun guilty(suspects: Set<Fingerprint>): Set<Fingerprint> {
         val marked = suspects.filter { verdict(it) != SuspectVerdict.CLEAR }
-        val guilty = marked.ifEmpty { suspects }
-        val mark = SuspectMark(runner, bootId, now)
-        return guilty.sorted().map { store(SuspectState(it, listOf(mark))) }
+        val alone = marked.filter { it !in passed }
+        return when {
+            marked.isEmpty() -> suspects
+
+            alone.isNotEmpty() -> alone.toSet()
+
+            marked.size == 1 -> marked.toSet()
+
+            else -> {
+                passed -= marked.toSet()
+                emptySet()
+            }
+        }
     }
 
     private fun store(state: SuspectState): SuspectState {
@@ -182,5 +225,8 @@
 
         /** Time after a lost connection in which a refused one or a new boot id shows a crash. */
         public const val EVIDENCE_MILLIS: Long = 30_000
+
+        /** Tokens after the one of the crash that show that the request runs on another runner. */
+        public const val PASSING_TOKENS: Int = 2
     }
 }
--- a/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
@@ -179,6 +179,17 @@
                 .isEqualTo(listOf(5, 5))
         }
 
+        /** Guards against answers that are given up because a whole retry is charged for a resume. */
+        @Test
+        fun `charges a resume for the work that is done again only`() {
+            val budget = RetryBudget(clock, Random(1))
+            repeat(10) { budget.admitted() }
+            val resumes = (1..20).count {
+                budget.tryRetry(1, urgent = true, cost = 0.1) is RetryDecision.Allowed
+            }
+            expectThat(resumes).isEqualTo(10)
+        }
+
         @Test
         fun `draws delays below a bound that doubles up to the last`() {
             val backoff = Backoff(baseMillis = 10, maxMillis = 100)
--- a/routing/src/test/kotlin/io/greengageport/routing/SuspectRequestsTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/SuspectRequestsTest.kt
@@ -112,6 +112,54 @@
         }
     }
 
+    @Nested
+    inner class Progress {
+        private val ids = listOf("1", "2")
+
+        private fun startBoth(runner: RunnerId, tokens: Int) =
+            ids.zip(listOf(bad, good)).map { (id, f) ->
+                suspects.tryStart(RequestId(id), f, listOf(runner)) { tokens }
+            }
+
+        /** Guards against a slow recovery, in which marked requests wait for whole answers. */
+        @Test
+        fun `a marked request runs alone only until it has passed the token of the crash`() {
+            startBoth(a, tokens = 5)
+            crash(a)
+            ids.forEach { suspects.ended(RequestId(it)) }
+            val alone = startBoth(b, tokens = 5)
+            val passed = listOf(6, 7).map { suspects.progressed(RequestId("1"), it) }
+            val second = suspects.tryStart(RequestId("2"), good, listOf(b))
+            expectThat(listOf(alone, passed, listOf(second)))
+                .isEqualTo(listOf(listOf(true, false), listOf(false, true), listOf(true)))
+        }
+
+        /** Guards against a block of innocent requests when two machines fail in a row. */
+        @Test
+        fun `two failures of machines block none of several requests that ran on both`() {
+            startBoth(a, tokens = 5)
+            crash(a)
+            suspects.tryStart(RequestId("1"), bad, listOf(b))
+            suspects.progressed(RequestId("1"), 9)
+            suspects.tryStart(RequestId("2"), good, listOf(b))
+            suspects.progressed(RequestId("2"), 9)
+            expectThat(crash(b)).isEmpty()
+            expectThat(verdicts()).isEqualTo(List(2) { SuspectVerdict.MARKED })
+        }
+
+        /** Guards against a request that crashes each runner, but late in its answer. */
+        @Test
+        fun `a single request that passed the first crash is blocked by the second`() {
+            start("1", bad, a)
+            crash(a)
+            start("1", bad, b)
+            suspects.progressed(RequestId("1"), 9)
+            start("2", good, b)
+            expectThat(crash(b)).isEqualTo(listOf(bad))
+            expectThat(verdicts()).isEqualTo(listOf(SuspectVerdict.BLOCKED, SuspectVerdict.CLEAR))
+        }
+    }
+
     @Nested
     inner class Evidence {
         @Test
