Test that queued requests expire without traffic

Cause: the timer loop of the admission controller had no test. Change: a test in which only the timer can answer a queued request.

--- a/limits/src/test/kotlin/io/greengageport/limits/AdmissionControllerTest.kt
+++ b/limits/src/test/kotlin/io/greengageport/limits/AdmissionControllerTest.kt
@@ -214,6 +214,17 @@
             drain.join()
         }
 
+        /** Guards against expired requests that are answered only with the next arrival. */
+        @Test
+        fun `of time expire queued requests without traffic`() = runBlocking<Unit> {
+            val c = controller(slots = 0)
+            val timer = launch(start = CoroutineStart.UNDISPATCHED) { c.run() }
+            val queued = admit(c, request("a", deadline = 20))
+            clock.advance(21)
+            expectThat(queued.await().text()).isEqualTo("503 overloaded retry=100")
+            timer.cancel()
+        }
+
         /** Guards against a rate limit that never refills without traffic. */
         @Test
         fun `of time refill the token rate`() = runBlocking<Unit> {
