--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -45,7 +45,7 @@
     private val leaving = ConcurrentHashMap<RunnerId, String>()
     private val joinedAt = ConcurrentHashMap<RunnerId, Long>()
 
-    /** Runners that get no new work until the given wall time, because an order is to change them. */
+    /** Runners that get no new work until a wall time, because an order is to change them. */
     private val heldUntil = ConcurrentHashMap<RunnerId, Long>()
 
     @Volatile
--- a/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -116,7 +116,7 @@
         val exchange = CompletionExchange(parts, call, parsed, context)
         val promptTokens = exchange.promptTokens
         val admission = parts.admissions.of(context.service, parts.view())
-        val permit = admission.admit(context, promptTokens + parsed.maxTokens, parsed.maxTokens)
+        val permit = admission.admit(context, promptTokens, parsed.maxTokens)
             .getOrElse { return counted(context, it) }
         val result = try {
             exchange.run(
@@ -150,15 +150,13 @@
         }
         val body = body(call).getOrElse { return counted(context, it) }
         val admission = parts.admissions.of(context.service, parts.view())
-        val permit = admission.admit(context, tokens = 1, output = 0)
+        val permit = admission.admit(context, promptTokens = 1, maxTokens = 0)
             .getOrElse { return counted(context, it) }
-        admission.started()
         val answer = try {
             parts.plains.run(
                 PlainCall(context, method, target, forwardedHeaders(call), body, key)
             )
         } finally {
-            admission.ended()
             permit.release(1)
         }.getOrElse { return counted(context, it) }
         respond(call, id, answer)
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -12,6 +12,7 @@
 import io.greengageport.limits.OrganisationLimits
 import io.greengageport.limits.OrganisationPolicy
 import io.greengageport.limits.UsageAggregator
+import io.greengageport.limits.UsageExchange
 import io.greengageport.limits.UsageReporter
 import io.greengageport.membership.PeerNode
 import io.greengageport.membership.PeerSettings
@@ -100,6 +101,7 @@
         clock,
         node,
         node,
+        node,
         limits,
         reporter,
         UsageAggregator(::policyOf)
@@ -128,7 +130,6 @@
 
     /** Listens, joins the other instances and begins to follow the platform. */
     public suspend fun start(): Result<BoundAddresses, StartError> {
-        usage.register(node)
         val peers = node.start().getOrElse { return Err(it) }
         backends.start()
         node.subscribe(ADMIN_TOPIC) { key, _, payload ->
@@ -264,7 +265,7 @@
     private fun launchTasks(peers: HostPort) {
         scope.launch { store.run() }
         scope.launch { ledger.run() }
-        scope.launch { usage.run(scope) }
+        scope.launch { usage.run() }
         scope.launch { placement.run() }
         scope.launch {
             store.view.collect { v ->
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -104,7 +104,10 @@
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
             val decision = plan().getOrElse { return Err(it) }
             val failure = attempt(decision)
-            if (assembler.isComplete) return Ok(assembler.delivered.size)
+            if (assembler.isComplete) {
+                admission.observeAnswer(context, assembler.size)
+                return Ok(assembler.size)
+            }
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
             diagnose(decision, failure)
             retry(failure)?.let { return Err(it) }
@@ -151,8 +154,8 @@
         service = context.service.name,
         dataCentre = parts.dataCentre,
         attempt = assembler.attempt + 1,
-        promptTokens = call.promptTokens + assembler.delivered.size,
-        outputTokens = maxOf(1, call.maxTokens - assembler.delivered.size),
+        promptTokens = call.promptTokens + assembler.size,
+        outputTokens = maxOf(1, call.maxTokens - assembler.size),
         prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
         excluded = excluded + parts.backends.outliers.ejected(),
         marked = marked,
@@ -190,7 +193,6 @@
         }
         val a = Attempt(d, route, AttemptObserver(d.stages, parts.clock))
         current = a
-        admission.started()
         val now = parts.clock.wallMillis()
         for (s in d.stages) parts.backends.loads.sent(s.id, s.workTokens, now)
         val before = execution
@@ -262,7 +264,6 @@
     private fun end(a: Attempt, how: String) {
         current = null
         assembler.endAttempt()
-        admission.ended()
         val now = parts.clock.wallMillis()
         for (s in a.decision.stages) parts.backends.loads.finished(s.id, s.workTokens, now)
         a.observer.report(parts.backends.outliers, parts.backends.links)
--- a/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
@@ -7,38 +7,33 @@
 import io.greengageport.limits.AdmissionController
 import io.greengageport.limits.AdmissionDecision
 import io.greengageport.limits.Capacity
+import io.greengageport.limits.CapacityFeed
 import io.greengageport.limits.FairQueue
 import io.greengageport.limits.FifoQueue
 import io.greengageport.limits.FleetLoad
-import io.greengageport.limits.FleetShare
 import io.greengageport.limits.OrganisationLimits
-import io.greengageport.limits.OwnLoad
 import io.greengageport.limits.Permit
 import io.greengageport.limits.QueueSettings
 import io.greengageport.limits.QueuedRequest
 import io.greengageport.limits.RankPolicy
+import io.greengageport.limits.WorkEstimator
 import io.greengageport.routing.FleetBound
 import io.greengageport.settings.OrganisationSettings
 import io.greengageport.settings.Service
 import io.greengageport.settings.SettingsPath
 import io.greengageport.settings.SettingsView
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ConcurrentLinkedDeque
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.math.roundToLong
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 
 /** Admission of the requests of one service, with the capacity that this instance may use. */
 internal class ServiceAdmission(
-    private val clock: Clock,
-    private val controller: AdmissionController
+    clock: Clock,
+    private val controller: AdmissionController,
+    private val work: WorkEstimator = WorkEstimator()
 ) {
-    private class Sample(val wallMillis: Long, val inFlight: Int)
-
-    private val inFlight = AtomicInteger()
-    private val samples = ConcurrentLinkedDeque<Sample>()
-    private val share = FleetShare()
+    private val feed = CapacityFeed(clock, controller)
 
     /** Smoothed time between two tokens, in milliseconds; 0 while unknown. */
     @Volatile
@@ -46,28 +41,38 @@
 
     val state get() = controller.state
 
-    /** Waits until the request may run; its work is estimated at [tokens]. */
-    suspend fun admit(c: RequestContext, tokens: Int, output: Int): Result<Permit, RequestError> {
-        val gap = if (tokenGapMillis > 0) tokenGapMillis else 1.0
-        val serveMillis = minOf((output * gap).roundToLong(), c.deadlineAt - c.arrivedAt - 1)
+    /**
+     * Waits until the request may run. Its work is the prompt and the expected answer, which is at
+     * most [maxTokens].
+     */
+    suspend fun admit(
+        c: RequestContext,
+        promptTokens: Int,
+        maxTokens: Int
+    ): Result<Permit, RequestError> {
+        val tokens = work.estimate(
+            c.organisation.name,
+            c.service.name,
+            promptTokens.toLong(),
+            maxTokens.toLong()
+        )
+        val output = maxOf(0, tokens - promptTokens)
+        val serveMillis =
+            minOf((output * tokenGapMillis).roundToLong(), c.deadlineAt - c.arrivedAt - 1)
         return controller.admit(
             QueuedRequest(
                 id = c.id,
                 rank = c.rank.name,
                 organisation = c.organisation.name,
-                estimatedTokens = tokens.toLong(),
+                estimatedTokens = tokens,
                 deadlineMillis = c.deadlineAt - maxOf(0, serveMillis)
             )
         )
     }
 
-    fun started() {
-        inFlight.incrementAndGet()
-    }
-
-    fun ended() {
-        inFlight.decrementAndGet()
-    }
+    /** Takes in the length of a complete answer. */
+    fun observeAnswer(c: RequestContext, tokens: Int): Unit =
+        work.record(c.organisation.name, c.service.name, tokens.toLong())
 
     /** Takes in the mean gap of a finished answer. */
     fun observeGap(millis: Double) {
@@ -75,19 +80,12 @@
         tokenGapMillis = if (old == 0.0) millis else old + GAP_WEIGHT * (millis - old)
     }
 
-    /** Remembers the present number of requests, to compare with reports of this time later. */
-    fun sample() {
-        samples += Sample(clock.wallMillis(), inFlight.get())
-        while (samples.size > MAX_SAMPLES) samples.pollFirst()
-    }
+    /** Remembers the present load, to compare it with reports of this time later. */
+    fun sample(): Unit = feed.sample()
 
-    /** Sets the capacity from the load of the whole fleet as reported at [reportedAtMillis]. */
-    fun updateCapacity(load: FleetLoad, reportedAtMillis: Long, liveInstances: Int) {
-        val own = samples.lastOrNull { it.wallMillis <= reportedAtMillis }?.inFlight ?: 0
-        controller.updateCapacity(
-            share.capacity(load, OwnLoad(own.toDouble()), maxOf(1, liveInstances))
-        )
-    }
+    /** Sets the capacity from the load of the whole fleet, reported [ageMillis] ago. */
+    fun updateCapacity(load: FleetLoad, ageMillis: Long, liveInstances: Int): Unit =
+        feed.onReports(load, ageMillis, maxOf(1, liveInstances))
 
     fun updateSettings(settings: QueueSettings): Unit = controller.updateSettings(settings)
 
@@ -97,7 +95,6 @@
 
     private companion object {
         const val GAP_WEIGHT = 0.1
-        const val MAX_SAMPLES = 256
     }
 }
 
@@ -112,6 +109,7 @@
     private val decisions: DecisionLog
 ) {
     private val services = ConcurrentHashMap<String, ServiceAdmission>()
+    private val work = WorkEstimator()
 
     @Volatile
     private var isStopping = false
@@ -139,8 +137,9 @@
             val a = of(s, view)
             a.sample()
             val reports = backends.reports(s.name)
-            val at = reports.maxOfOrNull { it.reportedAtMillis } ?: clock.wallMillis()
-            a.updateCapacity(fleetLoad(s, reports.sumOf { it.running }, target), at, liveInstances)
+            val newest = reports.maxOfOrNull { it.reportedAtMillis } ?: 0
+            val age = maxOf(0, clock.wallMillis() - newest)
+            a.updateCapacity(fleetLoad(s, reports.sumOf { it.running }, target), age, liveInstances)
         }
     }
 
@@ -171,7 +170,7 @@
             capacity = Capacity(INITIAL_SLOTS),
             observer = ::observe
         )
-        val a = ServiceAdmission(clock, controller)
+        val a = ServiceAdmission(clock, controller, work)
         scope.launch { a.run() }
         if (isStopping) a.stopAdmitting()
         return a
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
@@ -20,11 +20,10 @@
     val prefillTokensPerStep: Int = 256,
     val hopMillis: Long = 0,
     val cacheTokens: Int = 4_096,
-    val version: String = "v1",
     val checksFencing: Boolean = true,
     val loadMillis: Long = 200,
     val crashMarker: String? = null,
-    val version: String = "",
+    val version: String = "v1",
     val reportMillis: Long = 250
 )
 
--- a/standins/src/main/kotlin/io/greengageport/standins/Main.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/Main.kt
@@ -127,9 +127,6 @@
     @Option(names = ["--load-ms"], defaultValue = "200")
     var load: Long = 0
 
-    @Option(names = ["--model-version"], defaultValue = "v1")
-    lateinit var version: String
-
     @Option(names = ["--ignores-fencing"])
     var ignoresFencing: Boolean = false
 
@@ -137,7 +134,7 @@
     var crashMarker: String? = null
 
     @Option(names = ["--version-loaded"], description = ["Model version held at the start."])
-    var version: String = ""
+    var version: String = "v1"
 
     override fun call(): Int = runBlocking {
         val settings = EngineSettings(
@@ -151,7 +148,6 @@
             batch = batch,
             hopMillis = hop,
             loadMillis = load,
-            version = version,
             checksFencing = !ignoresFencing,
             crashMarker = crashMarker,
             version = version
