--- a/settings/src/main/kotlin/io/greengageport/settings/Records.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/Records.kt
@@ -81,7 +81,11 @@
 
     /** Any failure is caught, since the CBOR reader reports malformed input in several ways. */
     fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): Result<T, String> = try {
-        Ok(cbor.decodeFromByteArray(serializer, bytes))
+        if (CborStructure(bytes).isAcceptable()) {
+            Ok(cbor.decodeFromByteArray(serializer, bytes))
+        } else {
+            Err("not one well-formed item")
+        }
     } catch (e: RuntimeException) {
         Err(e.javaClass.simpleName)
     }
--- a/settings/src/test/kotlin/io/greengageport/settings/MalformedRecordTest.kt
+++ b/settings/src/test/kotlin/io/greengageport/settings/MalformedRecordTest.kt
@@ -37,4 +37,18 @@
         }
         expectThat(decisions.filter { it !is Decision.Malformed }).isEqualTo(emptyList())
     }
+
+    /** Guards against the decoder's endless recursion on strings that never end. */
+    @Test
+    fun `a record with unterminated or deeply nested items is malformed`() {
+        val at = String(valid, Charsets.ISO_8859_1).indexOf("author")
+        val payloads = listOf(0x5f, 0x7f, 0x9f, 0x81).flatMap { header ->
+            val deep = ByteArray(60_000) { header.toByte() }
+            listOf(byteArrayOf(header.toByte()), deep, valid.copyOf(at + 6) + deep)
+        }
+        val shortest = byteArrayOf(0x9f.toByte(), 0x7f)
+        val decisions = (payloads + shortest)
+            .map { SettingsState.EMPTY.apply(Fixtures.record(1, it)).decision }
+        expectThat(decisions.filter { it !is Decision.Malformed }).isEqualTo(emptyList())
+    }
 }
