Send each item to all neighbours before it is dropped

An item was dropped once five peers were known to have it, fewer than the six neighbours, so an instance could be passed over by all its neighbours and had to wait for anti-entropy. Change: an item is kept until at least eight peers are known to have it. Terms follow SWIM (indirect probe); a connection that opens while the node stops is closed.

--- a/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
@@ -54,7 +54,7 @@
     private val all = ConcurrentHashMap.newKeySet<Connection>()
     private val opening =
         ConcurrentHashMap<String, Deferred<Result<Connection, ConnectionError>>>()
-    private val unproved = AtomicInteger()
+    private val unauthenticated = AtomicInteger()
     private val refusals = LogLimiter(clock)
     private var server: ServerSocket? = null
 
@@ -112,7 +112,7 @@
                 connection.close()
             }
             val isKept = connection.peer in neighbours && current[connection.peer] === connection
-            val limit = if (connection.isDialled) idle else ACCEPTOR_PATIENCE * idle
+            val limit = if (connection.isDialled) idle else ACCEPTOR_IDLE_FACTOR * idle
             if (!isKept && !connection.isBusy && now - connection.lastUse > limit) {
                 connection.close()
             }
@@ -159,8 +159,9 @@
     private suspend fun acceptAll(server: ServerSocket) {
         while (!isClosing) {
             val socket = acceptOne(server) ?: continue
-            if (unproved.incrementAndGet() > MAX_UNPROVED || all.size > MAX_CONNECTIONS) {
-                unproved.decrementAndGet()
+            val isCrowded = unauthenticated.incrementAndGet() > MAX_UNAUTHENTICATED
+            if (isCrowded || all.size > MAX_CONNECTIONS) {
+                unauthenticated.decrementAndGet()
                 socket.close()
                 continue
             }
@@ -172,7 +173,7 @@
                             .map { id -> connection(id, false, socket, input, output) }
                     }
                 }
-                unproved.decrementAndGet()
+                unauthenticated.decrementAndGet()
                 result.fold(success = {}, failure = { refused("$address", it) })
             }
         }
@@ -205,6 +206,8 @@
         all += connection
         if (id != self) current[id] = connection
         connection.run(scope)
+        // A cancelled scope does not start the reader, which would close the socket.
+        if (isClosing) connection.close()
         return connection
     }
 
@@ -245,9 +248,9 @@
     }
 
     private companion object {
-        const val ACCEPTOR_PATIENCE = 3
+        const val ACCEPTOR_IDLE_FACTOR = 3
         const val SILENT_TIMEOUTS = 4
-        const val MAX_UNPROVED = 256
+        const val MAX_UNAUTHENTICATED = 256
         const val MAX_CONNECTIONS = 1_024
     }
 }
--- a/membership/src/main/kotlin/io/greengageport/membership/MemberTable.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/MemberTable.kt
@@ -47,7 +47,7 @@
     fun all(): List<MemberRecord> = entries.values.map { it.record } + self
 
     /** Failed members that did not announce that they leave; they may return after a partition. */
-    fun lost(): List<MemberRecord> = entries.values
+    fun unreachable(): List<MemberRecord> = entries.values
         .filter { !it.record.isLive && !it.hasLeft }.map { it.record }.sortedBy { it.id }
 
     /** Merges [record]; null if it was not news, else the notice. */
--- a/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
@@ -152,8 +152,9 @@
     }
 
     /**
-     * Calls [peer]. [PeerError.Unreachable] means that the call was surely not handled; payloads
-     * have at most 1 MiB.
+     * Calls [peer], which must be another instance. [PeerError.Unreachable] means that the call was
+     * surely not handled. Payloads and replies have at most 1 MiB; a peer handles at most 128 calls
+     * of one connection at a time and fails the others.
      */
     override suspend fun call(
         peer: InstanceId,
--- a/membership/src/main/kotlin/io/greengageport/membership/PeerSettings.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/PeerSettings.kt
@@ -36,17 +36,23 @@
     val suspicionTimeout: Duration = 3.seconds,
     /** A gap between two ticks above this bound counts as a pause of this process. */
     val pauseThreshold: Duration = 1.seconds,
+    /** Between two anti-entropy exchanges, each with one random peer. */
     val syncPeriod: Duration = 10.seconds,
+    /** Between two probes of a random failed member, which may return after a partition. */
     val failedRetryPeriod: Duration = 10.seconds,
     val failedRetention: Duration = 6.hours,
     val leftRetention: Duration = 10.minutes,
+    /** Between two contacts with a seed that is not a live member. */
     val seedPeriod: Duration = 60.seconds,
     /** Bytes of events and items sent per second, with an estimated 130 B of headers a message. */
     val gossipBytesPerSecond: Int = 2_200,
+    /** From publishing; items held longer are dropped everywhere. */
     val itemLifetime: Duration = 1.hours,
     val maxItems: Int = 4_096,
     val maxItemBytes: Int = 2 * 1_024 * 1_024,
+    /** A connection without frames for this long is closed, unless to a neighbour. */
     val idleConnection: Duration = 5.seconds,
+    /** Bound of connecting and authenticating together. */
     val connectTimeout: Duration = 2.seconds,
     /** How long [PeerNode.leave] lets the leaving event spread before it returns. */
     val leaveSpread: Duration = 2.seconds
--- a/membership/src/main/kotlin/io/greengageport/membership/Prober.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/Prober.kt
@@ -40,13 +40,13 @@
         var answers = 0
     }
 
-    private class Errand(val requester: MemberRecord, val sequence: Long, val deadline: Long)
+    private class IndirectProbe(val requester: MemberRecord, val sequence: Long, val deadline: Long)
 
     /** Outcome of the probes since the last call of [advance]. */
     class Progress(val effects: List<Effect>, val unanswered: List<InstanceId>)
 
     private val probes = LinkedHashMap<Long, Probe>()
-    private val errands = LinkedHashMap<Long, Errand>()
+    private val indirectProbes = LinkedHashMap<Long, IndirectProbe>()
     private val order = ArrayDeque<InstanceId>()
     private val neighbourOrder = ArrayDeque<InstanceId>()
     private var sequence = 0L
@@ -80,17 +80,17 @@
     fun retry(): Long = ++sequence
 
     /** Starts a probe of a member for [requester]. */
-    fun startErrand(requester: MemberRecord, requestSequence: Long, now: Long): Long {
-        val deadline = now + timings.probeTimeout.inWholeMilliseconds * ERRAND_PERCENT / PERCENT
-        errands[++sequence] = Errand(requester, requestSequence, deadline)
+    fun startIndirect(requester: MemberRecord, requestSequence: Long, now: Long): Long {
+        val deadline = now + timings.probeTimeout.inWholeMilliseconds * INDIRECT_PERCENT / PERCENT
+        indirectProbes[++sequence] = IndirectProbe(requester, requestSequence, deadline)
         return sequence
     }
 
     /** Handles an ack; the effects pass it on if the probe was for another instance. */
     fun acknowledged(message: SwimMessage, self: MemberRecord): List<Effect> {
         if (probes.remove(message.sequence) != null) health.answered()
-        val errand = errands.remove(message.sequence) ?: return emptyList()
-        return listOf(answer(SwimKind.ACK, errand, message.sender, self))
+        val indirect = indirectProbes.remove(message.sequence) ?: return emptyList()
+        return listOf(answer(SwimKind.ACK, indirect, message.sender, self))
     }
 
     fun refused(sequence: Long) {
@@ -100,7 +100,7 @@
     /** Drops probes whose timeouts elapsed during a pause of this process. */
     fun forgetAll() {
         probes.clear()
-        errands.clear()
+        indirectProbes.clear()
     }
 
     fun advance(now: Long, live: List<MemberRecord>, self: MemberRecord): Progress {
@@ -114,9 +114,9 @@
                 Stage.INDIRECT -> finish(number, probe)?.let { unanswered += it }
             }
         }
-        errands.filterValues { it.deadline <= now }.forEach { (number, errand) ->
-            errands.remove(number)
-            effects += answer(SwimKind.NACK, errand, null, self)
+        indirectProbes.filterValues { it.deadline <= now }.forEach { (number, indirect) ->
+            indirectProbes.remove(number)
+            effects += answer(SwimKind.NACK, indirect, null, self)
         }
         return Progress(effects, unanswered)
     }
@@ -159,18 +159,18 @@
 
     private fun answer(
         kind: SwimKind,
-        errand: Errand,
+        indirect: IndirectProbe,
         target: MemberRecord?,
         self: MemberRecord
-    ): Effect = errand.requester.let {
-        Effect.Send(it.id, it.address, SwimMessage(kind.ordinal, errand.sequence, self, target))
+    ): Effect = indirect.requester.let {
+        Effect.Send(it.id, it.address, SwimMessage(kind.ordinal, indirect.sequence, self, target))
     }
 
     private fun timeout(): Long = health.stretch(timings.probeTimeout)
 
     private companion object {
         /** Leaves a helper's negative answer a part of the requester's timeout to travel back. */
-        const val ERRAND_PERCENT = 80
+        const val INDIRECT_PERCENT = 80
         const val PERCENT = 100
     }
 }
--- a/membership/src/main/kotlin/io/greengageport/membership/RumourQueue.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/RumourQueue.kt
@@ -10,8 +10,8 @@
  * Recent events or items that still have to be sent, those known to the fewest peers first.
  *
  * Each is sent at most once to a peer, and not to a peer that sent it. It is dropped when
- * `log2(N + 1)` peers, but at least four, are known to have it; what is lost on the way is repaired
- * by anti-entropy.
+ * `log2(N + 1)` peers, but at least eight, are known to have it. What is lost on the way is
+ * repaired by anti-entropy.
  */
 internal class RumourQueue<T>(private val sizeOf: (T) -> Int) {
     private class Rumour<T>(val value: T, val order: Long, val told: MutableSet<InstanceId>)
@@ -52,7 +52,9 @@
 
     companion object {
         private const val MAX_RUMOURS = 2_048
-        private const val MIN_KNOWN = 4
+
+        /** Above the six neighbours and the source, so that each neighbour is sent to. */
+        private const val MIN_KNOWN = 8
         private val rarestFirst =
             compareBy<Rumour<*>>({ it.told.size }, { -it.order })
 
--- a/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
@@ -76,7 +76,7 @@
         if (schedule.isProbeDue(now)) {
             prober.next(live, neighbours)?.let { effects += probe(it, now) }
         }
-        effects += retryLost(now) + synchronise(live, now) + contactSeed(live, now)
+        effects += retryFailed(now) + synchronise(live, now) + contactSeed(live, now)
         if (schedule.isExpiryDue(now)) store.expire(now)
         val peers = neighbours.mapNotNull { table.find(it) }
         effects += sender.flood(peers, table.size, now)
@@ -136,7 +136,7 @@
                 prober.acknowledged(message, table.self)
             }
 
-            SwimKind.PING_REQUEST -> runErrand(message, now)
+            SwimKind.PING_REQUEST -> probeForPeer(message, now)
 
             SwimKind.NACK -> emptyList<Effect>().also { prober.refused(message.sequence) }
 
@@ -163,29 +163,29 @@
     }
 
     private fun ping(number: Long, target: MemberRecord): SwimMessage {
-        val doubt = target.takeIf { it.state != MemberState.ALIVE }
-        val message = SwimMessage(SwimKind.PING.ordinal, number, table.self, doubt)
+        val notAlive = target.takeIf { it.state != MemberState.ALIVE }
+        val message = SwimMessage(SwimKind.PING.ordinal, number, table.self, notAlive)
         return sender.piggyback(message, target.id, table.size)
     }
 
     private fun ack(from: InstanceId, ping: SwimMessage): SwimMessage {
-        val doubt = table.find(from)?.takeIf { it.state != MemberState.ALIVE }
-        val message = SwimMessage(SwimKind.ACK.ordinal, ping.sequence, table.self, doubt)
+        val notAlive = table.find(from)?.takeIf { it.state != MemberState.ALIVE }
+        val message = SwimMessage(SwimKind.ACK.ordinal, ping.sequence, table.self, notAlive)
         return sender.piggyback(message, from, table.size)
     }
 
-    private fun runErrand(message: SwimMessage, now: Long): List<Effect> {
+    private fun probeForPeer(message: SwimMessage, now: Long): List<Effect> {
         val requester = message.sender ?: return emptyList()
         val asked = message.target ?: return emptyList()
         val target = table.find(asked.id) ?: asked
-        val number = prober.startErrand(requester, message.sequence, now)
+        val number = prober.startIndirect(requester, message.sequence, now)
         return listOf(Effect.Send(target.id, target.address, ping(number, target)))
     }
 
-    private fun retryLost(now: Long): List<Effect> {
+    private fun retryFailed(now: Long): List<Effect> {
         if (!schedule.isRetryDue(now)) return emptyList()
-        val lost = table.lost().randomOrNull(random) ?: return emptyList()
-        return listOf(Effect.Send(lost.id, lost.address, ping(prober.retry(), lost)))
+        val failed = table.unreachable().randomOrNull(random) ?: return emptyList()
+        return listOf(Effect.Send(failed.id, failed.address, ping(prober.retry(), failed)))
     }
 
     private fun synchronise(live: List<MemberRecord>, now: Long): List<Effect> {
--- a/membership/src/test/kotlin/io/greengageport/membership/PeerNodeTest.kt
+++ b/membership/src/test/kotlin/io/greengageport/membership/PeerNodeTest.kt
@@ -232,7 +232,7 @@
     }
 
     @Nested
-    inner class Intruders {
+    inner class Authentication {
         @Test
         fun `a peer with a wrong secret does not join and the secret is never sent`() = onCluster {
             Relay().start().use { relay ->
--- a/membership/src/test/kotlin/io/greengageport/membership/SwimCoreTest.kt
+++ b/membership/src/test/kotlin/io/greengageport/membership/SwimCoreTest.kt
@@ -37,7 +37,7 @@
         val simulation = cluster(9, seed)
         val naive = FullStateExchange()
         repeat(8) { round ->
-            simulation.disturb(random)
+            simulation.injectFaults(random)
             repeat(5) { number ->
                 val node = name(random.nextInt(4))
                 val key = "k${random.nextInt(10)}"
@@ -48,14 +48,32 @@
             }
             simulation.run(random.nextLong(1_000, 12_000))
         }
-        simulation.calm()
+        simulation.heal()
         simulation.run(180_000)
         val live = simulation.nodes.keys.map { it.value }
         expectThat(simulation.views()).isEqualTo(live.associateWith { live })
         expectThat(simulation.items()).isEqualTo(live.associateWith { naive.items })
     }
 
-    private fun SwimSimulation.disturb(random: Random) {
+    /**
+     * With each item sent twice over each link, the byte budget delayed items by 10 s; with
+     * items dropped after fewer sends than there are neighbours, some waited for anti-entropy.
+     */
+    @Property(tries = 6, seed = "3")
+    fun `items at five a second reach 27 instances without repair`(@ForAll seed: Long) {
+        val simulation = cluster(27, seed)
+        val published = (0 until 100).associate { number ->
+            simulation.publish(name(number % 27), "k$number", 1)
+            ("k$number" to simulation.now).also { simulation.run(200) }
+        }
+        simulation.run(10_000)
+        val slowest = simulation.nodes.values.maxOf { node ->
+            published.maxOf { (key, at) -> node.delivered.getValue(key) - at }
+        }
+        expectThat(slowest).isLessThan(1_500)
+    }
+
+    private fun SwimSimulation.injectFaults(random: Random) {
         loss = random.nextDouble(0.3)
         maxDelayMillis = random.nextLong(1, 600)
         val boundary = random.nextInt(9)
@@ -77,7 +95,7 @@
         }
     }
 
-    private fun SwimSimulation.calm() {
+    private fun SwimSimulation.heal() {
         loss = 0.0
         maxDelayMillis = 2
         side = { 0 }
@@ -247,21 +265,6 @@
             expectThat(simulation.items().values.flatMap { it.keys }).isEmpty()
         }
 
-        /** With each item sent twice over each link, the byte budget delayed items by 10 s. */
-        @Test
-        fun `items at five a second reach 27 instances within 5 s`() {
-            val simulation = cluster(27)
-            val published = (0 until 50).associate { number ->
-                simulation.publish(name(number % 27), "k$number", 1)
-                ("k$number" to simulation.now).also { simulation.run(200) }
-            }
-            simulation.run(10_000)
-            val slowest = simulation.nodes.values.maxOf { node ->
-                published.maxOf { (key, at) -> node.delivered.getValue(key) - at }
-            }
-            expectThat(slowest).isLessThan(5_000)
-        }
-
         @Test
         fun `a flood of items stays within the byte budget`() {
             val simulation = cluster(9)
