--- a/bench/src/main/kotlin/io/greengageport/bench/Arrivals.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Arrivals.kt
@@ -57,9 +57,12 @@
     )
 
     /** The first word makes each prompt, and so each answer, different from all others. */
-    private fun prompt(g: CallerGroup, number: Int, random: Random) =
-        (listOf("${g.name}-$number") + List(g.promptWords - 1) { WORDS[random.nextInt(WORDS.size)] })
-            .joinToString(" ")
+    private fun prompt(g: CallerGroup, number: Int, random: Random) = (
+        listOf("${g.name}-$number") + List(g.promptWords - 1) {
+            WORDS[random.nextInt(WORDS.size)]
+        }
+        )
+        .joinToString(" ")
 
     private const val NANOS_PER_SECOND = 1e9
     private const val SEED_STEP = 1_000_003L
--- a/bench/src/main/kotlin/io/greengageport/bench/ExperimentResult.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ExperimentResult.kt
@@ -54,7 +54,7 @@
     val tokensWasted: Long get() = maxOf(0, tokensComputed - tokensReceived)
 }
 
-/** Orders against their effects at the plain service; the last two counts are 0 if all is right. */
+/** Orders against their effects at the service; the last two counts are 0 if all is right. */
 @Serializable
 internal data class OrderCheck(
     val orders: Int = 0,
--- a/bench/src/main/kotlin/io/greengageport/bench/MarkdownReport.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/MarkdownReport.kt
@@ -79,7 +79,13 @@
         line(r, "tokens computed") { it.tokensComputed.toString() }
         line(r, "tokens wasted") { it.tokensWasted.toString() }
         line(r, "wrong, mixed, truncated or duplicated answers") { v ->
-            if (v.faults.isEmpty()) "0" else v.faults.entries.joinToString { "${it.value} ${it.key}" }
+            if (v.faults.isEmpty()) {
+                "0"
+            } else {
+                v.faults.entries.joinToString {
+                    "${it.value} ${it.key}"
+                }
+            }
         }
         line(r, "engines lost without an event") { it.enginesLost.toString() }
         line(r, "failed tries by code (execution)") { v ->
