Keep the engine's connection after a complete answer

Change: the rest of the stream is read for at most 100 ms; the caller's answer ends with the last token and does not wait for it.

--- a/entry/src/main/kotlin/io/greengageport/entry/CompletionExchange.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CompletionExchange.kt
@@ -34,6 +34,7 @@
 
         class Failed(val error: RequestError) : Event
 
+        /** The answer ended without a last token, which is a fault of this program. */
         data object Complete : Event
     }
 
@@ -70,11 +71,10 @@
             events.send(end.fold({ Event.Complete }, { Event.Failed(it) }))
         }
         val error = when (val first = events.receive()) {
-            is Event.Failed -> first.error
-            Event.Complete -> RequestError.Internal("an empty answer", Execution.RAN)
+            is Event.Failed, Event.Complete -> errorOf(first)
             is Event.Token -> if (completion.stream) stream(first, events) else whole(first, events)
         }
-        producer.cancel()
+        if (error == null) producer.join() else producer.cancel()
         error
     }
 
@@ -85,28 +85,15 @@
         call.respondBytesWriter(ContentType.Text.EventStream) {
             var event: Event = first
             while (true) {
-                when (val e = event) {
-                    is Event.Token -> writeStringUtf8(
-                        CompletionFormat.event(
-                            context.id,
-                            completion,
-                            created,
-                            e.text,
-                            if (e.last) "length" else null
-                        )
-                    )
-
-                    is Event.Failed -> {
-                        failure = e.error
-                        writeStringUtf8("data: ${ErrorBody.text(e.error, context.id)}\n\n")
-                        break
-                    }
-
-                    Event.Complete -> {
-                        writeStringUtf8("data: [DONE]\n\n")
-                        break
-                    }
+                val e = event
+                if (e !is Event.Token) {
+                    val error = errorOf(e)
+                    writeStringUtf8("data: ${ErrorBody.text(error, context.id)}\n\n")
+                    failure = error
+                    break
                 }
+                writeToken(e)
+                if (e.last) break
                 event = next(events)
             }
             flush()
@@ -114,6 +101,17 @@
         return failure
     }
 
+    private suspend fun ByteWriteChannel.writeToken(t: Event.Token) {
+        val finish = if (t.last) "length" else null
+        writeStringUtf8(CompletionFormat.event(context.id, completion, created, t.text, finish))
+        if (t.last) writeStringUtf8("data: [DONE]\n\n")
+    }
+
+    private fun errorOf(e: Event): RequestError = when (e) {
+        is Event.Failed -> e.error
+        else -> RequestError.Internal("the answer ended without its last token", Execution.RAN)
+    }
+
     /** Flushes only when no further token is at hand, to save system calls under load. */
     private suspend fun ByteWriteChannel.next(events: Channel<Event>): Event {
         events.tryReceive().getOrNull()?.let { return it }
@@ -123,12 +121,12 @@
 
     private suspend fun whole(first: Event.Token, events: Channel<Event>): RequestError? {
         val text = StringBuilder(first.text)
-        while (true) {
-            when (val e = events.receive()) {
-                is Event.Token -> text.append(e.text)
-                is Event.Failed -> return e.error
-                Event.Complete -> break
-            }
+        var last = first.last
+        while (!last) {
+            val e = events.receive()
+            if (e !is Event.Token) return errorOf(e)
+            text.append(e.text)
+            last = e.last
         }
         call.response.header(CallerHeaders.EXECUTION, Execution.RAN.wireName)
         val usage = Usage(promptTokens, delivered)
--- a/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
@@ -13,6 +13,7 @@
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.HttpStatusCode
+import io.ktor.utils.io.discard
 import io.ktor.utils.io.readLine
 import java.io.IOException
 import java.net.ConnectException
@@ -25,6 +26,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
@@ -58,6 +60,9 @@
     /** The frame is not part of the answer; the wait for the next token goes on. */
     IGNORED,
 
+    /** The answer is complete; the stream ends by itself and its connection can be kept. */
+    LAST,
+
     /** The stream is no longer needed. */
     STOP
 }
@@ -169,6 +174,11 @@
 
                 FrameUse.IGNORED -> wait.since.set(since)
 
+                FrameUse.LAST -> {
+                    withTimeoutOrNull(END_OF_STREAM_MILLIS) { channel.discard() }
+                    return StreamEnd.Finished
+                }
+
                 FrameUse.STOP -> {
                     channel.cancel(null)
                     return StreamEnd.Finished
@@ -195,6 +205,7 @@
         /** Header by which a backend server tells that it is leaving. */
         const val LEAVING_HEADER = "Greengage-Leaving"
         private const val GUARD_PERIOD_MILLIS = 50L
+        private const val END_OF_STREAM_MILLIS = 100L
         private const val CANCEL_TIMEOUT_MILLIS = 1_000L
         private val json = Json { ignoreUnknownKeys = true }
     }
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -245,7 +245,11 @@
                 a.observer.onFrame(f)
                 if (isMarked) isMarked = !suspects.progressed(context.id, assembler.size)
                 sink.token(outcome.text, outcome.last)
-                if (outcome.last || isLate()) FrameUse.STOP else FrameUse.TAKEN
+                when {
+                    outcome.last -> FrameUse.LAST
+                    isLate() -> FrameUse.STOP
+                    else -> FrameUse.TAKEN
+                }
             }
 
             is FrameOutcome.Dropped -> {
