Don't suspect requests sent to an address that had already failed

Cause: after a runner had crashed and started anew, its load report came before the instance list showed its new address. Requests sent to the old address found it refused and were marked as if they had crashed the new process; one real crash later they were blocked.

Change: the loss of an address counts once, until the runner answers again.

Before: StreamsTest "the first stage crashes" ended with request_crashes_runners when it followed "the last stage is killed" with the runner started anew (1 of 1 run).

--- a/entry/src/main/kotlin/io/greengageport/entry/AttemptObserver.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/AttemptObserver.kt
@@ -18,6 +18,9 @@
     private var firstAt = 0L
     private var lastAt = 0L
 
+    /** Whether no frame came, so that no stage is known to have run. */
+    val isEmpty: Boolean get() = frames == 0
+
     /** Mean time between tokens in milliseconds, or null with fewer than two. */
     val gapMillis: Double?
         get() = if (frames < 2) null else (lastAt - firstAt).toDouble() / (frames - 1)
--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -8,6 +8,7 @@
 import io.greengageport.platform.ListedRunner
 import io.greengageport.platform.ListedState
 import io.greengageport.platform.LoadReport
+import io.greengageport.platform.RouteHop
 import io.greengageport.routing.Fingerprint
 import io.greengageport.routing.Fleet
 import io.greengageport.routing.LinkEstimator
@@ -43,6 +44,9 @@
 
     /** Addresses of runners that were seen leaving; a runner that comes back has a new one. */
     private val leaving = ConcurrentHashMap<RunnerId, String>()
+
+    /** Addresses that were found silent or refusing and have not answered since. */
+    private val lost = ConcurrentHashMap<RunnerId, String>()
     private val joinedAt = ConcurrentHashMap<RunnerId, Long>()
 
     /** Runners that get no new work until a wall time, because an order is to change them. */
@@ -120,6 +124,15 @@
     /** Whether [runner] gets no new work because an order is to change it. */
     fun isHeld(runner: RunnerId): Boolean = (heldUntil[runner] ?: 0) > clock.wallMillis()
 
+    /**
+     * Notes that the runner at [hop] is silent or refuses connections. False if it was so before:
+     * requests sent to an address that had already failed can't have crashed its process.
+     */
+    fun isNewLoss(hop: RouteHop): Boolean = lost.put(hop.runner, hop.address) != hop.address
+
+    /** The [runners] answered. */
+    fun answered(runners: List<RunnerId>): Unit = runners.forEach { lost.remove(it) }
+
     /** Publishes what is known of a suspect request. */
     fun publish(state: SuspectState) {
         Logger.warn("routing: suspect request ${state.fingerprint} marks=${state.marks.size}")
@@ -190,6 +203,7 @@
         leaving.remove(id)
         joinedAt.remove(id)
         heldUntil.remove(id)
+        lost.remove(id)
         fleet.remove(id)
         loads.forget(id)
         links.forget(id)
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -266,6 +266,7 @@
         assembler.endAttempt()
         val now = parts.clock.wallMillis()
         for (s in a.decision.stages) parts.backends.loads.finished(s.id, s.workTokens, now)
+        if (!a.observer.isEmpty) parts.backends.answered(a.decision.stages.map { it.id })
         a.observer.report(parts.backends.outliers, parts.backends.links)
         a.observer.gapMillis?.let { admission.observeGap(it) }
         if (assembler.isComplete) {
@@ -302,7 +303,7 @@
 
     private fun judge(hop: RouteHop, result: ProbeResult): Boolean = when (result) {
         ProbeResult.Refused -> {
-            suspects.connectionLost(hop.runner)
+            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
             suspects.connectionRefused(hop.runner).forEach { parts.backends.publish(it) }
             parts.backends.outliers.silent(hop.runner)
             excluded += hop.runner
@@ -311,7 +312,7 @@
 
         ProbeResult.Silent -> {
             // A process that is just ending may still take connections.
-            suspects.connectionLost(hop.runner)
+            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
             parts.backends.outliers.silent(hop.runner)
             excluded += hop.runner
             true
