Let stand-ins send wrong frames and lose answers and acknowledgements

Cause: the plain stand-in answered status 500 where it should lose the answer, since the server turns an exception before the head into a response; so no test could see an unknown outcome. Engines could not send wrong frames, and the lost acknowledgement hit whichever stream was appended to next.

Change: a lost answer ends the connection within the body; `wrong_frame` puts one repeated, early or foreign frame into an answer; the platform loses the acknowledgement of a named stream and counts the appends that arrived.

Before: NonIdempotentCallsTest "the answer is lost after the effect" saw status 500 with execution ran. After: 502 with execution unknown.

--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -26,10 +26,12 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
+import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 import kotlin.system.exitProcess
 import kotlinx.coroutines.CoroutineScope
@@ -51,6 +53,7 @@
     private val orders = AtomicLong()
     private val fencing = AtomicLong()
     private val lastStepAt = AtomicLong(System.nanoTime() - IDLE_NANOS)
+    private val wrongFrame = AtomicReference<WrongFrame?>()
 
     @Volatile
     private var version = settings.version
@@ -170,9 +173,11 @@
                         break
                     }
                     val frame = token(g, i, previous) ?: break
+                    if (i > g.firstIndex) {
+                        wrongFrame.getAndSet(null)?.let { writeFrame(it.before(frame)) }
+                    }
                     previous = frame.text
-                    writeStringUtf8(json.encodeToString(frame) + "\n")
-                    flush()
+                    writeFrame(frame)
                 }
             }
         } finally {
@@ -184,6 +189,11 @@
     private fun holds(hop: RouteHop?) =
         hop != null && hop.runner == settings.id && hop.layers in layers
 
+    private suspend fun ByteWriteChannel.writeFrame(f: TokenFrame) {
+        writeStringUtf8(json.encodeToString(f) + "\n")
+        flush()
+    }
+
     private suspend fun token(g: GenerateRequest, index: Int, previous: String): TokenFrame? {
         thaw()
         val tokens = ModelFunction.promptTokens(g.prompt) + g.delivered.size
@@ -310,6 +320,7 @@
         c.hopMillis?.let { hopMillis = it }
         c.leaving?.let { leaving = it }
         c.reportsStopped?.let { reportsStopped = it }
+        c.wrongFrame?.let { wrongFrame.set(it) }
         call.json("{}")
         if (c.crash) crash()
     }
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
@@ -2,8 +2,10 @@
 
 import io.greengageport.common.DataCentre
 import io.greengageport.common.LayerRange
+import io.greengageport.common.RequestId
 import io.greengageport.common.RunnerId
 import io.greengageport.common.ServiceName
+import io.greengageport.platform.TokenFrame
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -37,9 +39,40 @@
     val leaving: Boolean? = null,
     /** Sends no load reports while true, so that the platform shows an old one. */
     @SerialName("reports_stopped") val reportsStopped: Boolean? = null,
-    val crash: Boolean = false
+    val crash: Boolean = false,
+    /** Puts one wrong frame into the next answer. */
+    @SerialName("wrong_frame") val wrongFrame: WrongFrame? = null
 )
 
+/** A frame that doesn't belong at its place in the answer. */
+@Serializable
+internal enum class WrongFrame {
+    @SerialName("repeated")
+    REPEATED,
+
+    @SerialName("skipped")
+    SKIPPED,
+
+    @SerialName("other_request")
+    OTHER_REQUEST,
+
+    @SerialName("other_attempt")
+    OTHER_ATTEMPT,
+
+    /** Says that the first stage of the chain didn't run. */
+    @SerialName("wrong_layers")
+    WRONG_LAYERS;
+
+    /** The wrong frame to send before [frame]. */
+    fun before(frame: TokenFrame): TokenFrame = when (this) {
+        REPEATED -> frame.copy(index = frame.index - 1)
+        SKIPPED -> frame.copy(index = frame.index + 1)
+        OTHER_REQUEST -> frame.copy(request = RequestId("other"))
+        OTHER_ATTEMPT -> frame.copy(attempt = frame.attempt + 1)
+        WRONG_LAYERS -> frame.copy(layers = frame.layers.drop(1))
+    }.copy(text = "wrong ")
+}
+
 /** What an engine stand-in did so far. */
 @Serializable
 internal data class EngineCounters(
--- a/standins/src/main/kotlin/io/greengageport/standins/PlainServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlainServer.kt
@@ -8,11 +8,13 @@
 import io.ktor.server.request.path
 import io.ktor.server.request.receiveText
 import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.put
 import io.ktor.server.routing.route
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerialName
@@ -23,7 +25,7 @@
 @Serializable
 internal data class PlainControl(
     @SerialName("delay_ms") val delayMillis: Long? = null,
-    /** Runs the call, then ends the connection without an answer. */
+    /** Runs the call, then ends the connection in the middle of the answer. */
     @SerialName("lose_next_answers") val loseNextAnswers: Int? = null,
     val leaving: Boolean? = null
 )
@@ -37,6 +39,7 @@
     private val effects = mutableListOf<Effect>()
     private val loseNext = AtomicInteger()
     private val running = AtomicInteger()
+    private val received = AtomicInteger()
 
     @Volatile
     private var delayMillis = 0L
@@ -55,6 +58,7 @@
         get("/effects") {
             call.json(json.encodeToString(synchronized(effects) { effects.toList() }))
         }
+        get("/counters") { call.json("""{"received":${received.get()}}""") }
         get("/v1/load") { call.json("{}") }
         put("/control") {
             val c = json.decodeFromString<PlainControl>(call.receiveText())
@@ -73,6 +77,7 @@
         try {
             val method = call.request.httpMethod
             val body = call.receiveText()
+            received.incrementAndGet()
             if (delayMillis > 0) delay(delayMillis)
             call.response.header("Served-By", name)
             if (isLeaving) call.response.header("Greengage-Leaving", "true")
@@ -82,7 +87,11 @@
             }
             val key = call.request.headers["Idempotency-Key"].orEmpty()
             val number = record(Effect(method.value, call.request.path(), key, body))
-            if (loseNext.getAndUpdate { maxOf(0, it - 1) } > 0) error("answer lost on purpose")
+            if (loseNext.getAndUpdate { maxOf(0, it - 1) } > 0) {
+                // An exception before the head would be answered with status 500.
+                call.respondBytesWriter(contentLength = 1) { throw IOException("answer lost") }
+                return
+            }
             call.respondText(
                 """{"number":$number,"echo":${json.encodeToString(body)}}""",
                 ContentType.Application.Json,
--- a/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
@@ -25,6 +25,7 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -48,6 +49,8 @@
     @SerialName("log_down") val logDown: Boolean? = null,
     @SerialName("append_delay_ms") val appendDelayMillis: Long? = null,
     @SerialName("lose_next_acknowledgement") val loseNextAcknowledgement: Boolean = false,
+    /** Stores the next append to this stream and answers as if its fate were unknown. */
+    @SerialName("lose_acknowledgement_of") val loseAcknowledgementOf: String? = null,
     @SerialName("list_down") val listDown: Boolean? = null,
     @SerialName("truncate_stream") val truncateStream: String? = null,
     @SerialName("truncate_before") val truncateBefore: Long = 0
@@ -55,7 +58,12 @@
 
 /** Counters of the platform stand-in. */
 @Serializable
-public data class PlatformCounters(val appends: Long, val reads: Long)
+public data class PlatformCounters(
+    val appends: Long,
+    val reads: Long,
+    /** Appends that arrived, by stream, whether or not they took effect. */
+    val arrived: Map<String, Long> = emptyMap()
+)
 
 /**
  * Stands in for the platform: the append-only log, the lagging instance list, load reports.
@@ -72,6 +80,8 @@
     private val runners = ConcurrentHashMap<RunnerId, Registered<ListedRunner>>()
     private val instances = ConcurrentHashMap<InstanceId, Registered<ListedInstance>>()
     private val loads = ConcurrentHashMap<RunnerId, LoadReport>()
+    private val arrived = ConcurrentHashMap<String, Long>()
+    private val losing = AtomicReference<String?>()
 
     @Volatile
     private var listing = InstanceListing()
@@ -148,14 +158,22 @@
             call.json("{}")
         }
         put("/control") { control(call) }
-        get("/counters") { call.json(json.encodeToString(PlatformCounters(log.appends, reads))) }
+        get("/counters") {
+            call.json(json.encodeToString(PlatformCounters(log.appends, reads, arrived)))
+        }
     }
 
     private suspend fun append(call: ApplicationCall) {
         val stream = call.parameters["stream"].orEmpty()
         val payload = call.receive<ByteArray>()
+        arrived.merge(stream, 1, Long::plus)
         if (appendDelayMillis > 0) delay(appendDelayMillis)
-        log.append(stream, payload).fold(
+        val result = log.append(stream, payload)
+        if (result.isOk && losing.compareAndSet(stream, null)) {
+            call.logError(LogError.Uncertain("acknowledgement lost"))
+            return
+        }
+        result.fold(
             success = { call.json(json.encodeToString(AppendReply(it))) },
             failure = { call.logError(it) }
         )
@@ -181,6 +199,7 @@
         c.appendDelayMillis?.let { appendDelayMillis = it }
         c.listDown?.let { listDown = it }
         if (c.loseNextAcknowledgement) log.nextAppend = AppendFault.LOSE_ACKNOWLEDGEMENT
+        c.loseAcknowledgementOf?.let { losing.set(it) }
         c.truncateStream?.let { log.truncate(it, c.truncateBefore) }
         call.json("{}")
     }
