--- /dev/null
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/SettingsTest.kt
@@ -0,0 +1,213 @@
+package io.greengageport.systemtest
+
+import io.greengageport.bench.LocalFleet
+import io.greengageport.bench.PlainSpec
+import io.greengageport.entry.HistoryLine
+import io.greengageport.entry.PublishReply
+import io.greengageport.entry.PublishResult
+import io.greengageport.entry.SettingsPage
+import io.greengageport.settings.Rejection
+import java.util.concurrent.CompletableFuture
+import kotlinx.serialization.json.Json
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.MethodOrderer
+import org.junit.jupiter.api.Order
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestMethodOrder
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/** Accepted settings come into force everywhere within 5 s and never revert (invariant 7). */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
+internal class SettingsTest {
+    private val fleet = TestFleet(
+        plain = listOf(PlainSpec("shop", "parts")),
+        spare = listOf("entry-4", "entry-5")
+    )
+    private val local = fleet.local
+
+    @AfterEach
+    fun repair() {
+        fleet.fault("platform", "\"log_down\":false")
+        fleet.thaw()
+    }
+
+    @AfterAll
+    fun close(): Unit = fleet.close()
+
+    /** Guards against a change that is kept back by a lost gossip message or long poll. */
+    @Test
+    @Order(1)
+    fun `a change is in force on all instances within 5 s`() {
+        for (i in 1..CHANGES) {
+            val reply = publish("entry-${i % 3 + 1}", 20_000 + i)
+            val accepted = System.nanoTime()
+            val inForce = local.instances.associateWith { name ->
+                LocalFleet.await("$name has ${reply.version}") {
+                    version(name) >= reply.version!!
+                }
+                System.nanoTime() - accepted
+            }
+            expectThat(inForce.values.max()).isLessThan(IN_FORCE_NANOS)
+            expectSame(20_000 + i)
+        }
+    }
+
+    /** Guards against a refused change that comes into force on some instance or later. */
+    @Test
+    @Order(2)
+    fun `a publish during a log outage is refused and changes nothing`() {
+        val before = local.instances.map(::page)
+        val reply = fleet.duringLogOutage {
+            publish("entry-2", 31_000).also {
+                expectThat(local.instances.map(::page)).isEqualTo(before)
+            }
+        }
+        expectThat(reply.result).isEqualTo(PublishResult.NOT_APPENDED)
+        val next = publish("entry-1", 32_000)
+        expectThat(next.result).isEqualTo(PublishResult.ACCEPTED)
+        awaitVersion(next.version!!)
+        expectSame(32_000)
+        local.instances.forEach { expectThat(changes(it, reply.changeId)).hasSize(0) }
+    }
+
+    /** Guards against a change that is published twice, or lost, when its append seems to fail. */
+    @Test
+    @Order(3)
+    fun `a publish whose acknowledgement is lost is accepted once`() {
+        fleet.fault("platform", "\"lose_acknowledgement_of\":\"settings\"")
+        val reply = publish("entry-3", 33_000)
+        expectThat(reply.result).isEqualTo(PublishResult.ACCEPTED)
+        awaitVersion(reply.version!!)
+        expectSame(33_000)
+        local.instances.forEach { expectThat(changes(it, reply.changeId)).hasSize(1) }
+        expectThat(local.instances.map { history(it).count { l -> "33000" in l.yaml.orEmpty() } })
+            .isEqualTo(local.instances.map { 1 })
+    }
+
+    /** Guards against a lost update, and against a loser who isn't told why. */
+    @Test
+    @Order(4)
+    fun `of two operators who start from the same base one wins and the loser is told`() {
+        repeat(RACES) { race ->
+            val base = page("entry-1").baseVersion
+            val replies = listOf("entry-1" to 41_000 + race, "entry-2" to 42_000 + race)
+                .map { (i, v) -> CompletableFuture.supplyAsync { publish(i, v, base) } }
+                .map { it.join() }
+            val (won, lost) = replies.partition { it.result == PublishResult.ACCEPTED }
+            expectThat(won).hasSize(1)
+            expectThat(lost.single().rejection).isNotNull().isA<Rejection.Conflict>().and {
+                get { version }.isEqualTo(won.single().version)
+                get { winner?.id?.value }.isEqualTo(won.single().changeId)
+            }
+            awaitVersion(won.single().version!!)
+        }
+    }
+
+    /** Guards against a paused instance that brings back what it had before its pause. */
+    @Test
+    @Order(5)
+    fun `a frozen instance catches up and never shows an older version`() {
+        val seen = mutableListOf(version("entry-3"))
+        fleet.process("entry-3").freeze()
+        val last = (1..CHANGES).map { publish("entry-1", 50_000 + it) }.last().version!!
+        awaitVersion(last, listOf("entry-1", "entry-2"))
+        fleet.process("entry-3").thaw()
+        val thawed = System.nanoTime()
+        LocalFleet.await("entry-3 catches up") {
+            seen += version("entry-3")
+            seen.last() >= last
+        }
+        expectThat(System.nanoTime() - thawed).isLessThan(IN_FORCE_NANOS)
+        expectThat(seen).isEqualTo(seen.sorted().toMutableList())
+        expectSame(50_000 + CHANGES)
+        expectThat(local.instances.map(::version).min()).isEqualTo(last)
+    }
+
+    /** Guards against an instance that can't start, or starts empty, while the log is down. */
+    @Test
+    @Order(6)
+    fun `an instance that starts during a log outage learns the settings from its peers`() {
+        val expected = page("entry-1")
+        fleet.duringLogOutage {
+            fleet.startInstance("entry-4")
+            expectThat(page("entry-4")).isEqualTo(expected)
+            val r = local.get(
+                "http://${local.callers("entry-4")}/services/parts/list/7",
+                "Authorization" to "Bearer ${TestFleet.BUILDERS}"
+            )
+            expectThat(r.statusCode() to r.body()).isEqualTo(200 to "shop /list/7")
+        }
+        val next = publish("entry-4", 61_000)
+        expectThat(next.version).isNotNull().isGreaterThan(expected.version)
+        awaitVersion(next.version!!)
+        expectSame(61_000)
+    }
+
+    /** Guards against a reader that takes a log without its beginning for an empty one. */
+    @Test
+    @Order(7)
+    fun `a new instance has the settings after retention cut the log`() {
+        val expected = page("entry-1")
+        val end = fleet.logEnd("settings")
+        fleet.fault("platform", """"truncate_stream":"settings","truncate_before":$end""")
+        fleet.startInstance("entry-5")
+        expectThat(page("entry-5")).isEqualTo(expected)
+        val next = publish("entry-5", 71_000)
+        expectThat(next.result).isEqualTo(PublishResult.ACCEPTED)
+        expectThat(next.rejection).isNull()
+        awaitVersion(next.version!!)
+        expectSame(71_000)
+    }
+
+    private fun publish(through: String, deadline: Int, base: Long = page(through).baseVersion) =
+        json.decodeFromString<PublishReply>(
+            local.publish(PATH, yaml(deadline), base, through).body()
+        )
+
+    private fun expectSame(deadline: Int) {
+        val pages = local.instances.map(::page)
+        expectThat(pages.distinct()).hasSize(1)
+        expectThat(pages.first().yaml.lines().filter { "deadlineMillis" in it }.map { it.trim() })
+            .isEqualTo(listOf("deadlineMillis: $deadline"))
+    }
+
+    private fun awaitVersion(version: Long, names: List<String> = local.instances) =
+        names.forEach { n -> LocalFleet.await("$n has $version") { version(n) >= version } }
+
+    private fun version(name: String): Long = local.statusOrNull(name)?.settings?.version ?: -1
+
+    private fun page(name: String): SettingsPage = json.decodeFromString(ask(name, "?path=$PATH"))
+
+    private fun history(name: String): List<HistoryLine> =
+        json.decodeFromString(ask(name, "/history?path=$PATH"))
+
+    private fun changes(name: String, id: String) = history(name).filter { it.changeId == id }
+
+    private fun ask(name: String, rest: String): String = local.get(
+        "http://${local.admin(name)}/admin/settings$rest",
+        "Authorization" to "Bearer operations-key"
+    ).body()
+
+    private companion object {
+        const val PATH = "ranks/batch"
+        const val CHANGES = 5
+        const val RACES = 3
+
+        /** Bound of invariant 7. */
+        const val IN_FORCE_NANOS = 5_000_000_000L
+        val json = Json { ignoreUnknownKeys = true }
+
+        fun yaml(deadline: Int) = "{priority: 2, firstTokenMillis: 9000, " +
+            "betweenTokensMillis: 250, deadlineMillis: $deadline, floorShare: 0.05, weight: 1}"
+    }
+}
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
@@ -8,19 +8,28 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 
 /** Answers stay whole when runners fail in the middle of them (invariants 1 and 2). */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 internal class StreamsTest {
     private val fleet = TestFleet(
-        // Killed runners aren't started anew, so each half of the layers has enough copies.
+        // Enough copies of each half that some are left while those of the test before return.
         engines = (1..5).map { engine("a$it", 0, 6) } + (1..5).map { engine("b$it", 6, 12) }
     )
 
+    private val local = fleet.local
+    private var droppedBefore = 0.0
+
     @AfterEach
-    fun thaw(): Unit = fleet.thaw()
+    fun repair() {
+        fleet.thaw()
+        fleet.restartEngines()
+    }
 
     @AfterAll
     fun close(): Unit = fleet.close()
@@ -87,6 +96,27 @@
         }
     }
 
+    @Nested
+    inner class WrongFrames {
+        /** Guards against frames that are doubled, early, late or of another request. */
+        @ParameterizedTest
+        @ValueSource(
+            strings = ["repeated", "skipped", "other_request", "other_attempt", "wrong_layers"]
+        )
+        fun `leave no trace in the answer`(kind: String) {
+            fleet.liveEngines.forEach { fleet.fault(it, "\"wrong_frame\":\"$kind\"") }
+            val answers = (1..INSTANCES).map { fleet.stream("entry-$it", "$kind $it", TOKENS) }
+            answers.forEachIndexed { i, a -> expectWhole("$kind ${i + 1}", a) }
+            val dropped = local.instances.sumOf { i ->
+                local.get("http://${local.admin(i)}/metrics").body().lines()
+                    .filter { it.startsWith("greengageport_dropped_frames_total") }
+                    .sumOf { it.substringAfterLast(' ').toDouble() }
+            }
+            expectThat(dropped).isGreaterThan(droppedBefore)
+            droppedBefore = dropped
+        }
+    }
+
     private fun expectWhole(prompt: String, answer: StreamedAnswer) {
         answer.awaitEnd()
         if (answer.end != "complete") fleet.explain(answer.requestId)
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -9,6 +9,9 @@
 import io.greengageport.bench.ProgramProcess
 import java.net.http.HttpResponse
 import java.nio.file.Path
+import java.time.Instant
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonArray
@@ -70,6 +73,64 @@
         "Greengage-Rank" to "urgent"
     )
 
+    /** Sends the non-idempotent call with [key] at [instance] and waits for its end. */
+    fun order(
+        instance: String,
+        key: String,
+        issuedAt: Instant = Instant.now(),
+        body: String = ORDER
+    ): CallEnd = CallEnd.of {
+        local.post(
+            "http://${local.callers(instance)}/services/parts/orders/marble",
+            body,
+            "Authorization" to "Bearer $BUILDERS",
+            "Greengage-Rank" to "urgent",
+            "Idempotency-Key" to key,
+            "Greengage-Issued-At" to issuedAt.toString()
+        )
+    }
+
+    /** Sends the call as [order] does and returns at once. */
+    fun startOrder(
+        instance: String,
+        key: String,
+        issuedAt: Instant = Instant.now()
+    ): CompletableFuture<CallEnd> =
+        CompletableFuture.supplyAsync({ order(instance, key, issuedAt) }, callers)
+
+    /** Calls that the runner [name] of a plain service received so far. */
+    fun received(name: String): Long = counter(name, "received")
+
+    /** Starts the instance [name] anew, or for the first time, and waits until it is ready. */
+    fun startInstance(name: String) {
+        local.startInstance(name).address
+        local.awaitReady(listOf(name), version = 1)
+        LocalFleet.await("$name sees the plain runners") {
+            val seen = local.statusOrNull(name)?.runners.orEmpty().map { it.id.value }
+            seen.containsAll(plain.map { it.id })
+        }
+    }
+
+    /** Takes the log service down while [action] runs. */
+    fun <T> duringLogOutage(action: () -> T): T {
+        fault("platform", "\"log_down\":true")
+        return try {
+            action()
+        } finally {
+            fault("platform", "\"log_down\":false")
+        }
+    }
+
+    /** Waits until all live instances decide about non-idempotent calls. */
+    fun awaitLedgers() {
+        for (i in local.instances.filter(local::isRunning)) {
+            LocalFleet.await("the ledger of $i is ready") {
+                val l = local.statusOrNull(i)?.ledger
+                l != null && l.ready && l.outageMillis == null
+            }
+        }
+    }
+
     /** Sets the fault [fields], the inside of a JSON object, of the stand-in [name]. */
     fun fault(name: String, fields: String): Unit = local.control(name, "{$fields}")
 
@@ -86,6 +147,10 @@
     val liveEngines: List<String>
         get() = engines.map { it.id }.filter { process(it).isAlive }
 
+    /** Appends to the log's [stream] that arrived at the platform. */
+    fun arrived(stream: String): Long =
+        counters("platform")["arrived"]?.jsonObject?.get(stream)?.jsonPrimitive?.long ?: 0
+
     /** The engines of the chain that now runs the only request in flight, first stage first. */
     fun busyChain(): List<String> {
         val live = liveEngines
@@ -102,6 +167,17 @@
         (liveEngines + local.instances.filter(local::isRunning)).forEach { process(it).thaw() }
     }
 
+    /** Starts the engines that ended anew and waits until they serve. */
+    fun restartEngines() {
+        engines.map { it.id }.filterNot(local::isRunning).map(local::startEngine)
+            .forEach { it.address }
+    }
+
+    /** Offset that the next record of the log's [stream] gets. */
+    fun logEnd(stream: String): Long = Json.parseToJsonElement(
+        local.get("http://${process("platform").address}/v1/log/$stream?from=1").body()
+    ).jsonObject.getValue("next").jsonPrimitive.long
+
     /** Effects at the runner [name] of a plain service, as the keys of the calls in order. */
     fun effects(name: String): List<String> =
         Json.parseToJsonElement(local.get("http://${process(name).address}/effects").body())
@@ -122,6 +198,10 @@
         const val BUILDERS = "line-one-key"
         const val TEACHERS = "audit-office-key"
         const val LAYERS = 12
+        const val ORDER = """{"part":7}"""
+        private val callers = Executors.newCachedThreadPool { r ->
+            Thread(r, "caller").apply { isDaemon = true }
+        }
 
         /** The version in the settings; chains never mix versions. */
         const val VERSION = "v1"
