Keep the ports open while an instance drains after SIGTERM

Cause: the HTTP server installs a JVM shutdown hook of its own, which ran beside the drain: it closed the caller port at once and cut the requests in flight after its grace time, so new requests met a refused connection instead of "not run" with Retry-After.

Change: the hook is switched off in the entry instance and the stand-ins; the drain alone ends the servers.

Before: LeavingTest "SIGTERM of an entry instance under load cuts no request in flight" failed (1 of 1 run), a new request got a ConnectException 0.4 s after the signal. After: green (1 of 1 run), with 6 streams and 4 orders in flight.

--- a/entry/src/main/kotlin/io/greengageport/entry/Http.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/Http.kt
@@ -66,6 +66,8 @@
     bounds: BoundsConfig,
     routes: Route.() -> Unit
 ): Pair<EmbeddedServer<*, *>, HostPort> {
+    // The server's own hook closes the port and cuts its calls on SIGTERM, beside the drain.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val at = HostPort.parse(listen)
     val server = embeddedServer(
         ServerCio,
--- a/standins/src/main/kotlin/io/greengageport/standins/Http.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/Http.kt
@@ -48,6 +48,8 @@
     listen: HostPort,
     routes: Route.() -> Unit
 ): Pair<EmbeddedServer<*, *>, HostPort> {
+    // The server's own hook closes the port and cuts its calls on SIGTERM, beside the drain.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val server = embeddedServer(ServerCio, port = listen.port, host = listen.host) {
         routing(routes)
     }
