Count platform calls by kind, and show the peer protocol in the metrics

Cause: the cost of control per instance could not be read from a running fleet. Change: GET /counters of the platform stand-in tells calls and body bytes by kind, with log appends and reads by stream; PUT /control/runners lists runners that need not run; /metrics has frames, bytes and opened connections of the peer protocol.

--- a/entry/src/main/kotlin/io/greengageport/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryMetrics.kt
@@ -1,6 +1,8 @@
 package io.greengageport.entry
 
+import io.greengageport.membership.PeerStats
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -8,7 +10,7 @@
 import java.io.ByteArrayOutputStream
 
 /** The metrics of an instance, in the Prometheus text format at `/metrics`. */
-internal class EntryMetrics {
+internal class EntryMetrics(peers: (() -> PeerStats)? = null) {
     private val registry = PrometheusRegistry()
 
     /** Requests by service, rank, organisation class and result code. */
@@ -86,10 +88,42 @@
         .labelNames("service", "state")
         .register(registry)
 
+    init {
+        peers?.let(::registerPeers)
+    }
+
     /** The page of `/metrics`. */
     fun page(): String {
         val out = ByteArrayOutputStream()
         PrometheusTextFormatWriter.create().write(out, registry.scrape())
         return out.toString(Charsets.UTF_8)
     }
+
+    private fun registerPeers(stats: () -> PeerStats) {
+        CounterWithCallback.builder()
+            .name("greengageport_peer_frames_total")
+            .help("Frames of the peer protocol.")
+            .labelNames("direction")
+            .callback {
+                val s = stats()
+                it.call(s.sentFrames.toDouble(), "sent")
+                it.call(s.receivedFrames.toDouble(), "received")
+            }
+            .register(registry)
+        CounterWithCallback.builder()
+            .name("greengageport_peer_bytes_total")
+            .help("Bytes of the frames of the peer protocol, without TCP/IP headers.")
+            .labelNames("direction")
+            .callback {
+                val s = stats()
+                it.call(s.sentBytes.toDouble(), "sent")
+                it.call(s.receivedBytes.toDouble(), "received")
+            }
+            .register(registry)
+        CounterWithCallback.builder()
+            .name("greengageport_peer_connections_opened_total")
+            .help("Connections of the peer protocol that were opened.")
+            .callback { it.call(stats().openedConnections.toDouble()) }
+            .register(registry)
+    }
 }
--- a/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
@@ -25,6 +25,7 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.LongAdder
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -55,7 +56,16 @@
 
 /** Counters of the platform stand-in. */
 @Serializable
-public data class PlatformCounters(val appends: Long, val reads: Long)
+public data class PlatformCounters(
+    val appends: Long,
+    val reads: Long,
+    /** Calls of entry instances by kind; those to the log are of the kind `append STREAM`. */
+    val calls: Map<String, CallCount> = emptyMap()
+)
+
+/** Backend servers that a test lists without running them, all with `PUT /control/runners`. */
+@Serializable
+public data class SyntheticRunners(val runners: List<ListedRunner>, val loads: List<LoadReport>)
 
 /**
  * Stands in for the platform: the append-only log, the lagging instance list, load reports.
@@ -85,8 +95,8 @@
     @Volatile
     private var listDown = false
 
-    @Volatile
-    private var reads = 0L
+    private val reads = LongAdder()
+    private val calls = CallCounters()
 
     /** Publishes the list and the load reports with their lags until [scope] ends. */
     public fun start(scope: CoroutineScope) {
@@ -122,12 +132,8 @@
     public fun routes(route: Route): Unit = with(route) {
         post("/v1/log/{stream}") { append(call) }
         get("/v1/log/{stream}") { read(call) }
-        get("/v1/instances") {
-            if (listDown) call.unavailable() else call.json(json.encodeToString(listing))
-        }
-        get("/v1/load") {
-            if (listDown) call.unavailable() else call.json(json.encodeToString(loadPage))
-        }
+        get("/v1/instances") { answer(call, "list") { json.encodeToString(listing) } }
+        get("/v1/load") { answer(call, "load") { json.encodeToString(loadPage) } }
         put("/v1/instances/runners") {
             val r = json.decodeFromString<ListedRunner>(call.receiveText())
             runners[r.id] = Registered(r, nowMillis())
@@ -138,9 +144,10 @@
             call.json("{}")
         }
         put("/v1/instances/entries") {
-            val i = json.decodeFromString<ListedInstance>(call.receiveText())
+            val text = call.receiveText()
+            val i = json.decodeFromString<ListedInstance>(text)
             instances[i.id] = Registered(i, nowMillis())
-            call.json("{}")
+            call.counted("register", "{}", received = text.length)
         }
         put("/v1/load") {
             val l = json.decodeFromString<LoadReport>(call.receiveText())
@@ -148,7 +155,16 @@
             call.json("{}")
         }
         put("/control") { control(call) }
-        get("/counters") { call.json(json.encodeToString(PlatformCounters(log.appends, reads))) }
+        put("/control/runners") {
+            val s = json.decodeFromString<SyntheticRunners>(call.receiveText())
+            for (r in s.runners) runners[r.id] = Registered(r, nowMillis())
+            for (l in s.loads) loads[l.runner] = l
+            call.json("{}")
+        }
+        get("/counters") {
+            val c = PlatformCounters(log.appends, reads.sum(), calls.snapshot())
+            call.json(json.encodeToString(c))
+        }
     }
 
     private suspend fun append(call: ApplicationCall) {
@@ -156,21 +172,25 @@
         val payload = call.receive<ByteArray>()
         if (appendDelayMillis > 0) delay(appendDelayMillis)
         log.append(stream, payload).fold(
-            success = { call.json(json.encodeToString(AppendReply(it))) },
+            success = {
+                val reply = json.encodeToString(AppendReply(it))
+                call.counted("append $stream", reply, received = payload.size)
+            },
             failure = { call.logError(it) }
         )
     }
 
     private suspend fun read(call: ApplicationCall) {
         val q = call.request.queryParameters
-        reads++
+        val stream = call.parameters["stream"].orEmpty()
+        reads.increment()
         log.read(
-            stream = call.parameters["stream"].orEmpty(),
+            stream = stream,
             from = q["from"]?.toLongOrNull() ?: 1,
             max = (q["max"]?.toIntOrNull() ?: PAGE).coerceIn(1, PAGE),
             wait = (q["wait_ms"]?.toLongOrNull() ?: 0).coerceIn(0, MAX_WAIT_MILLIS).milliseconds
         ).fold(
-            success = { call.json(json.encodeToString(LogPage.of(it))) },
+            success = { call.counted("read $stream", json.encodeToString(LogPage.of(it))) },
             failure = { call.logError(it) }
         )
     }
@@ -185,6 +205,15 @@
         call.json("{}")
     }
 
+    private suspend fun answer(call: ApplicationCall, kind: String, page: () -> String) {
+        if (listDown) call.unavailable() else call.counted(kind, page())
+    }
+
+    private suspend fun ApplicationCall.counted(kind: String, reply: String, received: Int = 0) {
+        calls.add(kind, received, reply.length)
+        json(reply)
+    }
+
     private fun fresh(r: Registered<*>, now: Long) = now - r.at < times.registrationTtlMillis
 
     private fun nowMillis() = System.nanoTime() / NANOS_PER_MILLI
