Measure the cost of control by size with the real programs

Change: greengageport-bench slope instances, runners, settings and orders start fleets on loopback, read CPU time, memory and bytes from /proc, counters and metrics, and fit lines with standard errors.

--- a/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
@@ -26,7 +26,8 @@
     root: Path,
     private val file: FleetFile,
     private val directory: Path,
-    private val adminKey: String = "operations-key"
+    private val adminKey: String = "operations-key",
+    private val onLine: (name: String, line: String) -> Unit = { _, _ -> }
 ) : AutoCloseable {
     private val standins = root.resolve("standins/target/greengageport-standins")
     private val program = root.resolve("cli/target/greengageport")
@@ -202,6 +203,12 @@
         HttpResponse.BodyHandlers.ofString()
     )
 
+    /** Sends a PUT and returns the answer. */
+    public fun put(url: String, body: String): HttpResponse<String> = http.send(
+        request(url, emptyArray()).PUT(HttpRequest.BodyPublishers.ofString(body)).build(),
+        HttpResponse.BodyHandlers.ofString()
+    )
+
     /** Ends all processes at once. */
     override fun close() {
         processes.values.forEach { it.close() }
@@ -215,7 +222,8 @@
 
     private fun start(name: String, jar: Path, arguments: List<String>, heap: Int): ProgramProcess {
         processes[name]?.close()
-        return ProgramProcess(name, jar, arguments, heap).also { processes[name] = it }
+        return ProgramProcess(name, jar, arguments, heap) { onLine(name, it) }
+            .also { processes[name] = it }
     }
 
     private fun platformUrl() = "http://${platform.address}"
--- a/bench/src/main/kotlin/io/greengageport/bench/Main.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Main.kt
@@ -9,7 +9,7 @@
     name = "greengageport-bench",
     description = ["Test-only tool: demo, load and experiments on loopback."],
     mixinStandardHelpOptions = true,
-    subcommands = [DemoCommand::class, ExperimentCommand::class]
+    subcommands = [DemoCommand::class, ExperimentCommand::class, SlopeCommand::class]
 )
 internal class Bench
 
