--- a/bench/src/main/kotlin/io/greengageport/bench/Main.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Main.kt
@@ -9,7 +9,12 @@
     name = "greengageport-bench",
     description = ["Test-only tool: demo, load and experiments on loopback."],
     mixinStandardHelpOptions = true,
-    subcommands = [DemoCommand::class, ExperimentCommand::class, LatencyCommand::class]
+    subcommands = [
+        DemoCommand::class,
+        ExperimentCommand::class,
+        LatencyCommand::class,
+        SlopeCommand::class
+    ]
 )
 internal class Bench
 
