Eject a runner that refuses connections at once, without charging a retry

Cause: review. Until the next half-second round and while the lagging list still held an ended runner, requests kept meeting it, and each refused connection cost a retry of the budget. Change: the outlier rules run when a runner is found silent; an attempt that reached no backend server is free, and bounded because it excludes the runner. Test: ModelPathTest with an empty budget; without the change it ends in 'overloaded'.

--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -154,6 +154,12 @@
     fun isLeaving(runner: RunnerId): Boolean = leaving[runner] == listed[runner]?.address &&
         leaving.containsKey(runner)
 
+    /** The runner does not answer; it is ejected at once, before more requests are sent to it. */
+    fun silent(runner: RunnerId, service: ServiceName) {
+        outliers.silent(runner)
+        if (runner !in outliers.ejected()) evaluateOutliers(listOf(service))
+    }
+
     /** Applies the outlier rules to all services. */
     fun evaluateOutliers(services: List<ServiceName>) {
         for (s in services) {
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -309,7 +309,7 @@
         ProbeResult.Refused -> {
             if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
             suspects.connectionRefused(hop.runner).forEach { parts.backends.publish(it) }
-            parts.backends.outliers.silent(hop.runner)
+            parts.backends.silent(hop.runner, context.service.name)
             excluded += hop.runner
             true
         }
@@ -317,7 +317,7 @@
         ProbeResult.Silent -> {
             // A process that is just ending may still take connections.
             if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
-            parts.backends.outliers.silent(hop.runner)
+            parts.backends.silent(hop.runner, context.service.name)
             excluded += hop.runner
             true
         }
@@ -335,7 +335,8 @@
     /** Waits before the next attempt; an error if there is to be none. */
     private suspend fun retry(end: StreamEnd): RequestError? {
         if (parts.retryPolicy == RetryPolicy.ALWAYS) return null
-        // A refusal before the request ran costs the backend servers no work.
+        // These attempts cost the backend servers no work, and each excludes a runner.
+        if (end is StreamEnd.Unreachable) return null
         if (end is StreamEnd.Refused && end.leaving) return null
         return when (
             val r = parts.retries.tryRetry(
--- a/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
@@ -57,6 +57,8 @@
 
 /** The model path against engines in this process that misbehave by script. */
 class ModelPathTest {
+    private val outliers = OutlierDetector(SystemClock)
+    private var retryMinimum = 10
     private val opened = mutableListOf<AutoCloseable>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clients = HttpClients().also { opened += it }
@@ -132,6 +134,16 @@
             expectThat(answer(silent, other)).isEqualTo("t0 t1 t2 t3 ")
         }
 
+        /** Guards against refusals while the instance list still holds a runner that has ended. */
+        @Test
+        fun `a runner that refuses connections costs no retry and is ejected at once`() {
+            val ended = engine("a") { answerFrom(0) }.also { it.close() }
+            val other = engine("b") { answerFrom(0) }
+            retryMinimum = 0
+            expectThat(answer(ended, other)).isEqualTo("t0 t1 t2 t3 ")
+            expectThat(outliers.ejected()).isEqualTo(setOf(RunnerId("a")))
+        }
+
         @Test
         fun `an answer that no runner can complete ends in an error and not as complete`() {
             val breaking = engine("a") { send(frame(0)) }
@@ -166,7 +178,7 @@
         LoadEstimator(),
         LinkEstimator(),
         PrefixIndex(),
-        OutlierDetector(SystemClock),
+        outliers,
         SuspectRequests(SystemClock)
     )
 
@@ -180,7 +192,7 @@
             ),
             engines = EngineClient(clients.backend, SystemClock, scope),
             probe = RunnerProbe(clients.probe, timeoutMillis = 2_000),
-            retries = RetryBudget(SystemClock, Random(1), minimum = 10),
+            retries = RetryBudget(SystemClock, Random(1), minimum = retryMinimum),
             retryPolicy = RetryPolicy.BUDGET,
             times = TimesConfig(frameTimeoutMillis = 300),
             decisions = DecisionLog(SystemClock),
