Refuse values out of range in an instance's file

times.list_poll_ms: -5 was accepted and made the poll loop without a pause; an admin_key_hash that is no hash locked its holder out without a word.

--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.Result
 import io.greengageport.common.DataCentre
 import io.greengageport.common.InstanceId
+import io.greengageport.settings.KeyHash
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlinx.serialization.SerialName
@@ -63,11 +64,42 @@
                 !c.platform.startsWith("http://") && !c.platform.startsWith("https://") ->
                     Err(ConfigError.Invalid("platform is a URL, not '${c.platform}'"))
 
-                else -> Ok(c)
+                else -> outOfRange(c)?.let { Err(ConfigError.Invalid(it)) } ?: Ok(c)
             }
         }
 
+        /** A period of 0 ms, for example, would keep a core busy. */
+        private fun outOfRange(c: InstanceConfig): String? {
+            val b = c.bounds
+            val t = c.times
+            val hash = c.adminKeyHash
+            if (hash.isNotEmpty() && !KeyHash(hash).isValid) {
+                return "admin_key_hash is a SHA-256 hash as 64 lower-case hexadecimal digits"
+            }
+            return listOf(
+                Triple("bounds.max_body_bytes", b.maxBodyBytes, 1L..MAX_BODY_BYTES),
+                Triple("bounds.max_header_bytes", b.maxHeaderBytes, 1L..MAX_HEADER_BYTES),
+                Triple("bounds.max_requests", b.maxRequests.toLong(), 1L..MAX_REQUESTS),
+                Triple("bounds.idle_connection_s", b.idleConnectionSeconds.toLong(), 1L..DAY_S),
+                Triple("times.list_poll_ms", t.listPollMillis, POLLS),
+                Triple("times.load_poll_ms", t.loadPollMillis, POLLS),
+                Triple("times.connect_timeout_ms", t.connectTimeoutMillis, 1L..MINUTE_MILLIS),
+                Triple("times.frame_timeout_ms", t.frameTimeoutMillis, 1L..10 * MINUTE_MILLIS),
+                Triple("times.drain_limit_ms", t.drainLimitMillis, 0L..DAY_S * 1_000),
+                Triple("times.drain_notice_ms", t.drainNoticeMillis, 0L..10 * MINUTE_MILLIS)
+            ).firstOrNull { (_, value, allowed) -> value !in allowed }
+                ?.let { (key, value, allowed) ->
+                    "$key is from ${allowed.first} to ${allowed.last}, not $value"
+                }
+        }
+
         private const val MIN_SECRET = 16
+        private const val MAX_BODY_BYTES = 64L * 1_024 * 1_024
+        private const val MAX_HEADER_BYTES = 1_024L * 1_024
+        private const val MAX_REQUESTS = 1_000_000L
+        private const val DAY_S = 86_400L
+        private const val MINUTE_MILLIS = 60_000L
+        private val POLLS = 10L..MINUTE_MILLIS
     }
 }
 
--- a/entry/src/test/kotlin/io/greengageport/entry/InstanceConfigTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/InstanceConfigTest.kt
@@ -48,6 +48,9 @@
                 listOf(
                     load(file(secret = "0123456789abcde")),
                     load(file(admin = "localhost")),
+                    load(file() + "\ntimes: { list_poll_ms: 0 }"),
+                    load(file() + "\nbounds: { max_body_bytes: 67108865 }"),
+                    load(file() + "\nadmin_key_hash: secret"),
                     load(file() + "\nunknown: 1"),
                     load("instance: [")
                 )
@@ -55,6 +58,9 @@
                 listOf(
                     "peer_secret has at least 16 characters",
                     "an address is host:port, not 'localhost'",
+                    "times.list_poll_ms is from 10 to 60000, not 0",
+                    "bounds.max_body_bytes is from 1 to 67108864, not 67108865",
+                    "admin_key_hash is a SHA-256 hash as 64 lower-case hexadecimal digits",
                     "malformed at line 6",
                     "malformed at line 1"
                 )
