--- a/entry/src/main/kotlin/io/greengageport/entry/AdminServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/AdminServer.kt
@@ -124,11 +124,11 @@
 
     private suspend fun rollForward(body: String, key: KeyHash): PublishReply {
         val r = entryJson.decodeFromString<RollForwardRequest>(body)
-        val entry = parts.view().history(r.path)
-            .lastOrNull { it.path == r.path && it.version == r.toVersion }
+        val entry = earlierValue(parts.view().history(r.path), r.path, r.toVersion)
             ?: return PublishReply(
                 PublishResult.MALFORMED,
-                reason = "the history holds no change of ${r.path} at version ${r.toVersion}"
+                reason = "the history holds no change at or above ${r.path} at version " +
+                    r.toVersion
             )
         val author = Author(r.author, key)
         return replyOf(parts.publisher.publish(author, r.path, entry.value, r.baseVersion))
@@ -203,3 +203,11 @@
         status: HttpStatusCode = HttpStatusCode.OK
     ) = call.respondText(text, ContentType.Application.Json, status)
 }
+
+/** What the change of [version], made at [path] or above it, left at the path. */
+internal fun earlierValue(
+    history: List<HistoryEntry>,
+    path: SettingsPath,
+    version: Long
+): HistoryEntry? = history.lastOrNull { it.version == version && it.path.covers(path) }
+    ?.let { e -> e.copy(value = e.value?.filterKeys { path.covers(it) }) }
