Tell faults of the command line in one line with the right exit code

Bad addresses give code 2, unknown ones count as unreachable, a refused key says how to give one, missing files are named, fates are sentences, tables are aligned, and each parameter has a help text.

--- a/cli/src/main/kotlin/io/greengageport/cli/CheckCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/CheckCommand.kt
@@ -1,7 +1,6 @@
 package io.greengageport.cli
 
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.getOrElse
 import io.greengageport.settings.KeyHash
 import io.greengageport.settings.SettingsFile
 import io.greengageport.settings.SettingsPath
@@ -23,7 +22,11 @@
     @Parameters(paramLabel = "FILE", description = ["Settings (YAML): a tree or a subtree."])
     lateinit var file: Path
 
-    @Option(names = ["--path"], defaultValue = "", description = ["Where the file's content lies."])
+    @Option(
+        names = ["--path"],
+        defaultValue = "",
+        description = ["Path of the file's content (default: the root)."]
+    )
     lateinit var path: String
 
     @Option(names = ["--json"], description = ["Prints JSON."])
@@ -33,7 +36,7 @@
         val text = try {
             Files.readString(file)
         } catch (e: IOException) {
-            System.err.println("$file cannot be read: $e")
+            System.err.println(describe(file, e))
             return ExitCodes.BAD_FILE
         }
         return SettingsFile.parse(text, SettingsPath(path.trim('/'))).fold(
--- a/cli/src/main/kotlin/io/greengageport/cli/Main.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/Main.kt
@@ -40,6 +40,7 @@
 internal object ExitCodes {
     const val OK = 0
     const val FAILED = 1
+    const val USAGE = 2
     const val BAD_FILE = 3
     const val UNREACHABLE = 4
     const val REJECTED = 5
@@ -54,7 +55,16 @@
         arrayOf("greengageport ${Program::class.java.`package`.implementationVersion ?: "dev"}")
 }
 
+/** The command line; a fault is told in one line, and whole with `GREENGAGEPORT_TRACE` set. */
+internal fun commandLine(): CommandLine = CommandLine(Program())
+    .setCaseInsensitiveEnumValuesAllowed(true)
+    .setExecutionExceptionHandler { e, _, _ ->
+        System.err.println("greengageport failed: $e")
+        if (System.getenv("GREENGAGEPORT_TRACE") != null) e.printStackTrace()
+        ExitCodes.FAILED
+    }
+
 /** Entry point of the program. */
 public fun main(args: Array<String>) {
-    exitProcess(CommandLine(Program()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
+    exitProcess(commandLine().execute(*args))
 }
--- a/cli/src/main/kotlin/io/greengageport/cli/RunCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/RunCommand.kt
@@ -4,9 +4,11 @@
 import io.greengageport.entry.ConfigError
 import io.greengageport.entry.EntryInstance
 import io.greengageport.entry.InstanceConfig
+import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.runBlocking
 import org.tinylog.kotlin.Logger
 import picocli.CommandLine.Command
@@ -28,9 +30,16 @@
             return ExitCodes.BAD_FILE
         }
         val instance = EntryInstance(config)
-        val at = runBlocking { instance.start() }.getOrElse {
-            Logger.error("entry: cannot start: $it")
-            return ExitCodes.FAILED
+        val at = try {
+            runBlocking { instance.start() }.getOrElse {
+                Logger.error("entry: cannot start: $it")
+                return ExitCodes.FAILED
+            }
+        } catch (e: IOException) {
+            return cannotListen(config, e)
+        } catch (e: CancellationException) {
+            // The HTTP server reports an address in use by the cancellation of its own task.
+            return cannotListen(config, e)
         }
         println("listening ${at.callers} admin ${at.admin} peers ${at.peers}")
         System.out.flush()
@@ -47,9 +56,17 @@
         return ExitCodes.OK
     }
 
+    private fun cannotListen(config: InstanceConfig, e: Exception): Int {
+        val l = config.listen
+        val reason = generateSequence<Throwable>(e) { it.cause }.last().message
+        Logger.error("entry: cannot listen at ${l.callers} and ${l.admin}: $reason")
+        return ExitCodes.FAILED
+    }
+
     private fun describe(e: ConfigError): String = when (e) {
         is ConfigError.Unreadable -> "${e.path}: cannot be read: ${e.reason}"
-        is ConfigError.Malformed -> "${e.path}: line ${e.line}: ${e.reason}"
+        is ConfigError.Malformed if e.line > 0 -> "${e.path}: line ${e.line}: ${e.reason}"
+        is ConfigError.Malformed -> "${e.path}: ${e.reason}"
         is ConfigError.Invalid -> "$file: ${e.reason}"
     }
 }
--- a/cli/src/main/kotlin/io/greengageport/cli/SettingsCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/SettingsCommand.kt
@@ -12,6 +12,7 @@
 import io.greengageport.entry.RollForwardRequest
 import io.greengageport.entry.SettingsLine
 import io.greengageport.entry.SettingsPage
+import io.greengageport.settings.Fate
 import io.greengageport.settings.Rejection
 import io.greengageport.settings.SettingsPath
 import java.io.IOException
@@ -48,7 +49,12 @@
     @Mixin
     lateinit var options: AdminOptions
 
-    @Parameters(paramLabel = "PATH", defaultValue = "", arity = "0..1")
+    @Parameters(
+        paramLabel = "PATH",
+        defaultValue = "",
+        arity = "0..1",
+        description = ["Path (default: the whole tree)."]
+    )
     lateinit var path: String
 
     override fun call(): Int {
@@ -68,14 +74,19 @@
 /** Lists the paths below a path with their versions. */
 @Command(
     name = "list",
-    description = ["Lists paths and versions."],
+    description = ["Lists the documents at or below a path with their versions."],
     mixinStandardHelpOptions = true
 )
 internal class ListCommand : Callable<Int> {
     @Mixin
     lateinit var options: AdminOptions
 
-    @Parameters(paramLabel = "PATH", defaultValue = "", arity = "0..1")
+    @Parameters(
+        paramLabel = "PATH",
+        defaultValue = "",
+        arity = "0..1",
+        description = ["Path (default: the whole tree)."]
+    )
     lateinit var path: String
 
     override fun call(): Int {
@@ -94,12 +105,21 @@
 }
 
 /** Prints the remembered changes of a path. */
-@Command(name = "history", description = ["Prints changes."], mixinStandardHelpOptions = true)
+@Command(
+    name = "history",
+    description = ["Prints the remembered changes at, above and below a path, oldest first."],
+    mixinStandardHelpOptions = true
+)
 internal class HistoryCommand : Callable<Int> {
     @Mixin
     lateinit var options: AdminOptions
 
-    @Parameters(paramLabel = "PATH", defaultValue = "", arity = "0..1")
+    @Parameters(
+        paramLabel = "PATH",
+        defaultValue = "",
+        arity = "0..1",
+        description = ["Path (default: the whole tree)."]
+    )
     lateinit var path: String
 
     override fun call(): Int {
@@ -168,7 +188,7 @@
         val text = try {
             Files.readString(file)
         } catch (e: IOException) {
-            System.err.println("$file cannot be read: $e")
+            System.err.println(describe(file, e))
             return ExitCodes.BAD_FILE
         }
         val client = options.client()
@@ -181,7 +201,11 @@
 }
 
 /** Removes what lies at or below a path. */
-@Command(name = "remove", description = ["Removes a path."], mixinStandardHelpOptions = true)
+@Command(
+    name = "remove",
+    description = ["Removes a path with all that lies below it."],
+    mixinStandardHelpOptions = true
+)
 internal class RemoveCommand : Callable<Int> {
     @Mixin
     lateinit var options: AdminOptions
@@ -189,7 +213,7 @@
     @Mixin
     lateinit var change: ChangeOptions
 
-    @Parameters(paramLabel = "PATH")
+    @Parameters(paramLabel = "PATH", description = ["Path, such as services/parts."])
     lateinit var path: String
 
     override fun call(): Int {
@@ -215,7 +239,7 @@
     @Mixin
     lateinit var change: ChangeOptions
 
-    @Parameters(index = "0", paramLabel = "PATH")
+    @Parameters(index = "0", paramLabel = "PATH", description = ["Path, such as ranks/batch."])
     lateinit var path: String
 
     @Parameters(index = "1", paramLabel = "VERSION", description = ["Version from the history."])
@@ -241,14 +265,18 @@
     @Mixin
     lateinit var options: AdminOptions
 
-    @Parameters(paramLabel = "CHANGE-ID")
+    @Parameters(paramLabel = "CHANGE-ID", description = ["Id that a publish printed."])
     lateinit var id: String
 
     override fun call(): Int {
-        val text = options.client().get("/admin/settings/changes/$id")
+        val text = options.client().get("/admin/settings/changes/${encoded(id)}")
             .getOrElse { return report(it) }
         val r = cliJson.decodeFromString<FateReply>(text)
-        if (options.json) printJson(r) else println(r.fate ?: "not known: ${r.reason}")
+        if (options.json) {
+            printJson(r)
+        } else {
+            println(r.fate?.let(::describe) ?: "not known: ${r.reason}")
+        }
         return if (r.fate == null) ExitCodes.UNDECIDED else ExitCodes.OK
     }
 }
@@ -279,6 +307,12 @@
     PublishResult.MALFORMED -> (r.problems.map { it.toString() } + r.reason).joinToString("\n")
 }
 
+private fun describe(f: Fate): String = when (f) {
+    is Fate.Accepted -> "accepted as version ${f.version}"
+    is Fate.Rejected -> "rejected: ${describe(f.reason)}"
+    is Fate.Withdrawn -> "withdrawn at ${f.offset}; it never takes effect"
+}
+
 private fun describe(r: Rejection): String = when (r) {
     is Rejection.Duplicate -> "the change was decided before, at version ${r.offset}"
 
--- a/cli/src/main/kotlin/io/greengageport/cli/StatusCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/StatusCommand.kt
@@ -43,27 +43,44 @@
     }
 
     private fun print(statuses: List<InstanceStatus>, unreachable: List<String>) {
-        println("INSTANCE\tDATA CENTRE\tREADY\tSETTINGS\tCURRENT\tIN FLIGHT\tMEMBERS")
-        for (s in statuses) {
-            println(
-                "${s.instance}\t${s.dataCentre}\t${s.ready}\t${s.settings.version}" +
-                    "\t${s.settings.current}\t${s.requestsInFlight}\t${s.members.size}"
-            )
-        }
-        unreachable.forEach { println("$it\tunreachable") }
+        val head = "INSTANCE,DATA CENTRE,READY,SETTINGS,CURRENT,IN FLIGHT,MEMBERS".split(",")
+        printTable(listOf(head) + statuses.map(::row) + unreachable.map { unreachableRow(it) })
         val s = statuses.first()
-        println("\nSERVICE\tQUEUED\tIN FLIGHT\tSLOTS\tFLEET BOUND (tokens/s)")
-        for (x in s.services) {
-            val bound = "%.0f".format(x.boundTokensPerSecond)
-            println("${x.name}\t${x.queued}\t${x.inFlight}\t${x.slots}\t$bound")
-        }
-        println("\nRUNNER\tSERVICE\tDATA CENTRE\tLAYERS\tSTATE\tADDRESS")
-        for (r in s.runners) {
-            println(
-                "${r.id}\t${r.service}\t${r.dataCentre}\t${r.layers}\t${r.state}\t${r.address}"
-            )
-        }
+        println()
+        printTable(
+            listOf("SERVICE,QUEUED,IN FLIGHT,SLOTS,FLEET BOUND (tokens/s)".split(",")) +
+                s.services.map {
+                    val bound = "%.0f".format(it.boundTokensPerSecond)
+                    listOf("${it.name}", "${it.queued}", "${it.inFlight}", "${it.slots}", bound)
+                }
+        )
+        println()
+        printTable(
+            listOf("RUNNER,SERVICE,DATA CENTRE,LAYERS,STATE,ADDRESS".split(",")) +
+                s.runners.map {
+                    listOf(
+                        "${it.id}",
+                        "${it.service}",
+                        "${it.dataCentre}",
+                        it.layers,
+                        it.state,
+                        it.address
+                    )
+                }
+        )
     }
+
+    private fun row(s: InstanceStatus) = listOf(
+        "${s.instance}",
+        "${s.dataCentre}",
+        "${s.ready}",
+        "${s.settings.version}",
+        "${s.settings.current}",
+        "${s.requestsInFlight}",
+        "${s.members.size}"
+    )
+
+    private fun unreachableRow(id: String) = listOf(id, "unreachable", "", "", "", "", "")
 }
 
 /** Drains an instance. */
@@ -78,7 +95,13 @@
 
     override fun call(): Int {
         options.client().post("/admin/drain", "").getOrElse { return report(it) }
-        println("draining ${options.admin}")
+        if (options.json) {
+            printJson(
+                emptyMap<String, String>()
+            )
+        } else {
+            println("draining ${options.admin}")
+        }
         return ExitCodes.OK
     }
 }
@@ -86,25 +109,35 @@
 /** Shows the decisions about a request. */
 @Command(
     name = "explain",
-    description = ["Shows the recent decisions about a request, by its Greengage-Request-Id."],
+    description = [
+        "Shows the recent decisions about a request, by its Greengage-Request-Id.",
+        "Ask the instance that accepted it; each keeps the last 4096 requests."
+    ],
     mixinStandardHelpOptions = true
 )
 internal class ExplainCommand : Callable<Int> {
     @Mixin
     lateinit var options: AdminOptions
 
-    @Parameters(paramLabel = "REQUEST-ID")
+    @Parameters(paramLabel = "REQUEST-ID", description = ["Value of Greengage-Request-Id."])
     lateinit var id: String
 
     override fun call(): Int {
-        val text = options.client().get("/admin/decisions/$id").getOrElse { return report(it) }
+        val text = options.client().get("/admin/decisions/${encoded(id)}").getOrElse {
+            return report(it)
+        }
         val list = cliJson.decodeFromString<List<Decision>>(text)
         if (options.json) {
             printJson(list)
         } else {
             list.forEach { println("${Instant.ofEpochMilli(it.atMillis)}\t${it.part}: ${it.text}") }
         }
-        if (list.isEmpty()) System.err.println("no decision about $id is kept at this instance")
+        if (list.isEmpty()) {
+            System.err.println(
+                "no decision about $id is kept at ${options.admin}; " +
+                    "ask the instance that accepted the request"
+            )
+        }
         return if (list.isEmpty()) ExitCodes.NOT_FOUND else ExitCodes.OK
     }
 }
--- /dev/null
+++ b/cli/src/test/kotlin/io/greengageport/cli/CommandLineTest.kt
@@ -0,0 +1,144 @@
+package io.greengageport.cli
+
+import com.sun.net.httpserver.HttpServer
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+import java.net.InetSocketAddress
+import java.nio.file.Path
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import picocli.CommandLine
+import picocli.CommandLine.Model.CommandSpec
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+class CommandLineTest {
+    @TempDir
+    lateinit var directory: Path
+
+    private val answers = mutableMapOf<String, Pair<Int, String>>()
+    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0).apply {
+        createContext("/") { x ->
+            val (status, body) = answers[x.requestURI.rawPath] ?: (404 to "")
+            val bytes = body.encodeToByteArray()
+            x.sendResponseHeaders(status, if (bytes.isEmpty()) -1 else bytes.size.toLong())
+            x.responseBody.use { it.write(bytes) }
+        }
+        start()
+    }
+    private val address = "127.0.0.1:${server.address.port}"
+
+    @AfterEach
+    fun stop() = server.stop(0)
+
+    /** Exit code, then all that was printed. */
+    private fun run(vararg args: String): String {
+        val out = ByteArrayOutputStream()
+        val before = System.out to System.err
+        val code = PrintStream(out, true).use { p ->
+            System.setOut(p)
+            System.setErr(p)
+            try {
+                commandLine().execute(*args)
+            } finally {
+                System.setOut(before.first)
+                System.setErr(before.second)
+            }
+        }
+        return "$code ${out.toString().replace(address, "ADDRESS").trim()}"
+    }
+
+    @Nested
+    inner class Failures {
+        /** Guards against stack traces for a mistyped address or id. */
+        @Test
+        fun `a bad address is a wrong command line`() {
+            expectThat(
+                listOf("foo bar", "", "localhost").map { run("status", "--admin", it) }
+            ).isEqualTo(
+                listOf("foo bar", "", "localhost").map {
+                    "2 an admin address is HOST:PORT, not '$it'"
+                }
+            )
+        }
+
+        /** Guards against ids that become another path or no URL at all. */
+        @Test
+        fun `an id may hold any characters`() {
+            answers["/admin/settings/changes/a%20b%2Fc"] =
+                200 to """{"fate":{"type":"accepted","version":7}}"""
+            expectThat(run("settings", "fate", "a b/c", "--admin", address))
+                .isEqualTo("0 accepted as version 7")
+        }
+
+        @Test
+        fun `a refused key says how to give one`() {
+            answers["/admin/status"] = 401 to "a team's key is required"
+            expectThat(run("status", "--admin", address)).isEqualTo(
+                "4 the instance refuses the key; " +
+                    "give a team's key with --key or GREENGAGEPORT_KEY"
+            )
+        }
+
+        @Test
+        fun `an answer of another program is no stack trace`() {
+            answers["/admin/status"] = 200 to "hello"
+            val text = run("status", "--admin", address)
+            expectThat(text.lines().first().take(23)).isEqualTo("1 greengageport failed:")
+            expectThat(text.lines().filter { it.trimStart().startsWith("at ") }).isEmpty()
+            expectThat(run("drain", "--admin", address))
+                .isEqualTo("4 the instance answered 404; is this its admin port?")
+        }
+
+        @Test
+        fun `a missing file is named`() {
+            val f = directory.resolve("none.yaml")
+            expectThat(run("check", "$f")).isEqualTo("3 $f cannot be read: there is no such file")
+            expectThat(run("settings", "publish", "/", "$f"))
+                .isEqualTo("3 $f cannot be read: there is no such file")
+        }
+    }
+
+    @Nested
+    inner class AllInstances {
+        private fun answer(admin: String) = """{"instance":"e1","data_centre":"dc1","ready":true,
+            "not_ready_because":[],"draining":false,"requests_in_flight":0,
+            "settings":{"version":3,"hash":"","current":true,"seconds_since_proof":0.5},
+            "members":[{"id":"e1","peer_address":"p","admin_address":"a","data_centre":"dc1",
+            "leaving":false},{"id":"entry-2","peer_address":"p","admin_address":"$admin",
+            "data_centre":"dc2","leaving":false}],"runners":[],"services":[],
+            "ledger":{"ready":true,"keys":0,"open_claims":0,"queued_records":0,"outage_ms":null}}"""
+
+        /** Guards against a crash while gossip has not brought the address of a new instance. */
+        @Test
+        fun `an instance whose admin address is not known yet is unreachable`() {
+            answers["/admin/status"] = 200 to answer(admin = "")
+            expectThat(run("status", "--all", "--admin", address).lines().take(3)).isEqualTo(
+                listOf(
+                    "4 INSTANCE  DATA CENTRE  READY  SETTINGS  CURRENT  IN FLIGHT  MEMBERS",
+                    "e1        dc1          true   3         true     0          2",
+                    "entry-2   unreachable"
+                )
+            )
+        }
+    }
+
+    /** Guards against options and parameters that `--help` leaves unexplained. */
+    @Test
+    fun `each command, option and parameter has a help text`() {
+        val missing = all(commandLine()).filterNot { it.name() == "generate-completion" }
+            .flatMap { c -> (c.args().filter { it.description().isEmpty() }.map { "$c $it" }) }
+        expectThat(missing).isEmpty()
+    }
+
+    @Test
+    fun `a completion script is generated`() {
+        expectThat(run("generate-completion").lines().first()).isEqualTo("0 #!/usr/bin/env bash")
+    }
+
+    private fun all(c: CommandLine): List<CommandSpec> =
+        listOf(c.commandSpec) + c.subcommands.values.flatMap(::all)
+}
