End the hold of a runner when its order is done

hold(runner, 0) set the end to one past the old end, because the end was the gossip version too, so a hold always lasted its 6 s. In a roll-out over four runners (two a layer) the holders of the new version were still held when the others were ordered: greengageport_runners held=4 of 4 for 4 s, a time without any chain. RunnerHoldTest failed before.

--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -46,7 +46,7 @@
     private val joinedAt = ConcurrentHashMap<RunnerId, Long>()
 
     /** Runners that get no new work until a wall time, because an order is to change them. */
-    private val heldUntil = ConcurrentHashMap<RunnerId, Long>()
+    private val holds = ConcurrentHashMap<RunnerId, Hold>()
 
     @Volatile
     private var hasListing = false
@@ -58,7 +58,10 @@
         gossip.subscribe(LEAVING_TOPIC) { key, _, payload ->
             noteLeaving(RunnerId(key), payload.decodeToString())
         }
-        gossip.subscribe(HOLD_TOPIC) { key, until, _ -> noteHeld(RunnerId(key), until) }
+        gossip.subscribe(HOLD_TOPIC) { key, version, payload ->
+            val until = payload.decodeToString().toLongOrNull() ?: version
+            noteHeld(RunnerId(key), Hold(version, until))
+        }
         gossip.subscribe(SUSPECT_TOPIC) { _, _, payload ->
             decodeSuspect(payload)?.let { suspects.merge(it) }?.let(::publish)
         }
@@ -112,13 +115,16 @@
 
     /** Keeps new work from [runner] on all instances for [millis], or ends that with 0. */
     fun hold(runner: RunnerId, millis: Long) {
-        val until = maxOf(clock.wallMillis() + millis, (heldUntil[runner] ?: 0) + 1)
-        noteHeld(runner, until)
-        gossip.publish(HOLD_TOPIC, runner.value, until, ByteArray(0))
+        val now = clock.wallMillis()
+        // A version apart from the end lets a hold be shortened as well as prolonged.
+        val version = maxOf(now, (holds[runner]?.version ?: 0) + 1)
+        val until = now + millis
+        noteHeld(runner, Hold(version, until))
+        gossip.publish(HOLD_TOPIC, runner.value, version, "$until".encodeToByteArray())
     }
 
     /** Whether [runner] gets no new work because an order is to change it. */
-    fun isHeld(runner: RunnerId): Boolean = (heldUntil[runner] ?: 0) > clock.wallMillis()
+    fun isHeld(runner: RunnerId): Boolean = (holds[runner]?.until ?: 0) > clock.wallMillis()
 
     /** Publishes what is known of a suspect request. */
     fun publish(state: SuspectState) {
@@ -157,8 +163,8 @@
         return true
     }
 
-    private fun noteHeld(runner: RunnerId, until: Long) {
-        heldUntil.merge(runner, until, ::maxOf)
+    private fun noteHeld(runner: RunnerId, hold: Hold) {
+        holds.merge(runner, hold) { old, new -> if (new.version > old.version) new else old }
         refresh(runner)
     }
 
@@ -189,7 +195,7 @@
         reports.remove(id)
         leaving.remove(id)
         joinedAt.remove(id)
-        heldUntil.remove(id)
+        holds.remove(id)
         fleet.remove(id)
         loads.forget(id)
         links.forget(id)
@@ -209,6 +215,9 @@
     /** Whether requests with [fingerprint] may run. */
     fun verdict(fingerprint: Fingerprint) = suspects.verdict(fingerprint)
 
+    /** Of the holds of a runner, the one with the highest [version] counts. */
+    private class Hold(val version: Long, val until: Long)
+
     private companion object {
         const val LEAVING_TOPIC = "runner-leaving"
         const val HOLD_TOPIC = "runner-hold"
--- /dev/null
+++ b/entry/src/test/kotlin/io/greengageport/entry/RunnerHoldTest.kt
@@ -0,0 +1,64 @@
+package io.greengageport.entry
+
+import io.greengageport.common.Gossip
+import io.greengageport.common.GossipListener
+import io.greengageport.common.RunnerId
+import io.greengageport.routing.Fleet
+import io.greengageport.routing.LinkEstimator
+import io.greengageport.routing.LoadEstimator
+import io.greengageport.routing.OutlierDetector
+import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.SuspectRequests
+import io.greengageport.testkit.ManualClock
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class RunnerHoldTest {
+    private val clock = ManualClock()
+    private val bus = Bus()
+    private val fleets = List(2) {
+        BackendFleet(
+            clock,
+            bus,
+            Fleet(),
+            LoadEstimator(),
+            LinkEstimator(),
+            PrefixIndex(),
+            OutlierDetector(clock),
+            SuspectRequests(clock)
+        ).also { it.start() }
+    }
+    private val runner = RunnerId("a")
+
+    /**
+     * Guards against holds that outlast their order: a roll-out then holds all runners of a
+     * service at once, and no request finds a chain.
+     */
+    @Test
+    fun `a hold ends on all instances when the runner reports the order as done`() {
+        val seen = mutableListOf<List<Boolean>>()
+        fun look() = seen.add(fleets.map { it.isHeld(runner) })
+        fleets[0].hold(runner, millis = 6_000)
+        look()
+        fleets[0].hold(runner, millis = 0)
+        look()
+        fleets[0].hold(runner, millis = 6_000)
+        look()
+        expectThat(seen.toList())
+            .isEqualTo(listOf(true, false, true).map { listOf(it, it) })
+    }
+
+    /** Passes items on at once, to their publisher too. */
+    private class Bus : Gossip {
+        private val listeners = mutableListOf<Pair<String, GossipListener>>()
+
+        override fun publish(topic: String, key: String, version: Long, payload: ByteArray) =
+            listeners.filter { it.first == topic }
+                .forEach { it.second.onItem(key, version, payload) }
+
+        override fun subscribe(topic: String, listener: GossipListener) {
+            listeners += topic to listener
+        }
+    }
+}
