Finish a version roll-out that a newer one has overtaken

Cause: a runner was renewed only if others kept its own version or already had the wanted one complete. After a roll-out that was overtaken halfway, with one runner of v1 and one of v2, neither could move to v3, for good.

Change: any complete version among the other runners is enough.

--- a/routing/src/main/kotlin/io/greengageport/routing/PlacementPlanner.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/PlacementPlanner.kt
@@ -167,7 +167,7 @@
                 else -> continue
             }
             val wanted = held.copy(version = model.version, adapters = model.adapters)
-            if (held.version != model.version && !canRenew(runner, held, wanted)) {
+            if (held.version != model.version && !canRenew(runner, held)) {
                 obstacles += PlacementObstacle.LastHolder(runner.id)
                 continue
             }
@@ -176,8 +176,11 @@
         }
     }
 
-    /** The old version stays complete until the new one is. */
-    private fun canRenew(runner: PlaceableRunner, held: Assignment, wanted: Assignment): Boolean {
+    /**
+     * Some version stays complete. It need be neither the held nor the wanted one: a roll-out that
+     * was overtaken by a newer one leaves single runners of several versions.
+     */
+    private fun canRenew(runner: PlaceableRunner, held: Assignment): Boolean {
         val others = runners.filter { it.id != runner.id && it.pending == null }
             .mapNotNull { desired[it.id].takeIf { _ -> it.id !in moved } }
             .filter { it.service == held.service && it.role == RunnerRole.SERVING }
@@ -186,7 +189,8 @@
         }
         val all = 0 until checkNotNull(supplies[held.service]).model.layers
         val own = held.layers.from until held.layers.until
-        return covered(own, held.version) || covered(all, wanted.version)
+        return covered(own, held.version) ||
+            others.map { it.version }.distinct().any { covered(all, it) }
     }
 
     /** Runners that could take a range, the one whose move costs least first. */
--- a/routing/src/test/kotlin/io/greengageport/routing/PlacementPlannerTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/PlacementPlannerTest.kt
@@ -206,6 +206,19 @@
             }
             expectThat(runners.map { it.current?.version }.distinct()).isEqualTo(listOf("v2"))
         }
+
+        /** Guards against a roll-out that stops for good when a newer one overtakes it. */
+        @Test
+        fun `goes on from single runners of several versions`() {
+            var runners = listOf("a" to "v1", "b" to "v2").map { (id, version) ->
+                val p = placeable(id, LayerRange(0, 4))
+                p.copy(current = p.current?.copy(version = version))
+            }
+            val model = sheets.copy(layers = 4, tokensPerSecond = 0.0, version = "v3")
+            val rules = PlacementRules(maxConcurrentMoves = 1)
+            repeat(2) { runners = done(planner(rules).plan(listOf(model), runners), runners) }
+            expectThat(runners.map { it.current?.version }).isEqualTo(listOf("v3", "v3"))
+        }
     }
 
     private companion object {
