--- /dev/null
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/PlacementTest.kt
@@ -0,0 +1,120 @@
+package io.greengageport.systemtest
+
+import io.greengageport.bench.EngineSpec
+import io.greengageport.bench.LocalFleet
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotEqualTo
+
+/** One instance at a time gives orders to engines, under a lease (section 3.3). */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+internal class PlacementTest {
+    private val checking = listOf(engine("c1", "guide"), engine("c2", "guide"))
+    private val ignoring = listOf(engine("i1", "atlas"), engine("i2", "atlas"))
+    private val fleet = TestFleet(
+        engines = checking + ignoring,
+        settings = "placement.yaml"
+    )
+    private val local = fleet.local
+
+    @AfterAll
+    fun close(): Unit = fleet.close()
+
+    /**
+     * Guards against a paused holder that goes on giving orders after its lease has passed to
+     * another instance, with engines that check fencing tokens and with engines that don't.
+     */
+    @Test
+    fun `a holder frozen past its lease gives no order after it is thawed`() {
+        val first = awaitHolder(except = null)
+        publish("v2")
+        // The holder is paused in the middle of a roll-out, with orders still to give.
+        LocalFleet.await("the first engine with v2") { "v2" in versions() }
+        fleet.process(first).freeze()
+        expectThat(versions()).contains("v1")
+        val others = local.instances - first
+        publish("v3", through = others.first())
+        val second = awaitHolder(except = first)
+        expectThat(second).isNotEqualTo(first)
+        awaitVersions("v3")
+        val before = (checking + ignoring).associate {
+            it.id to
+                fleet.counter(it.id, "orders_accepted")
+        }
+        val refused = fleet.process(first).output.count { "placement: runner=" in it }
+        fleet.process(first).thaw()
+        val thawed = System.nanoTime()
+        // An order that was under way before the pause may end within the order timeout.
+        LocalFleet.await("the order timeout and two periods of placement") {
+            expectThat(versions().toSet()).isEqualTo(setOf("v3"))
+            System.nanoTime() - thawed > ORDER_TIMEOUT_NANOS + 2 * PERIOD_NANOS
+        }
+        expectThat(before.keys.associateWith { fleet.counter(it, "orders_accepted") })
+            .isEqualTo(before)
+        expectThat(fleet.process(first).output.count { "placement: runner=" in it })
+            .isEqualTo(refused)
+        expectThat(holders()).isEqualTo(listOf(second))
+        publish("v4", through = first)
+        awaitVersions("v4")
+        checking.forEach { expectThat(fencing(it)).isGreaterThan(0) }
+    }
+
+    private fun awaitHolder(except: String?): String {
+        LocalFleet.await("a holder of the placement lease") {
+            holders().any { it != except }
+        }
+        return holders().first { it != except }
+    }
+
+    private fun holders() = local.instances.filter { name ->
+        !fleet.isFrozen(name) && local.statusOrNull(name)?.isPlacementHolder == true
+    }
+
+    private fun awaitVersions(version: String) = LocalFleet.await("all engines have $version") {
+        versions().all { it == version }
+    }
+
+    private fun versions() = (checking + ignoring).map {
+        fleet.counters(it.id).getValue("version").jsonPrimitive.content
+    }
+
+    private fun fencing(e: EngineSpec) = fleet.counters(e.id).getValue("fencing").jsonPrimitive.long
+
+    private fun publish(version: String, through: String = "entry-1") {
+        for ((service, checks) in listOf("guide" to true, "atlas" to false)) {
+            val base = local.get(
+                "http://${local.admin(through)}/admin/settings?path=services/quarry/$service",
+                "Authorization" to "Bearer operations-key"
+            ).body().substringAfter("\"base_version\":").substringBefore(',').toLong()
+            val yaml = "{model: {layers: 12, version: $version, checksFencing: $checks}}"
+            val r = local.publish("services/quarry/$service", yaml, base, through)
+            expectThat(r.statusCode()).isEqualTo(200)
+        }
+    }
+
+    private companion object {
+        /** Default of the lease settings. */
+        const val ORDER_TIMEOUT_NANOS = 5_000_000_000L
+
+        /** Period of the placement service. */
+        const val PERIOD_NANOS = 2_000_000_000L
+
+        fun engine(id: String, service: String) = EngineSpec(
+            id = id,
+            service = service,
+            from = 0,
+            until = 12,
+            stepMillis = 5,
+            loadMillis = 100,
+            ignoresFencing = service == "atlas",
+            version = "v1"
+        )
+    }
+}
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -8,6 +8,7 @@
 import io.greengageport.bench.PlatformSpec
 import io.greengageport.bench.ProgramProcess
 import java.net.http.HttpResponse
+import java.nio.file.Files
 import java.nio.file.Path
 import java.time.Instant
 import java.util.concurrent.CompletableFuture
@@ -167,6 +168,11 @@
         (liveEngines + local.instances.filter(local::isRunning)).forEach { process(it).thaw() }
     }
 
+    /** Whether the process [name] was stopped by a signal, as the kernel tells. */
+    fun isFrozen(name: String): Boolean =
+        Files.readString(Path.of("/proc/${process(name).pid}/stat"))
+            .substringAfterLast(") ").startsWith("T")
+
     /** Starts the engines that ended anew and waits until they serve. */
     fun restartEngines() {
         engines.map { it.id }.filterNot(local::isRunning).map(local::startEngine)
