--- a/bench/src/main/kotlin/io/greengageport/bench/ExperimentCommand.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ExperimentCommand.kt
@@ -73,7 +73,14 @@
     /** Whether the run showed no violated invariant. */
     private fun run(p: Prepared): Boolean {
         val root = Path.of(System.getProperty("greengageport.root", "."))
-        val result = ExperimentRunner(root, p.path, p.fleet, p.experiment, ::println).run()
+        val result = ExperimentRunner(
+            root,
+            p.path,
+            p.fleet,
+            p.experiment,
+            directory.resolve("logs"),
+            ::println
+        ).run()
         val text = MarkdownReport.of(result)
         write("${result.name}.md", text)
         write("${result.name}.json", json.encodeToString(result))
--- a/bench/src/main/kotlin/io/greengageport/bench/ExperimentResult.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ExperimentResult.kt
@@ -60,7 +60,7 @@
     val orders: Int = 0,
     val effects: Int = 0,
     @SerialName("ran_twice") val ranTwice: Int = 0,
-    /** Orders of which each try was told "not run" or was answered never, but that had an effect. */
+    /** Orders whose caller was told "not run" at each try, but that had an effect. */
     @SerialName("wrongly_not_run") val wronglyNotRun: Int = 0
 ) {
     companion object {
--- a/bench/src/main/kotlin/io/greengageport/bench/ExperimentRunner.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ExperimentRunner.kt
@@ -1,6 +1,7 @@
 package io.greengageport.bench
 
 import java.lang.management.ManagementFactory
+import java.nio.file.Files
 import java.nio.file.Path
 import java.time.Instant
 import kotlinx.coroutines.coroutineScope
@@ -17,6 +18,8 @@
     private val fleetPath: Path,
     private val fleetFile: FleetFile,
     private val experiment: ExperimentFile,
+    /** Where the output of the instances goes. */
+    private val logs: Path,
     private val print: (String) -> Unit
 ) {
     fun run(): ExperimentResult {
@@ -62,7 +65,9 @@
         val directory = requireNotNull(fleetPath.toAbsolutePath().parent) { "a file has a parent" }
         LocalFleet(root, file, directory).use { fleet ->
             fleet.start()
-            return runBlocking { measure(name, policies, arrivals, fleet, file) }
+            val result = runBlocking { measure(name, policies, arrivals, fleet, file) }
+            writeLogs(fleet, name)
+            return result
         }
     }
 
@@ -139,6 +144,14 @@
             .take(MAX_LINES).map { "$i: $it" }
     }
 
+    private fun writeLogs(fleet: LocalFleet, variant: String) {
+        Files.createDirectories(logs)
+        for (i in fleet.instances) {
+            val file = logs.resolve("${experiment.name}-$variant-$i.log")
+            Files.write(file, fleet.process(i).output)
+        }
+    }
+
     private fun loadAverage() = ManagementFactory.getOperatingSystemMXBean().systemLoadAverage
 
     private companion object {
--- a/bench/src/main/kotlin/io/greengageport/bench/ProgramProcess.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ProgramProcess.kt
@@ -84,6 +84,17 @@
     }
 
     private fun collect(reader: BufferedReader) {
+        try {
+            readLines(reader)
+        } catch (e: java.io.IOException) {
+            // The process was killed while its output was read.
+        }
+        listening.completeExceptionally(
+            IllegalStateException("$name ended: ${output.takeLast(TAIL_LINES)}")
+        )
+    }
+
+    private fun readLines(reader: BufferedReader) {
         reader.forEachLine { line ->
             synchronized(lines) {
                 lines += line
@@ -92,9 +103,6 @@
             if (line.startsWith(LISTENING)) listening.complete(line.removePrefix(LISTENING))
             onLine(line)
         }
-        listening.completeExceptionally(
-            IllegalStateException("$name ended: ${output.takeLast(TAIL_LINES)}")
-        )
     }
 
     private companion object {
