--- a/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EngineClient.kt
@@ -13,6 +13,7 @@
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.HttpStatusCode
+import io.ktor.utils.io.discard
 import io.ktor.utils.io.readLine
 import java.io.IOException
 import java.net.ConnectException
@@ -25,6 +26,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
@@ -35,7 +37,7 @@
     data object Finished : StreamEnd
 
     /** The first stage refused the request; it did not run. */
-    data class Refused(val leaving: Boolean, val status: Int) : StreamEnd
+    data class Refused(val leaving: Boolean) : StreamEnd
 
     /** No connection to the first stage; the request did not run. */
     data class Unreachable(val reason: String) : StreamEnd
@@ -50,6 +52,21 @@
     data class Malformed(val reason: String) : StreamEnd
 }
 
+/** What the consumer of a stream made of a frame. */
+internal enum class FrameUse {
+    /** The frame is part of the answer; more are expected. */
+    TAKEN,
+
+    /** The frame is not part of the answer; the wait for the next token goes on. */
+    IGNORED,
+
+    /** The answer is complete; the stream ends by itself and its connection can be kept. */
+    LAST,
+
+    /** The stream is no longer needed. */
+    STOP
+}
+
 /** Times that bound the wait for frames, in milliseconds. */
 internal data class StreamTimes(
     val connectMillis: Long,
@@ -74,7 +91,7 @@
     }
 
     /**
-     * Streams the frames of [generate] to [onFrame], which returns false to stop the stream.
+     * Streams the frames of [generate] to [onFrame].
      *
      * Time that [onFrame] takes does not count as silence, so a slow caller slows the engine down
      * instead of ending the attempt.
@@ -82,7 +99,7 @@
     suspend fun stream(
         generate: GenerateRequest,
         times: StreamTimes,
-        onFrame: suspend (TokenFrame) -> Boolean
+        onFrame: suspend (TokenFrame) -> FrameUse
     ): StreamEnd = coroutineScope {
         val wait = FrameWait(clock, times.firstFrameMillis)
         val exchange = async { exchange(generate, times, wait, onFrame) }
@@ -108,17 +125,20 @@
         generate: GenerateRequest,
         times: StreamTimes,
         wait: FrameWait,
-        onFrame: suspend (TokenFrame) -> Boolean
+        onFrame: suspend (TokenFrame) -> FrameUse
     ): StreamEnd = try {
         client.preparePost("http://${generate.route.first().address}/v1/generate") {
             timeout { connectTimeoutMillis = times.connectMillis }
             setBody(json.encodeToString(generate))
         }.execute { response ->
-            if (response.status == HttpStatusCode.OK) {
-                frames(response, times, wait, onFrame)
-            } else {
-                val leaving = response.headers[LEAVING_HEADER] == "true"
-                StreamEnd.Refused(leaving, response.status.value)
+            when (response.status) {
+                HttpStatusCode.OK -> frames(response, times, wait, onFrame)
+
+                HttpStatusCode.ServiceUnavailable ->
+                    StreamEnd.Refused(response.headers[LEAVING_HEADER] == "true")
+
+                // Only 503 says that the request did not run.
+                else -> StreamEnd.Broken("the engine answered ${response.status.value}")
             }
         }
     } catch (e: ConnectException) {
@@ -140,19 +160,30 @@
         response: HttpResponse,
         times: StreamTimes,
         wait: FrameWait,
-        onFrame: suspend (TokenFrame) -> Boolean
+        onFrame: suspend (TokenFrame) -> FrameUse
     ): StreamEnd {
         val channel = response.bodyAsChannel()
         while (true) {
             val line = channel.readLine() ?: return StreamEnd.Broken("the stream ended early")
-            wait.since.set(Long.MAX_VALUE)
-            val frame = json.decodeFromString<TokenFrame>(line)
-            if (!onFrame(frame)) {
-                channel.cancel(null)
-                return StreamEnd.Finished
+            val since = wait.since.getAndSet(Long.MAX_VALUE)
+            when (onFrame(json.decodeFromString<TokenFrame>(line))) {
+                FrameUse.TAKEN -> {
+                    wait.limit = times.frameMillis
+                    wait.since.set(clock.monotonicMillis())
+                }
+
+                FrameUse.IGNORED -> wait.since.set(since)
+
+                FrameUse.LAST -> {
+                    withTimeoutOrNull(END_OF_STREAM_MILLIS) { channel.discard() }
+                    return StreamEnd.Finished
+                }
+
+                FrameUse.STOP -> {
+                    channel.cancel(null)
+                    return StreamEnd.Finished
+                }
             }
-            wait.limit = times.frameMillis
-            wait.since.set(clock.monotonicMillis())
         }
     }
 
@@ -174,6 +205,7 @@
         /** Header by which a backend server tells that it is leaving. */
         const val LEAVING_HEADER = "Greengage-Leaving"
         private const val GUARD_PERIOD_MILLIS = 50L
+        private const val END_OF_STREAM_MILLIS = 100L
         private const val CANCEL_TIMEOUT_MILLIS = 1_000L
         private val json = Json { ignoreUnknownKeys = true }
     }
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -12,6 +12,7 @@
 import io.greengageport.limits.OrganisationLimits
 import io.greengageport.limits.OrganisationPolicy
 import io.greengageport.limits.UsageAggregator
+import io.greengageport.limits.UsageExchange
 import io.greengageport.limits.UsageReporter
 import io.greengageport.membership.PeerNode
 import io.greengageport.membership.PeerSettings
@@ -39,7 +40,9 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -98,6 +101,7 @@
         clock,
         node,
         node,
+        node,
         limits,
         reporter,
         UsageAggregator(::policyOf)
@@ -105,6 +109,7 @@
     private val admissions =
         Admissions(clock, scope, backends, limits, config.policies, metrics, decisions)
     private val probe = RunnerProbe(clients.probe, config.times.connectTimeoutMillis)
+    private val cacheEvents = CacheEventFollower(clients.probe, backends, config.dataCentre)
     private val placement = PlacementService(
         clock,
         log,
@@ -125,7 +130,6 @@
 
     /** Listens, joins the other instances and begins to follow the platform. */
     public suspend fun start(): Result<BoundAddresses, StartError> {
-        usage.register(node)
         val peers = node.start().getOrElse { return Err(it) }
         backends.start()
         node.subscribe(ADMIN_TOPIC) { key, _, payload ->
@@ -177,7 +181,12 @@
         }
         val left = caller.requestsInFlight
         if (left > 0) Logger.warn("entry: drain limit reached with $left requests in flight")
-        if (!ledger.flush(FLUSH_LIMIT)) Logger.warn("ledger: outcomes not recorded before the stop")
+        if (!ledger.flush(
+                maxOf(FLUSH_LIMIT, (end - clock.monotonicMillis()).milliseconds)
+            )
+        ) {
+            Logger.warn("ledger: outcomes not recorded before the stop")
+        }
         placement.release()
         node.leave()
         Logger.info("entry: instance=${config.instance} is drained")
@@ -232,6 +241,7 @@
                     config.times.connectTimeoutMillis
                 ),
                 ledger = ledger,
+                background = scope,
                 retries = retries,
                 decisions = decisions,
                 metrics = metrics
@@ -255,7 +265,7 @@
     private fun launchTasks(peers: HostPort) {
         scope.launch { store.run() }
         scope.launch { ledger.run() }
-        scope.launch { usage.run(scope) }
+        scope.launch { usage.run() }
         scope.launch { placement.run() }
         scope.launch {
             store.view.collect { v ->
@@ -279,6 +289,7 @@
             probeEjected()
             updateGauges()
         }
+        scope.every(CACHE_POLL_MILLIS) { cacheEvents.poll() }
         scope.every(REGISTER_MILLIS) {
             clients.register(config.platform, listed(peers))
         }
@@ -327,6 +338,7 @@
         }
 
     private fun stateOf(id: io.greengageport.common.RunnerId, ejected: Set<*>): String = when {
+        backends.isHeld(id) -> "held"
         backends.fleet.runner(id)?.leaving == true -> "leaving"
         id in ejected -> "ejected"
         else -> "live"
@@ -350,10 +362,11 @@
     private companion object {
         const val ADMIN_TOPIC = "admin-address"
         const val ANNOUNCE_MILLIS = 600_000L
+        const val CACHE_POLL_MILLIS = 1_000L
         const val REGISTER_MILLIS = 1_000L
         const val DRAIN_POLL_MILLIS = 20L
         val FLUSH_LIMIT = 10.seconds
-        val RUNNER_STATES = listOf("live", "leaving", "ejected")
+        val RUNNER_STATES = listOf("live", "held", "leaving", "ejected")
 
         /** Retries per 10 s that are allowed even when few requests arrive. */
         const val MIN_RETRIES = 10
@@ -371,7 +384,14 @@
 
         fun CoroutineScope.every(millis: Long, action: suspend () -> Unit) = launch {
             while (isActive) {
-                action()
+                try {
+                    action()
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Exception) {
+                    // One failed round must not end the task for the life of the process.
+                    Logger.error(e, "entry: a periodic task failed")
+                }
                 delay(millis)
             }
         }
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -7,6 +7,7 @@
 import io.greengageport.common.Clock
 import io.greengageport.common.DataCentre
 import io.greengageport.common.Execution
+import io.greengageport.common.LayerRange
 import io.greengageport.common.RequestError
 import io.greengageport.common.RunnerId
 import io.greengageport.platform.GenerateRequest
@@ -15,7 +16,7 @@
 import io.greengageport.routing.AnswerAssembler
 import io.greengageport.routing.AnswerFrame
 import io.greengageport.routing.ChainPlanner
-import io.greengageport.routing.DropReason
+import io.greengageport.routing.CostModel
 import io.greengageport.routing.Fingerprint
 import io.greengageport.routing.FrameOutcome
 import io.greengageport.routing.PrefixIndex
@@ -95,12 +96,18 @@
     private var current: Attempt? = null
     private var execution = Execution.NOT_RUN
 
+    /** Whether the attempt runs alone among marked requests and has not passed its crash yet. */
+    private var isMarked = false
+
     suspend fun run(): Result<Int, RequestError> {
         while (true) {
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
             val decision = plan().getOrElse { return Err(it) }
             val failure = attempt(decision)
-            if (assembler.isComplete) return Ok(assembler.delivered.size)
+            if (assembler.isComplete) {
+                admission.observeAnswer(context, assembler.size)
+                return Ok(assembler.size)
+            }
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
             diagnose(decision, failure)
             retry(failure)?.let { return Err(it) }
@@ -120,22 +127,12 @@
         while (true) {
             val verdict = suspects.verdict(call.fingerprint)
             if (verdict == SuspectVerdict.BLOCKED) return blocked()
-            val request = RoutingRequest(
-                id = context.id,
-                service = context.service.name,
-                dataCentre = parts.dataCentre,
-                attempt = assembler.attempt + 1,
-                promptTokens = call.promptTokens + assembler.delivered.size,
-                outputTokens = maxOf(1, call.maxTokens - assembler.delivered.size),
-                prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
-                excluded = excluded + parts.backends.outliers.ejected(),
-                marked = verdict == SuspectVerdict.MARKED,
-                markedBusy = suspects.markedBusy()
-            )
-            val fleet = parts.backends.fleet.service(context.service.name)
-            val decision = parts.planner.plan(fleet, request)
-                .getOrElse { return noChain(it, request) }
-            if (suspects.tryStart(context.id, call.fingerprint, decision.stages.map { it.id })) {
+            val request = routingRequest(marked = verdict == SuspectVerdict.MARKED)
+            val decision = plan(request).getOrElse {
+                if (!waitsForMarked(request)) return noChain(it, request)
+                null
+            }
+            if (decision != null && tryStart(decision)) {
                 parts.decisions.record(context.id, "routing", decision.describe())
                 return Ok(decision)
             }
@@ -144,6 +141,32 @@
         }
     }
 
+    /** Whether only other marked requests, which end in time, keep this one from a chain. */
+    private fun waitsForMarked(request: RoutingRequest): Boolean =
+        request.marked && request.markedBusy.isNotEmpty() &&
+            plan(routingRequest(marked = false)).isOk
+
+    private fun plan(request: RoutingRequest): Result<RoutingDecision, RoutingFailure> =
+        parts.planner.plan(parts.backends.fleet.service(request.service), request)
+
+    private fun routingRequest(marked: Boolean) = RoutingRequest(
+        id = context.id,
+        service = context.service.name,
+        dataCentre = parts.dataCentre,
+        attempt = assembler.attempt + 1,
+        promptTokens = call.promptTokens + assembler.size,
+        outputTokens = maxOf(1, call.maxTokens - assembler.size),
+        prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
+        excluded = excluded + parts.backends.outliers.ejected(),
+        marked = marked,
+        markedBusy = suspects.markedBusy()
+    )
+
+    private fun tryStart(d: RoutingDecision) =
+        suspects.tryStart(context.id, call.fingerprint, d.stages.map { it.id }) {
+            assembler.size
+        }.also { if (it) isMarked = suspects.verdict(call.fingerprint) != SuspectVerdict.CLEAR }
+
     private fun blocked(): Result<RoutingDecision, RequestError> {
         parts.decisions.record(context.id, "routing", "blocked, it crashed two runners")
         return Err(RequestError.CrashesRunners())
@@ -170,7 +193,6 @@
         }
         val a = Attempt(d, route, AttemptObserver(d.stages, parts.clock))
         current = a
-        admission.started()
         val now = parts.clock.wallMillis()
         for (s in d.stages) parts.backends.loads.sent(s.id, s.workTokens, now)
         val before = execution
@@ -206,14 +228,14 @@
         )
     }
 
-    private suspend fun onFrame(a: Attempt, f: TokenFrame): Boolean {
+    private suspend fun onFrame(a: Attempt, f: TokenFrame): FrameUse {
         val frame = AnswerFrame(
             request = f.request,
             attempt = f.attempt,
             index = f.index,
             text = f.text,
             layers = f.layers.map {
-                TracedStage(it.runner, io.greengageport.common.LayerRange(it.from, it.until))
+                TracedStage(it.runner, LayerRange(it.from, it.until))
             },
             last = f.last
         )
@@ -221,19 +243,24 @@
             is FrameOutcome.Token -> {
                 execution = Execution.RAN
                 a.observer.onFrame(f)
+                if (isMarked) isMarked = !suspects.progressed(context.id, assembler.size)
                 sink.token(outcome.text, outcome.last)
-                !outcome.last && !isLate()
+                when {
+                    outcome.last -> FrameUse.LAST
+                    isLate() -> FrameUse.STOP
+                    else -> FrameUse.TAKEN
+                }
             }
 
             is FrameOutcome.Dropped -> {
                 parts.metrics.droppedFrames.labelValues(outcome.reason.name.lowercase()).inc()
-                outcome.reason != DropReason.OTHER_REQUEST
+                FrameUse.IGNORED
             }
 
             is FrameOutcome.WrongTrace -> {
                 parts.metrics.droppedFrames.labelValues("wrong_trace").inc()
                 parts.decisions.record(context.id, "routing", "wrong layers ${outcome.trace}")
-                false
+                FrameUse.STOP
             }
         }
     }
@@ -241,9 +268,9 @@
     private fun end(a: Attempt, how: String) {
         current = null
         assembler.endAttempt()
-        admission.ended()
         val now = parts.clock.wallMillis()
         for (s in a.decision.stages) parts.backends.loads.finished(s.id, s.workTokens, now)
+        if (!a.observer.isEmpty) parts.backends.answered(a.decision.stages.map { it.id })
         a.observer.report(parts.backends.outliers, parts.backends.links)
         a.observer.gapMillis?.let { admission.observeGap(it) }
         if (assembler.isComplete) {
@@ -261,6 +288,8 @@
             suspects.ended(context.id)
             return
         }
+        // A request that reached no runner can't have crashed one.
+        if (end is StreamEnd.Unreachable) suspects.ended(context.id)
         val results = parts.probe.probe(
             d.stages.map { RouteHop(it.id, it.runner.address, 0, 1) }
         )
@@ -278,7 +307,7 @@
 
     private fun judge(hop: RouteHop, result: ProbeResult): Boolean = when (result) {
         ProbeResult.Refused -> {
-            suspects.connectionLost(hop.runner)
+            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
             suspects.connectionRefused(hop.runner).forEach { parts.backends.publish(it) }
             parts.backends.outliers.silent(hop.runner)
             excluded += hop.runner
@@ -286,6 +315,8 @@
         }
 
         ProbeResult.Silent -> {
+            // A process that is just ending may still take connections.
+            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
             parts.backends.outliers.silent(hop.runner)
             excluded += hop.runner
             true
@@ -306,7 +337,13 @@
         if (parts.retryPolicy == RetryPolicy.ALWAYS) return null
         // A refusal before the request ran costs the backend servers no work.
         if (end is StreamEnd.Refused && end.leaving) return null
-        return when (val r = parts.retries.tryRetry(assembler.attempt, context.isUrgent)) {
+        return when (
+            val r = parts.retries.tryRetry(
+                assembler.attempt,
+                context.isUrgent,
+                repeatedShare()
+            )
+        ) {
             is RetryDecision.Allowed -> {
                 delay(minOf(r.delayMillis, MAX_RESUME_DELAY_MILLIS))
                 null
@@ -323,6 +360,14 @@
         }
     }
 
+    /** The part of the request's work that another attempt does again. */
+    private fun repeatedShare(): Double {
+        if (assembler.size == 0) return 1.0
+        val again = (call.promptTokens + assembler.size) * CostModel.DEFAULT_PREFILL_WEIGHT
+        val whole = call.promptTokens * CostModel.DEFAULT_PREFILL_WEIGHT + call.maxTokens
+        return minOf(1.0, again / whole)
+    }
+
     private class Attempt(
         val decision: RoutingDecision,
         route: List<RouteHop>,
--- a/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
@@ -130,11 +130,13 @@
 
     private fun pause() {
         val d = backoff.next()
-        synchronized(lock) {
+        val first = synchronized(lock) {
+            val known = retryAt != null
             retryAt = clock.monotonicMillis() + d.inWholeMilliseconds
             probing = false
+            !known
         }
-        Logger.warn("ledger: log takes no records, next attempt in $d")
+        if (first) Logger.warn("ledger: log takes no records, $size wait")
     }
 
     /**
@@ -158,6 +160,11 @@
         val item = batch.single()
         Logger.error("ledger: log refuses a record for good: $reason")
         item.onFailed?.invoke(true)
+        // That the call ran matters more than its answer, which may be what makes it too large.
+        val r = item.record as? OrderRecord.Outcome ?: return
+        if (r.outcome.bodyKept) {
+            enqueue(r.copy(outcome = r.outcome.withoutBody().copy(headers = emptyMap())))
+        }
     }
 
     private fun putBack(items: List<Item>) = synchronized(lock) {
--- a/ledger/src/main/kotlin/io/greengageport/ledger/LeaseKeeper.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/LeaseKeeper.kt
@@ -27,7 +27,8 @@
 import org.tinylog.kotlin.Logger
 
 /**
- * Leases with fencing tokens over the log stream `leases`.
+ * Leases with fencing tokens over the log stream `leases`. The random numbers tell attempts apart,
+ * so they must differ between instances and between runs of one instance.
  *
  * ```
  * keeper.withLease("placement", engineChecksTokens = false) { lease ->
@@ -39,9 +40,10 @@
     private val log: LogService,
     private val self: InstanceId,
     private val clock: Clock,
-    private val random: Random,
+    random: Random,
     private val settings: LeaseSettings = LeaseSettings()
 ) {
+    private val random = LockedRandom(random)
     private val table = LeaseTable(settings.forgetAfter.inWholeMilliseconds)
     private val seenAt = ConcurrentHashMap<String, Long>()
     private val attempts = ConcurrentHashMap<Long, CompletableDeferred<Long?>>()
--- a/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/ConnectionPool.kt
@@ -25,6 +25,9 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
@@ -51,10 +54,13 @@
     private val all = ConcurrentHashMap.newKeySet<Connection>()
     private val opening =
         ConcurrentHashMap<String, Deferred<Result<Connection, ConnectionError>>>()
-    private val unproved = AtomicInteger()
+    private val unauthenticated = AtomicInteger()
     private val refusals = LogLimiter(clock)
     private var server: ServerSocket? = null
 
+    @Volatile
+    private var isClosing = false
+
     val size: Int get() = all.size
 
     /** Listens at the address and returns the bound port. */
@@ -71,11 +77,20 @@
     suspend fun open(peer: InstanceId?, address: String): Result<Connection, ConnectionError> {
         peer?.let { find(it) }?.let { return Ok(it) }
         val key = "${peer?.value}@$address"
-        val attempt = opening.computeIfAbsent(key) {
-            scope.async(start = CoroutineStart.LAZY) { dial(peer, address) }
-                .also { started -> started.invokeOnCompletion { opening.remove(key, started) } }
+        val created = scope.async(start = CoroutineStart.LAZY) { dial(peer, address) }
+        val attempt = opening.putIfAbsent(key, created) ?: created
+        if (attempt === created) {
+            created.invokeOnCompletion { opening.remove(key, created) }
+        } else {
+            created.cancel()
+        }
+        return try {
+            attempt.await()
+        } catch (e: CancellationException) {
+            // A stopped node cancels the attempt; that must not look like a cancelled caller.
+            currentCoroutineContext().ensureActive()
+            Err(ConnectionError.Refused("the node is stopped"))
         }
-        return attempt.await()
     }
 
     /** Closes the connection in use to [peer], which did not answer a probe. */
@@ -86,11 +101,18 @@
         old.close()
     }
 
-    fun closeIdle(now: Long, neighbours: Set<InstanceId>) {
+    /** Closes idle connections and those that went silent while requests wait on them. */
+    fun maintain(now: Long, neighbours: Set<InstanceId>) {
         val idle = timings.idleConnection.inWholeMilliseconds
+        val silence = timings.probeTimeout.inWholeMilliseconds * SILENT_TIMEOUTS
         for (connection in all) {
+            if (connection.isSilent(now, silence)) {
+                traffic.replaced.increment()
+                Logger.info { "membership: silent connection to ${connection.peer} closed" }
+                connection.close()
+            }
             val isKept = connection.peer in neighbours && current[connection.peer] === connection
-            val limit = if (connection.isDialled) idle else ACCEPTOR_PATIENCE * idle
+            val limit = if (connection.isDialled) idle else ACCEPTOR_IDLE_FACTOR * idle
             if (!isKept && !connection.isBusy && now - connection.lastUse > limit) {
                 connection.close()
             }
@@ -98,13 +120,14 @@
     }
 
     fun close() {
+        isClosing = true
         server?.close()
         all.forEach { it.close() }
         selector.close()
     }
 
     override fun onFrame(connection: Connection, frame: Frame) {
-        connection.lastUse = clock.monotonicMillis()
+        connection.received(clock.monotonicMillis())
         onFrame.invoke(connection, frame)
     }
 
@@ -134,13 +157,15 @@
     }
 
     private suspend fun acceptAll(server: ServerSocket) {
-        while (true) {
-            val socket = server.accept()
-            if (unproved.incrementAndGet() > MAX_UNPROVED || all.size > MAX_CONNECTIONS) {
-                unproved.decrementAndGet()
+        while (!isClosing) {
+            val socket = acceptOne(server) ?: continue
+            val isCrowded = unauthenticated.incrementAndGet() > MAX_UNAUTHENTICATED
+            if (isCrowded || all.size > MAX_CONNECTIONS) {
+                unauthenticated.decrementAndGet()
                 socket.close()
                 continue
             }
+            val address = socket.remoteAddress
             scope.launch {
                 val result = attempt {
                     closingOnFailure(socket) { input, output ->
@@ -148,12 +173,25 @@
                             .map { id -> connection(id, false, socket, input, output) }
                     }
                 }
-                unproved.decrementAndGet()
-                result.fold(success = {}, failure = { refused(socket, it) })
+                unauthenticated.decrementAndGet()
+                result.fold(success = {}, failure = { refused("$address", it) })
             }
         }
     }
 
+    /** A failure to accept, such as too many open files, must not end the accept loop. */
+    private suspend fun acceptOne(server: ServerSocket): Socket? = try {
+        server.accept()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        if (!isClosing) {
+            refusals.log { Logger.warn { "membership: no connection accepted: ${e.message}" } }
+            delay(timings.tick)
+        }
+        null
+    }
+
     private fun connection(
         id: InstanceId,
         isDialled: Boolean,
@@ -168,14 +206,16 @@
         all += connection
         if (id != self) current[id] = connection
         connection.run(scope)
+        // A cancelled scope does not start the reader, which would close the socket.
+        if (isClosing) connection.close()
         return connection
     }
 
-    private fun refused(socket: Socket, error: ConnectionError) {
+    private fun refused(address: String, error: ConnectionError) {
         traffic.refused.increment()
         if (error is ConnectionError.BadFrame) traffic.badFrames.increment()
         refusals.log {
-            Logger.warn { "membership: connection from ${socket.remoteAddress} refused: $error" }
+            Logger.warn { "membership: connection from $address refused: $error" }
         }
     }
 
@@ -208,8 +248,9 @@
     }
 
     private companion object {
-        const val ACCEPTOR_PATIENCE = 3
-        const val MAX_UNPROVED = 256
+        const val ACCEPTOR_IDLE_FACTOR = 3
+        const val SILENT_TIMEOUTS = 4
+        const val MAX_UNAUTHENTICATED = 256
         const val MAX_CONNECTIONS = 1_024
     }
 }
--- a/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/PeerNode.kt
@@ -78,6 +78,11 @@
         }
     }
 
+    /** The bound address `ip:port`; null before [start]. */
+    @Volatile
+    public var listenAddress: String? = null
+        private set
+
     override val self: InstanceId get() = settings.id
 
     override fun live(): List<Member> = core?.view ?: listOf(record(settings.listenPort).toMember())
@@ -105,9 +110,11 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
+            isStarted.set(false)
             val address = "${settings.listenHost}:${settings.listenPort}"
             return Err(StartError.CannotListen(address, e.message ?: e.javaClass.simpleName))
         }
+        listenAddress = "${settings.listenHost}:$port"
         val self = record(port)
         val started = SwimCore(self, timings, random)
         started.addSeeds(settings.seeds)
@@ -145,8 +152,9 @@
     }
 
     /**
-     * Calls [peer]. [PeerError.Unreachable] means that the call was surely not handled; payloads
-     * have at most 1 MiB.
+     * Calls [peer], which must be another instance. [PeerError.Unreachable] means that the call was
+     * surely not handled. Payloads and replies have at most 1 MiB; a peer handles at most 128 calls
+     * of one connection at a time and fails the others.
      */
     override suspend fun call(
         peer: InstanceId,
@@ -207,7 +215,7 @@
             try {
                 val now = clock.monotonicMillis()
                 run(core.tick(now), null)
-                pool.closeIdle(now, core.neighbours())
+                pool.maintain(now, core.neighbours())
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Exception) {
@@ -229,6 +237,10 @@
             FrameKind.REQUEST -> handlers.handle(connection, frame)
 
             FrameKind.RESPONSE, FrameKind.FAILURE -> connection.complete(frame)
+
+            FrameKind.PING -> connection.answerPing(clock.monotonicMillis())
+
+            FrameKind.PONG -> Unit
         }
     }
 
@@ -280,7 +292,7 @@
 
     private fun record(port: Int): MemberRecord = MemberRecord(
         settings.id,
-        "${settings.advertisedHost}:$port",
+        "${settings.advertisedHost}:${settings.advertisedPort ?: port}",
         settings.dataCentre,
         boot = clock.wallMillis(),
         incarnation = 0,
--- a/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
@@ -33,6 +33,8 @@
     private val schedule = Schedule(timings, random)
     private var neighbours: Set<InstanceId> = emptySet()
     private var wantedItems = 0
+    private var isCatchingUp = false
+    private var isViewStale = false
 
     /** Live members, this instance included, sorted by id. */
     @Volatile
@@ -74,16 +76,18 @@
         if (schedule.isProbeDue(now)) {
             prober.next(live, neighbours)?.let { effects += probe(it, now) }
         }
-        effects += retryLost(now) + synchronise(live, now) + contactSeed(live, now)
+        effects += retryFailed(now) + synchronise(live, now) + contactSeed(live, now)
         if (schedule.isExpiryDue(now)) store.expire(now)
         val peers = neighbours.mapNotNull { table.find(it) }
         effects += sender.flood(peers, table.size, now)
+        refreshView()
         effects
     }
 
     fun receive(from: InstanceId, message: SwimMessage, now: Long): List<Effect> {
         val effects = ArrayList<Effect>()
-        message.items.forEach { effects += acceptItem(it, from, now) }
+        val isRumour = message.kind < SwimKind.SYNC || message.sequence != Synchroniser.JOINING
+        message.items.forEach { effects += acceptItem(it, from, now, isRumour) }
         if (message.kind == SwimKind.GOSSIP && message.events.isEmpty()) return effects
         return lock.withLock {
             val isSync = message.kind >= SwimKind.SYNC
@@ -93,9 +97,11 @@
             for (record in message.events) {
                 val notice =
                     if (isSync) table.mergeFromSync(record, now) else table.merge(record, now)
-                effects += note(notice, record.id, from, isRumour = message.sequence != JOINING)
+                if (notice == null) sender.heard(record, from)
+                effects += note(notice, record.id, from, isRumour)
             }
             effects += respond(from, message, now)
+            refreshView()
             effects
         }
     }
@@ -109,6 +115,7 @@
     /** Announces that this instance leaves; it still answers until it stops. */
     fun leave() = lock.withLock {
         table.leave()
+        isViewStale = true
         refreshView()
         sender.add(table.self, null)
     }
@@ -129,7 +136,7 @@
                 prober.acknowledged(message, table.self)
             }
 
-            SwimKind.PING_REQUEST -> runErrand(message, now)
+            SwimKind.PING_REQUEST -> probeForPeer(message, now)
 
             SwimKind.NACK -> emptyList<Effect>().also { prober.refused(message.sequence) }
 
@@ -144,7 +151,9 @@
             SwimKind.SYNC_UPDATE -> reply(synchroniser.items(message, now))
 
             SwimKind.SYNC_ITEMS -> emptyList<Effect>().also {
-                if (message.items.size < wantedItems) schedule.synchroniseSoon(now)
+                isCatchingUp = message.sequence == Synchroniser.JOINING &&
+                    message.items.size < wantedItems
+                if (isCatchingUp) schedule.synchroniseSoon(now)
             }
         }
 
@@ -154,35 +163,35 @@
     }
 
     private fun ping(number: Long, target: MemberRecord): SwimMessage {
-        val doubt = target.takeIf { it.state != MemberState.ALIVE }
-        val message = SwimMessage(SwimKind.PING.ordinal, number, table.self, doubt)
+        val notAlive = target.takeIf { it.state != MemberState.ALIVE }
+        val message = SwimMessage(SwimKind.PING.ordinal, number, table.self, notAlive)
         return sender.piggyback(message, target.id, table.size)
     }
 
     private fun ack(from: InstanceId, ping: SwimMessage): SwimMessage {
-        val doubt = table.find(from)?.takeIf { it.state != MemberState.ALIVE }
-        val message = SwimMessage(SwimKind.ACK.ordinal, ping.sequence, table.self, doubt)
+        val notAlive = table.find(from)?.takeIf { it.state != MemberState.ALIVE }
+        val message = SwimMessage(SwimKind.ACK.ordinal, ping.sequence, table.self, notAlive)
         return sender.piggyback(message, from, table.size)
     }
 
-    private fun runErrand(message: SwimMessage, now: Long): List<Effect> {
+    private fun probeForPeer(message: SwimMessage, now: Long): List<Effect> {
         val requester = message.sender ?: return emptyList()
         val asked = message.target ?: return emptyList()
         val target = table.find(asked.id) ?: asked
-        val number = prober.startErrand(requester, message.sequence, now)
+        val number = prober.startIndirect(requester, message.sequence, now)
         return listOf(Effect.Send(target.id, target.address, ping(number, target)))
     }
 
-    private fun retryLost(now: Long): List<Effect> {
+    private fun retryFailed(now: Long): List<Effect> {
         if (!schedule.isRetryDue(now)) return emptyList()
-        val lost = table.lost().randomOrNull(random) ?: return emptyList()
-        return listOf(Effect.Send(lost.id, lost.address, ping(prober.retry(), lost)))
+        val failed = table.unreachable().randomOrNull(random) ?: return emptyList()
+        return listOf(Effect.Send(failed.id, failed.address, ping(prober.retry(), failed)))
     }
 
     private fun synchronise(live: List<MemberRecord>, now: Long): List<Effect> {
         if (live.isEmpty() || !schedule.isSyncDue(now)) return emptyList()
         val peer = live.random(random)
-        return listOf(Effect.Send(peer.id, peer.address, synchroniser.open(isJoining = false)))
+        return listOf(Effect.Send(peer.id, peer.address, synchroniser.open(isCatchingUp)))
     }
 
     private fun contactSeed(live: List<MemberRecord>, now: Long): List<Effect> {
@@ -196,9 +205,19 @@
     private fun reply(message: SwimMessage?): List<Effect> =
         listOfNotNull(message?.let { Effect.Reply(it) })
 
-    private fun acceptItem(item: GossipItem, source: InstanceId?, now: Long): List<Effect> {
-        if (!store.merge(item, now)) return emptyList()
-        itemRumours.add("${item.topic}\u0000${item.key}", item, source)
+    /** Items that an instance gets when it joins are known to the others and not sent on. */
+    private fun acceptItem(
+        item: GossipItem,
+        source: InstanceId?,
+        now: Long,
+        isRumour: Boolean = true
+    ): List<Effect> {
+        val key = "${item.topic}\u0000${item.key}"
+        if (!store.merge(item, now)) {
+            source?.let { itemRumours.heard(key, it) { held -> held.version == item.version } }
+            return emptyList()
+        }
+        if (isRumour) itemRumours.add(key, item, source)
         return listOf(Effect.Deliver(item, isOwn = source == null))
     }
 
@@ -209,7 +228,7 @@
         isRumour: Boolean = true
     ): List<Effect> {
         if (notice == null) return emptyList()
-        refreshView()
+        isViewStale = true
         if (notice is MemberNotice.Refuted) {
             if (notice.claimed == MemberState.SUSPECT) health.degraded()
             sender.add(table.self, null)
@@ -220,13 +239,14 @@
     }
 
     private fun refreshView() {
+        if (!isViewStale) return
+        isViewStale = false
         val live = table.livePeers()
         view = (live + table.self).map { it.toMember() }.sortedBy { it.id }.toPersistentList()
         neighbours = Overlay.neighbours(table.self.id, live.map { it.id })
     }
 
     private companion object {
-        const val JOINING = 1L
         const val MAX_SEEDS = 1_000
     }
 }
--- a/routing/src/main/kotlin/io/greengageport/routing/CostModel.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CostModel.kt
@@ -22,7 +22,7 @@
 ) {
     /** The cost of running any part of [request] on [runner]. */
     public fun runnerCost(runner: Runner, request: RoutingRequest): RunnerCost {
-        val load = loads.load(runner.id, runner.tokensPerSecond)
+        val load = load(runner)
         val rate = load.tokensPerSecond * slowStart.share(runner, clock.monotonicMillis())
         val saved = savedTokens(runner, request)
         val work = (request.promptTokens - saved) * prefillWeight + request.outputTokens
@@ -36,6 +36,9 @@
         )
     }
 
+    internal fun load(runner: Runner): EstimatedLoad =
+        loads.load(runner.id, runner.tokensPerSecond, clock.wallMillis())
+
     /** Time that the hops of all tokens of [request] over one link take, in milliseconds. */
     public fun linkMillis(hopMillis: Double, request: RoutingRequest): Double =
         hopMillis * request.outputTokens
@@ -63,11 +66,13 @@
         )
     }
 
-    private fun savedTokens(runner: Runner, request: RoutingRequest): Double {
-        if (request.prefixBlocks.isEmpty()) return 0.0
-        val blocks = prefixes.cachedBlocks(runner.id, request.prefixBlocks)
-        return minOf(blocks * PrefixIndex.BLOCK_TOKENS, request.promptTokens.toDouble())
-    }
+    internal fun cachedBlocks(runner: Runner, request: RoutingRequest): Double =
+        prefixes.cachedBlocks(runner.id, request.prefixBlocks)
+
+    private fun savedTokens(runner: Runner, request: RoutingRequest): Double = minOf(
+        cachedBlocks(runner, request) * PrefixIndex.BLOCK_TOKENS,
+        request.promptTokens.toDouble()
+    )
 
     public companion object {
         /** Engines compute about ten prompt tokens in the time of one output token. */
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -26,14 +26,17 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
+import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 import kotlin.system.exitProcess
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.encodeToString
 
 /** Stands in for a model engine that holds a range of layers and works in continuous batches. */
@@ -49,9 +52,11 @@
     private val cancels = AtomicLong()
     private val orders = AtomicLong()
     private val fencing = AtomicLong()
+    private val lastStepAt = AtomicLong(System.nanoTime() - IDLE_NANOS)
+    private val wrongFrame = AtomicReference<WrongFrame?>()
 
     @Volatile
-    private var version = ""
+    private var version = settings.version
 
     @Volatile
     private var layers = settings.layers
@@ -152,8 +157,7 @@
         thaw()
         val g = json.decodeFromString<GenerateRequest>(call.receiveText())
         generates.incrementAndGet()
-        val hop = g.route.firstOrNull()
-        if (leaving || hop == null || hop.runner != settings.id || hop.layers !in layers) {
+        if (leaving || !holds(g.route.firstOrNull())) {
             if (leaving) call.response.header("Greengage-Leaving", "true")
             call.respondText("refused, not run", status = HttpStatusCode.ServiceUnavailable)
             return
@@ -169,9 +173,11 @@
                         break
                     }
                     val frame = token(g, i, previous) ?: break
+                    if (i > g.firstIndex) {
+                        wrongFrame.getAndSet(null)?.let { writeFrame(it.before(frame)) }
+                    }
                     previous = frame.text
-                    writeStringUtf8(json.encodeToString(frame) + "\n")
-                    flush()
+                    writeFrame(frame)
                 }
             }
         } finally {
@@ -180,11 +186,19 @@
         }
     }
 
+    private fun holds(hop: RouteHop?) =
+        hop != null && hop.runner == settings.id && hop.layers in layers
+
+    private suspend fun ByteWriteChannel.writeFrame(f: TokenFrame) {
+        writeStringUtf8(json.encodeToString(f) + "\n")
+        flush()
+    }
+
     private suspend fun token(g: GenerateRequest, index: Int, previous: String): TokenFrame? {
         thaw()
         val tokens = ModelFunction.promptTokens(g.prompt) + g.delivered.size
         val first = index == g.firstIndex
-        val prefill = if (first) tokens - cache.use(g.prompt) else 0
+        val prefill = if (first) tokens - cache.use(settings.service.value, g.prompt) else 0
         val reply = step(
             StepRequest(
                 request = g.request,
@@ -211,8 +225,9 @@
 
     private suspend fun step(s: StepRequest): StepReply? {
         val hop = s.route[s.position]
-        if (hop.runner != settings.id || hop.layers !in layers) return null
+        if (!holds(hop)) return null
         steps.incrementAndGet()
+        lastStepAt.set(System.nanoTime())
         val start = System.nanoTime()
         val prefillSteps = when {
             s.promptTokens <= 0 || kvCache.containsKey(s.request) -> 0
@@ -271,13 +286,33 @@
             )
             return
         }
+        if (!awaitIdle()) {
+            call.json(
+                json.encodeToString(OrderReply(accepted = false, fencing = highest)),
+                HttpStatusCode.ServiceUnavailable
+            )
+            return
+        }
         delay(settings.loadMillis)
+        if (settings.checksFencing && o.fencing < fencing.get()) {
+            call.json(
+                json.encodeToString(OrderReply(accepted = false, fencing = fencing.get())),
+                HttpStatusCode.Conflict
+            )
+            return
+        }
         version = o.order.version
         o.order.layers?.let { layers = it }
         orders.incrementAndGet()
         call.json(json.encodeToString(OrderReply(accepted = true, fencing = highest)))
     }
 
+    /** Waits until the streams that this stage takes part in have ended. */
+    private suspend fun awaitIdle(): Boolean = withTimeoutOrNull(IDLE_LIMIT_MILLIS) {
+        while (lastStepAt.get() > System.nanoTime() - IDLE_NANOS) delay(IDLE_POLL_MILLIS)
+        true
+    } ?: false
+
     private suspend fun control(call: ApplicationCall) {
         val c = json.decodeFromString<EngineControl>(call.receiveText())
         c.frozen?.let { frozen = it }
@@ -285,6 +320,7 @@
         c.hopMillis?.let { hopMillis = it }
         c.leaving?.let { leaving = it }
         c.reportsStopped?.let { reportsStopped = it }
+        c.wrongFrame?.let { wrongFrame.set(it) }
         call.json("{}")
         if (c.crash) crash()
     }
@@ -301,6 +337,9 @@
 
     private companion object {
         const val HEX = 16
+        const val IDLE_NANOS = 1_000_000_000L
+        const val IDLE_POLL_MILLIS = 20L
+        const val IDLE_LIMIT_MILLIS = 4_000L
         const val NANOS_PER_MICRO = 1_000L
         const val FROZEN_POLL_MILLIS = 20L
         const val CRASH_STATUS = 134
