Count a connection that times out as silence, not as a crash

Cause: Ktor's ConnectTimeoutException extends ConnectException, which RunnerProbe caught first. A runner too busy to accept a probe's connection in time counted as one that refuses connections, which shows a crash: the requests on it were marked, and after two such probes innocent requests were refused as request_crashes_runners. Change: the timeout is caught first. Result: RunnerProbeTest fails before the change and passes after it.

--- a/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
@@ -50,10 +50,11 @@
             }
         }
         ProbeResult.Answered(decode(r.bodyAsText()))
-    } catch (e: ConnectException) {
-        ProbeResult.Refused
     } catch (e: ConnectTimeoutException) {
+        // A subclass of ConnectException: an overloaded runner is no crashed one.
         ProbeResult.Silent
+    } catch (e: ConnectException) {
+        ProbeResult.Refused
     } catch (e: IOException) {
         ProbeResult.Silent
     } catch (e: CancellationException) {
--- /dev/null
+++ b/entry/src/test/kotlin/io/greengageport/entry/RunnerProbeTest.kt
@@ -0,0 +1,57 @@
+package io.greengageport.entry
+
+import io.greengageport.common.RunnerId
+import io.greengageport.platform.RouteHop
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.HttpClientEngineBase
+import io.ktor.client.engine.HttpClientEngineCapability
+import io.ktor.client.engine.HttpClientEngineConfig
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.HttpTimeoutCapability
+import io.ktor.client.request.HttpRequestData
+import io.ktor.client.request.HttpResponseData
+import io.ktor.utils.io.InternalAPI
+import java.io.IOException
+import java.net.ConnectException
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Guards against an overloaded runner that counts as crashed, which marks its requests. */
+class RunnerProbeTest {
+    private val hop = RouteHop(RunnerId("r1"), "127.0.0.1:1", 0, 4)
+
+    private fun probe(failure: IOException) = runBlocking {
+        val client = HttpClient(FailingEngine(failure)) { install(HttpTimeout) }
+        client.use { RunnerProbe(it, timeoutMillis = 60_000).probe(hop.address) }
+    }
+
+    @Test
+    fun `a refused connection is a refusal`() {
+        expectThat(probe(ConnectException("refused"))).isEqualTo(ProbeResult.Refused)
+    }
+
+    @Test
+    fun `a connection that is not accepted in time is silence`() {
+        expectThat(probe(ConnectTimeoutException("no connection within 250 ms")))
+            .isEqualTo(ProbeResult.Silent)
+    }
+
+    @Test
+    fun `a broken connection is silence`() {
+        expectThat(probe(IOException("reset"))).isEqualTo(ProbeResult.Silent)
+    }
+
+    private class FailingEngine(private val failure: IOException) :
+        HttpClientEngineBase("failing") {
+        override val config: HttpClientEngineConfig = HttpClientEngineConfig()
+
+        override val supportedCapabilities: Set<HttpClientEngineCapability<*>> =
+            setOf(HttpTimeoutCapability)
+
+        @InternalAPI
+        override suspend fun execute(data: HttpRequestData): HttpResponseData = throw failure
+    }
+}
