--- a/bench/src/main/kotlin/io/greengageport/bench/SlopeInstances.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/SlopeInstances.kt
@@ -34,7 +34,7 @@
 
     private suspend fun measure(size: Int): List<Row> = options.fleet(size).use { fleet ->
         fleet.start()
-        delay(options.settle * MILLIS)
+        delay((options.warmUp + options.settle) * MILLIS)
         val start = FleetSample(fleet.instances, fleet)
         delay(options.measure * MILLIS)
         val idle = FleetSample(fleet.instances, fleet)
--- a/bench/src/main/kotlin/io/greengageport/bench/SlopeOptions.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/SlopeOptions.kt
@@ -11,6 +11,14 @@
     @Option(names = ["--settle-s"], defaultValue = "25", description = ["Before measuring."])
     var settle: Int = 0
 
+    /** The compiler of a JVM takes several per cent of a core for more than a minute. */
+    @Option(
+        names = ["--warm-up-s"],
+        defaultValue = "60",
+        description = ["Time before the first figure of a fleet, besides the settling time."]
+    )
+    var warmUp: Int = 0
+
     @Option(names = ["--measure-s"], defaultValue = "30", description = ["Span of a figure."])
     var measure: Int = 0
 
