--- a/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
@@ -84,10 +84,10 @@
     private val loads = ConcurrentHashMap<RunnerId, LoadReport>()
 
     @Volatile
-    private var listing = InstanceListing()
+    private var listing = TaggedPage.of(json.encodeToString(InstanceListing()))
 
     @Volatile
-    private var loadPage: List<LoadReport> = emptyList()
+    private var loadPage = TaggedPage.of("[]")
 
     @Volatile
     private var appendDelayMillis = 0L
@@ -110,14 +110,14 @@
                         .sortedBy { it.id }
                 )
                 delay(times.listLagMillis)
-                listing = next
+                listing = TaggedPage.of(json.encodeToString(next))
             }
         }
         scope.launch {
             while (isActive) {
                 val next = loads.values.sortedBy { it.runner }
                 delay(times.loadLagMillis)
-                loadPage = next
+                loadPage = TaggedPage.of(json.encodeToString(next))
             }
         }
         scope.launch {
@@ -132,8 +132,8 @@
     public fun routes(route: Route): Unit = with(route) {
         post("/v1/log/{stream}") { append(call) }
         get("/v1/log/{stream}") { read(call) }
-        get("/v1/instances") { answer(call, "list") { json.encodeToString(listing) } }
-        get("/v1/load") { answer(call, "load") { json.encodeToString(loadPage) } }
+        get("/v1/instances") { answer(call, "list", listing) }
+        get("/v1/load") { answer(call, "load", loadPage) }
         put("/v1/instances/runners") {
             val r = json.decodeFromString<ListedRunner>(call.receiveText())
             runners[r.id] = Registered(r, nowMillis())
@@ -205,8 +205,12 @@
         call.json("{}")
     }
 
-    private suspend fun answer(call: ApplicationCall, kind: String, page: () -> String) {
-        if (listDown) call.unavailable() else call.counted(kind, page())
+    private suspend fun answer(call: ApplicationCall, kind: String, page: TaggedPage) {
+        if (listDown) {
+            call.unavailable()
+        } else {
+            calls.add(kind, received = 0, sent = page.answer(call))
+        }
     }
 
     private suspend fun ApplicationCall.counted(kind: String, reply: String, received: Int = 0) {
--- /dev/null
+++ b/standins/src/main/kotlin/io/greengageport/standins/TaggedPage.kt
@@ -0,0 +1,47 @@
+package io.greengageport.standins
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondBytes
+import java.io.ByteArrayOutputStream
+import java.util.zip.GZIPOutputStream
+
+/** A JSON page with its entity tag, compressed once for all callers. */
+internal class TaggedPage private constructor(
+    private val tag: String,
+    private val plain: ByteArray,
+    private val compressed: ByteArray
+) {
+    /** Answers [call] as its headers ask; the number of body bytes sent. */
+    suspend fun answer(call: ApplicationCall): Int {
+        call.response.header(HttpHeaders.ETag, tag)
+        if (call.request.headers[HttpHeaders.IfNoneMatch] == tag) {
+            call.respond(HttpStatusCode.NotModified)
+            return 0
+        }
+        val accepted = call.request.headers[HttpHeaders.AcceptEncoding].orEmpty()
+        val body = if (GZIP in accepted) compressed else plain
+        if (body === compressed) call.response.header(HttpHeaders.ContentEncoding, GZIP)
+        call.respondBytes(body, ContentType.Application.Json)
+        return body.size
+    }
+
+    companion object {
+        private const val GZIP = "gzip"
+        private const val SEED = 1469598103934665603L
+        private const val PRIME = 1099511628211L
+
+        /** The page of the JSON [text]; equal texts have equal tags. */
+        fun of(text: String): TaggedPage {
+            val plain = text.encodeToByteArray()
+            val hash = plain.fold(SEED) { h, b -> (h xor b.toLong()) * PRIME }
+            val out = ByteArrayOutputStream()
+            GZIPOutputStream(out).use { it.write(plain) }
+            return TaggedPage("\"${hash.toULong().toString(16)}\"", plain, out.toByteArray())
+        }
+    }
+}
