--- a/bench/src/main/kotlin/io/greengageport/bench/SyntheticFleet.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/SyntheticFleet.kt
@@ -59,8 +59,9 @@
                     LoadReport(
                         id,
                         service,
-                        bootId = "b%015d".format(i),
-                        reportedAtMillis = System.currentTimeMillis(),
+                        // As random as real ones, since the platform compresses the page.
+                        bootId = "%016x".format(Random(seed + i).nextLong()),
+                        reportedAtMillis = System.currentTimeMillis() - random.nextInt(LAG_MILLIS),
                         running = random.nextInt(BATCH),
                         queuedTokens = random.nextLong(MAX_QUEUED),
                         tokensPerSecond = RATE,
@@ -88,6 +89,7 @@
         const val FIRST_REMOTE = 4
         const val REMOTE = 5
         const val BATCH = 16
+        const val LAG_MILLIS = 1_000
         const val MAX_QUEUED = 4_000L
         const val RATE = 500.0
         const val STAGES = 3
