Use the retry and placement settings, count all refusals, cut the path undecoded

Retry settings and the moves of a service had no effect; refusals before authentication were not counted; the silence of 1 s kept a resume above the 1 s aim; an instance with taken ports joined its peers before it failed; a service name written with escapes kept its path from matching the non-idempotent patterns. Change: as named; silence 600 ms by default, 5 attempts by default.

--- a/entry/src/main/kotlin/io/greengageport/entry/CallerHeaders.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerHeaders.kt
@@ -17,6 +17,7 @@
     const val REQUEST_ID = "Greengage-Request-Id"
     const val EXECUTION = "Greengage-Execution"
     const val REPLAYED = "Greengage-Replayed"
+    private const val SERVICES = "/services/"
     private const val MAX_KEY_LENGTH = 128
     private const val MAX_DEADLINE_MILLIS = 3_600_000L
     private const val UUID_TIME_SHIFT = 16
@@ -33,6 +34,20 @@
         }
     }
 
+    /**
+     * The path below the service, with the query, of the request target [uri]. It is cut from the
+     * undecoded target, since the service's name may be written with escapes there.
+     */
+    fun targetOf(uri: String): String {
+        val rest = uri.removePrefix(SERVICES)
+        val end = rest.indexOfFirst { it == '/' || it == '?' }
+        return when {
+            end < 0 -> "/"
+            rest[end] == '?' -> "/" + rest.substring(end)
+            else -> rest.substring(end)
+        }
+    }
+
     /** The key and issue time of a non-idempotent call. */
     fun callKey(key: String?, issuedAt: String?): Result<CallKey, RequestError> {
         if (key.isNullOrEmpty() || key.length > MAX_KEY_LENGTH) {
--- a/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -65,8 +65,12 @@
     }
 
     /** Counts the request and answers with the error that [action] returns. */
-    private suspend fun serve(call: ApplicationCall, action: suspend (RequestId) -> RequestError?) {
-        val id = RequestId.random(Random.Default)
+    private suspend fun serve(
+        call: ApplicationCall,
+        action: suspend (ServedRequest) -> RequestError?
+    ) {
+        val request = ServedRequest(RequestId.random(Random.Default))
+        val id = request.id
         call.response.header(CallerHeaders.REQUEST_ID, id.value)
         val running = inFlight.incrementAndGet()
         parts.metrics.inFlight.set(running.toDouble())
@@ -78,9 +82,10 @@
                 running > parts.bounds.maxRequests ->
                     RequestError.Overloaded("too many requests at this instance", RETRY_MILLIS)
 
-                else -> guarded(id, action)
+                else -> guarded(request, action)
             }
             if (error != null) refuse(call, id, error)
+            count(request, error)
         } finally {
             parts.metrics.inFlight.set(inFlight.decrementAndGet().toDouble())
         }
@@ -88,28 +93,30 @@
 
     /** Turns a fault of this program into a typed error; the caller may not assume "not run". */
     private suspend fun guarded(
-        id: RequestId,
-        action: suspend (RequestId) -> RequestError?
+        request: ServedRequest,
+        action: suspend (ServedRequest) -> RequestError?
     ): RequestError? = try {
-        action(id)
+        action(request)
     } catch (e: CancellationException) {
         throw e
     } catch (e: IOException) {
-        Logger.info("entry: request=$id ended by its caller: $e")
+        Logger.info("entry: request=${request.id} ended by its caller: $e")
         throw e
     } catch (e: Exception) {
-        Logger.error(e, "entry: request=$id failed by a fault of this program")
+        Logger.error(e, "entry: request=${request.id} failed by a fault of this program")
         RequestError.Internal("a fault of this instance", Execution.UNKNOWN)
     }
 
     private suspend fun completion(
         call: ApplicationCall,
-        id: RequestId,
+        request: ServedRequest,
         form: CompletionForm
     ): RequestError? {
         val body = body(call).getOrElse { return it }
         val parsed = CompletionFormat.parse(form, body.decodeToString()).getOrElse { return it }
-        val context = parts.gate.open(id, parsed.model, headers(call)).getOrElse { return it }
+        val context = parts.gate.open(request.id, parsed.model, headers(call))
+            .getOrElse { return it }
+        request.context = context
         if (context.service.settings.model == null) {
             return RequestError.Invalid("'${parsed.model}' is a plain service, not a model")
         }
@@ -117,8 +124,8 @@
         val promptTokens = exchange.promptTokens
         val admission = parts.admissions.of(context.service, parts.view())
         val permit = admission.admit(context, promptTokens, parsed.maxTokens)
-            .getOrElse { return counted(context, it) }
-        val result = try {
+            .getOrElse { return it }
+        return try {
             exchange.run(
                 admission,
                 permit,
@@ -127,40 +134,37 @@
         } finally {
             permit.release((promptTokens + exchange.delivered).toLong())
         }
-        return result?.let { counted(context, it) } ?: run {
-            count(context, "ok")
-            null
-        }
     }
 
-    private suspend fun plain(call: ApplicationCall, id: RequestId): RequestError? {
+    private suspend fun plain(call: ApplicationCall, request: ServedRequest): RequestError? {
         val service = call.parameters["service"].orEmpty()
-        val context = parts.gate.open(id, service, headers(call)).getOrElse { return it }
+        val context = parts.gate.open(request.id, service, headers(call))
+            .getOrElse { return it }
+        request.context = context
         val settings = context.service.settings.plain
             ?: return RequestError.Invalid("'$service' is a model; use /v1/completions")
         val method = call.request.httpMethod.value
-        val target = call.request.uri.removePrefix("/services/$service").ifEmpty { "/" }
+        val target = CallerHeaders.targetOf(call.request.uri)
         val key = if (settings.isNonIdempotent(method, target)) {
             CallerHeaders.callKey(
                 call.request.headers[CallerHeaders.IDEMPOTENCY_KEY],
                 call.request.headers[CallerHeaders.ISSUED_AT]
-            ).getOrElse { return counted(context, it) }
+            ).getOrElse { return it }
         } else {
             null
         }
-        val body = body(call).getOrElse { return counted(context, it) }
+        val body = body(call).getOrElse { return it }
         val admission = parts.admissions.of(context.service, parts.view())
         val permit = admission.admit(context, promptTokens = 1, maxTokens = 0)
-            .getOrElse { return counted(context, it) }
+            .getOrElse { return it }
         val answer = try {
             parts.plains.run(
                 PlainCall(context, method, target, forwardedHeaders(call), body, key)
             )
         } finally {
             permit.release(1)
-        }.getOrElse { return counted(context, it) }
-        respond(call, id, answer)
-        count(context, "ok")
+        }.getOrElse { return it }
+        respond(call, request.id, answer)
         return null
     }
 
@@ -218,15 +222,16 @@
         return if (bytes.size > limit) Err(RequestError.TooLarge(limit)) else Ok(bytes)
     }
 
-    private fun counted(c: RequestContext, e: RequestError): RequestError {
-        count(c, e.code)
-        return e
-    }
-
-    private fun count(c: RequestContext, code: String) {
-        parts.metrics.requests
-            .labelValues(c.service.name.value, c.rank.name.value, c.sizeClass, code)
-            .inc()
+    /** Labels are empty for a refusal before organisation, service and rank are known. */
+    private fun count(r: ServedRequest, error: RequestError?) {
+        val c = r.context
+        if (c == null && error == null) return
+        parts.metrics.requests.labelValues(
+            c?.service?.name?.value.orEmpty(),
+            c?.rank?.name?.value.orEmpty(),
+            c?.sizeClass.orEmpty(),
+            error?.code ?: "ok"
+        ).inc()
     }
 
     private suspend fun refuse(call: ApplicationCall, id: RequestId, e: RequestError) {
@@ -250,6 +255,11 @@
     }
 }
 
+/** A request on its way; [context] is null until it is authenticated. */
+private class ServedRequest(val id: RequestId) {
+    var context: RequestContext? = null
+}
+
 internal val entryJson: Json = Json { ignoreUnknownKeys = true }
 
 internal inline fun <reified T> T.toJson(): String = entryJson.encodeToString(this)
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -130,12 +130,6 @@
 
     /** Listens, joins the other instances and begins to follow the platform. */
     public suspend fun start(): Result<BoundAddresses, StartError> {
-        val peers = node.start().getOrElse { return Err(it) }
-        backends.start()
-        node.subscribe(ADMIN_TOPIC) { key, _, payload ->
-            adminAddresses[key] = payload.decodeToString()
-        }
-        launchTasks(HostPort.parse(peers))
         val admin = AdminServer(
             AdminParts(
                 view = { store.view.value },
@@ -154,6 +148,13 @@
             caller.routes(this)
         }
         servers += listOf(callerServer, adminServer)
+        // Joined last, so that an instance whose ports are taken is never seen by its peers.
+        val peers = node.start().getOrElse { return Err(it) }
+        backends.start()
+        node.subscribe(ADMIN_TOPIC) { key, _, payload ->
+            adminAddresses[key] = payload.decodeToString()
+        }
+        launchTasks(HostPort.parse(peers))
         scope.launch { announceAdmin(adminAt) }
         Logger.info("entry: instance=${config.instance} serves callers at $callersAt")
         return Ok(BoundAddresses(callersAt, adminAt, HostPort.parse(peers)))
@@ -174,17 +175,13 @@
         acceptsRequests = false
         admissions.stopAdmitting()
         val end = clock.monotonicMillis() + config.times.drainLimitMillis
-        while (caller.requestsInFlight > 0 &&
-            clock.monotonicMillis() < end
-        ) {
+        while (caller.requestsInFlight > 0 && clock.monotonicMillis() < end) {
             delay(DRAIN_POLL_MILLIS)
         }
         val left = caller.requestsInFlight
         if (left > 0) Logger.warn("entry: drain limit reached with $left requests in flight")
-        if (!ledger.flush(
-                maxOf(FLUSH_LIMIT, (end - clock.monotonicMillis()).milliseconds)
-            )
-        ) {
+        val flushLimit = maxOf(FLUSH_LIMIT, (end - clock.monotonicMillis()).milliseconds)
+        if (!ledger.flush(flushLimit)) {
             Logger.warn("ledger: outcomes not recorded before the stop")
         }
         placement.release()
--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -123,7 +123,7 @@
     @SerialName("load_poll_ms") val loadPollMillis: Long = 500,
     @SerialName("connect_timeout_ms") val connectTimeoutMillis: Long = 250,
     /** Time without a token after which a stage counts as dead, at least. */
-    @SerialName("frame_timeout_ms") val frameTimeoutMillis: Long = 700,
+    @SerialName("frame_timeout_ms") val frameTimeoutMillis: Long = 600,
     /** Time for which a stopping instance waits for its requests. */
     @SerialName("drain_limit_ms") val drainLimitMillis: Long = 120_000,
     /** Time between the loss of readiness and the end of accepting, for the balancer to notice. */
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -96,6 +96,9 @@
     private var current: Attempt? = null
     private var execution = Execution.NOT_RUN
 
+    /** Attempts that reached a backend server. */
+    private var reached = 0
+
     /** Whether the attempt runs alone among marked requests and has not passed its crash yet. */
     private var isMarked = false
 
@@ -338,11 +341,17 @@
         // These attempts cost the backend servers no work, and each excludes a runner.
         if (end is StreamEnd.Unreachable) return null
         if (end is StreamEnd.Refused && end.leaving) return null
+        reached++
+        if (reached >= context.service.settings.retry.maxAttempts) {
+            parts.decisions.record(context.id, "routing", "no retry after $reached attempts")
+            return RequestError.BackendFailed("$reached attempts failed", execution)
+        }
         return when (
             val r = parts.retries.tryRetry(
                 assembler.attempt,
                 context.isUrgent,
-                repeatedShare()
+                repeatedShare(),
+                context.service.settings.retry.backoff()
             )
         ) {
             is RetryDecision.Allowed -> {
--- a/entry/src/main/kotlin/io/greengageport/entry/PlacementService.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlacementService.kt
@@ -3,6 +3,7 @@
 import io.greengageport.common.Clock
 import io.greengageport.common.LayerRange
 import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
 import io.greengageport.ledger.Lease
 import io.greengageport.ledger.LeaseKeeper
 import io.greengageport.platform.EngineOrder as WireOrder
@@ -99,6 +100,7 @@
         val plan = planner.plan(models, runners)
         for (o in plan.orders) {
             val sent = pending[o.runner]
+            if (sent == null && movesOf(o.desired.service) >= maxMoves(o.desired.service)) continue
             // No new work reaches the runner meanwhile, so that the order cuts no answer.
             backends.hold(o.runner, HOLD_MILLIS)
             if (sent?.wanted == o.desired && !isDue(sent)) continue
@@ -112,6 +114,13 @@
         }
     }
 
+    private fun movesOf(service: ServiceName) = pending.values.count {
+        it.wanted.service == service
+    }
+
+    private fun maxMoves(service: ServiceName): Int =
+        view().service(service)?.settings?.model?.placement?.maxConcurrentMoves ?: 0
+
     private suspend fun send(o: EngineOrder, lease: Lease) {
         val address = backends.fleet.runner(o.runner)?.address ?: return
         val order = WireOrder(
--- a/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
@@ -84,7 +84,14 @@
             if (end is SendEnd.Answered) return Ok(end.answer)
             excluded += stage.id
             if (isLate(call)) return Err(lateError(end))
-            when (val r = parts.retries.tryRetry(attempt, call.context.isUrgent)) {
+            val rules = call.context.service.settings.retry
+            if (attempt >= rules.maxAttempts) return Err(failure(end))
+            val decision = parts.retries.tryRetry(
+                attempt,
+                call.context.isUrgent,
+                backoff = rules.backoff()
+            )
+            when (val r = decision) {
                 is RetryDecision.Allowed -> delay(r.delayMillis)
                 is RetryDecision.Denied -> return Err(failure(end))
             }
--- a/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
@@ -1,8 +1,10 @@
 package io.greengageport.entry
 
 import io.greengageport.common.RequestId
+import io.greengageport.routing.Backoff
 import io.greengageport.settings.Organisation
 import io.greengageport.settings.Rank
+import io.greengageport.settings.RetrySettings
 import io.greengageport.settings.Service
 
 /**
@@ -24,3 +26,7 @@
     /** Label of the organisation in metrics; names of organisations would be too many series. */
     val sizeClass: String get() = organisation.settings.sizeClass.name.lowercase()
 }
+
+/** The backoff that the settings of a service ask for. */
+internal fun RetrySettings.backoff(): Backoff =
+    Backoff(baseDelayMillis.toLong(), maxDelayMillis.toLong())
--- a/entry/src/test/kotlin/io/greengageport/entry/CallerHeadersTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/CallerHeadersTest.kt
@@ -39,6 +39,22 @@
         }
     }
 
+    @Nested
+    inner class Targets {
+        /** Guards against a non-idempotent path that goes unnoticed behind an escaped name. */
+        @Test
+        fun `the path below the service does not depend on how its name is written`() {
+            val uris = listOf("parts-desk/orders/1?x=a/b", "parts%2Ddesk/orders/1?x=a/b")
+            expectThat(uris.map { CallerHeaders.targetOf("/services/$it") })
+                .isEqualTo(List(2) { "/orders/1?x=a/b" })
+            expectThat(
+                listOf("parts-desk", "parts-desk?x=1", "parts-desk/").map {
+                    CallerHeaders.targetOf("/services/$it")
+                }
+            ).isEqualTo(listOf("/", "/?x=1", "/"))
+        }
+    }
+
     @Nested
     inner class Deadlines {
         @Test
--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -45,10 +45,16 @@
 
     /**
      * Asks for a retry or resume after [attempt] attempts; an allowed one is counted. [cost] is the
-     * part of the request's work that is done again: 1 unless an answer is resumed.
+     * part of the request's work that is done again: 1 unless an answer is resumed. A service may
+     * have a [backoff] of its own.
      */
     @Synchronized
-    public fun tryRetry(attempt: Int, urgent: Boolean, cost: Double = 1.0): RetryDecision {
+    public fun tryRetry(
+        attempt: Int,
+        urgent: Boolean,
+        cost: Double = 1.0,
+        backoff: Backoff = this.backoff
+    ): RetryDecision {
         require(cost > 0 && cost <= 1) { "the repeated work is a part of a request: $cost" }
         val now = clock.monotonicMillis()
         // Whole slots only for what is admitted, part slots too for retries: never too many.
--- a/settings/src/main/kotlin/io/greengageport/settings/ServiceSettings.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/ServiceSettings.kt
@@ -123,14 +123,14 @@
 @Serializable
 public data class TimeoutSettings(
     val connectMillis: Int = 300,
-    val silenceMillis: Int = 1_000,
+    val silenceMillis: Int = 600,
     val answerMillis: Int = 120_000
 )
 
 /** Attempts in all, and the bounds of the exponential backoff between them. */
 @Serializable
 public data class RetrySettings(
-    val maxAttempts: Int = 3,
+    val maxAttempts: Int = 5,
     val baseDelayMillis: Int = 20,
     val maxDelayMillis: Int = 1_000
 )
