--- /dev/null
+++ b/cli/src/main/kotlin/io/greengageport/cli/RemoveCommand.kt
@@ -0,0 +1,21 @@
+package io.greengageport.cli
+
+import io.greengageport.entry.PublishRequest
+import kotlinx.serialization.encodeToString
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+
+/** Removes what lies at or below a path. */
+@Command(
+    name = "remove",
+    description = ["Removes a path with all that lies below it."],
+    mixinStandardHelpOptions = true
+)
+internal class RemoveCommand : SettingsChange() {
+    @Parameters(paramLabel = "PATH", description = ["Path, such as services/parts."])
+    lateinit var path: String
+
+    override fun call(): Int = send(PUBLISH, path) { p, base ->
+        cliJson.encodeToString(PublishRequest(p, base, change.author, yaml = null))
+    }
+}
