--- a/bench/src/main/kotlin/io/greengageport/bench/Statistics.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Statistics.kt
@@ -139,10 +139,14 @@
             resent = r.sumOf { it.attempts.size - 1 },
             firstToken = Percentiles.ofNanos(answered.mapNotNull { it.firstTokenNanos }),
             betweenTokens = Percentiles.ofNanos(answered.flatMap { it.gapsNanos }),
-            tokensPerSecond = answered.sumOf { it.last.tokens }.toDouble() / seconds
+            // What arrives after the run would raise the rate above what the fleet can do.
+            tokensPerSecond = answered.sumOf { tokensWithin(it) }.toDouble() / seconds
         )
     }
 
+    private fun tokensWithin(r: CallResult): Int =
+        r.last.tokenTimes.count { it <= seconds * NANOS_PER_SECOND }
+
     private companion object {
         const val NANOS_PER_SECOND = 1_000_000_000L
         const val NANOS_PER_MILLI = 1e6
--- a/bench/src/test/kotlin/io/greengageport/bench/StatisticsTest.kt
+++ b/bench/src/test/kotlin/io/greengageport/bench/StatisticsTest.kt
@@ -62,6 +62,13 @@
         expectThat(row.tokensPerSecond).isEqualTo(2.5)
     }
 
+    @Test
+    fun `tokens that arrive after the run do not count towards the rate`() {
+        val late = answered(arrival(1.9), 50, 10, 100, 10)
+        expectThat(Statistics(listOf(late), seconds = 2).rows().single().tokensPerSecond)
+            .isEqualTo(1.0)
+    }
+
     @Test
     fun `failures name the code and what was said of the execution`() {
         expectThat(statistics.failures()).isEqualTo(mapOf("overloaded (not_run)" to 2))
