Lose the acknowledgement of a named stream in the platform stand-in

Cause: the stream names were compared by reference, so the fault never took effect; a break of the publisher that sends again blindly left SettingsTest green.

Change: compare by value and count the lost acknowledgements.

--- a/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
@@ -64,6 +64,8 @@
     val reads: Long,
     /** Appends that arrived, by stream, whether or not they took effect. */
     val arrived: Map<String, Long> = emptyMap(),
+    /** Appends that took effect and whose acknowledgement was lost. */
+    @SerialName("lost_acknowledgements") val lostAcknowledgements: Long = 0,
     /** Calls of entry instances by kind; those to the log are of the kind `append STREAM`. */
     val calls: Map<String, CallCount> = emptyMap()
 )
@@ -88,6 +90,7 @@
     private val instances = ConcurrentHashMap<InstanceId, Registered<ListedInstance>>()
     private val loads = ConcurrentHashMap<RunnerId, LoadReport>()
     private val arrived = ConcurrentHashMap<String, Long>()
+    private val lost = LongAdder()
     private val losing = AtomicReference<String?>()
 
     @Volatile
@@ -169,7 +172,13 @@
             call.json("{}")
         }
         get("/counters") {
-            val c = PlatformCounters(log.appends, reads.sum(), arrived, calls.snapshot())
+            val c = PlatformCounters(
+                log.appends,
+                reads.sum(),
+                arrived,
+                lost.sum(),
+                calls.snapshot()
+            )
             call.json(json.encodeToString(c))
         }
     }
@@ -180,7 +189,8 @@
         arrived.merge(stream, 1, Long::plus)
         if (appendDelayMillis > 0) delay(appendDelayMillis)
         val result = log.append(stream, payload)
-        if (result.isOk && losing.compareAndSet(stream, null)) {
+        if (result.isOk && losing.getAndUpdate { if (it == stream) null else it } == stream) {
+            lost.increment()
             call.logError(LogError.Uncertain("acknowledgement lost"))
             return
         }
