Keep marked requests of different instances apart, and refuse what cannot start in time

Change: each instance runs its marked requests in its own part of the runners of a layer range; a request without a deadline of its own has to start within its rank's first-token target, else it is refused at once with the time to retry.

--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -139,6 +139,16 @@
     /** The [runners] answered. */
     fun answered(runners: List<RunnerId>): Unit = runners.forEach { lost.remove(it) }
 
+    /**
+     * The runners of [service] on which instance number [position] of [instances] runs marked
+     * requests. Each instance has its own part of the runners of each layer range, so that marked
+     * requests of two instances, which do not know of each other, do not share a runner.
+     */
+    fun partOfRunners(service: ServiceName, position: Int, instances: Int): Set<RunnerId> =
+        fleet.service(service).runners.groupBy { it.layers }.values.flatMap { same ->
+            same.map { it.id }.sorted().filterIndexed { i, _ -> i % instances == position }
+        }.toSet()
+
     /** Publishes what is known of a suspect request. */
     fun publish(state: SuspectState) {
         Logger.warn("routing: suspect request ${state.fingerprint} marks=${state.marks.size}")
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -214,6 +214,7 @@
             ModelParts(
                 clock = clock,
                 dataCentre = config.dataCentre,
+                members = node,
                 backends = backends,
                 planner = planner,
                 engines = EngineClient(clients.backend, clock, scope),
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -8,6 +8,7 @@
 import io.greengageport.common.DataCentre
 import io.greengageport.common.Execution
 import io.greengageport.common.LayerRange
+import io.greengageport.common.Members
 import io.greengageport.common.RequestError
 import io.greengageport.common.RunnerId
 import io.greengageport.platform.GenerateRequest
@@ -49,6 +50,7 @@
 internal class ModelParts(
     val clock: Clock,
     val dataCentre: DataCentre,
+    val members: Members,
     val backends: BackendFleet,
     val planner: ChainPlanner,
     val engines: EngineClient,
@@ -130,40 +132,56 @@
         while (true) {
             val verdict = suspects.verdict(call.fingerprint)
             if (verdict == SuspectVerdict.BLOCKED) return blocked()
-            val request = routingRequest(marked = verdict == SuspectVerdict.MARKED)
-            val decision = plan(request).getOrElse {
-                if (!waitsForMarked(request)) return noChain(it, request)
-                null
-            }
-            if (decision != null && tryStart(decision)) {
-                parts.decisions.record(context.id, "routing", decision.describe())
-                return Ok(decision)
+            val decision = if (verdict == SuspectVerdict.MARKED) planMarked() else plan(request())
+            if (decision != null && decision.isErr) return noChain(decision.error)
+            if (decision != null && tryStart(decision.value)) {
+                parts.decisions.record(context.id, "routing", decision.value.describe())
+                return Ok(decision.value)
             }
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
             delay(MARKED_WAIT_MILLIS)
         }
     }
 
-    /** Whether only other marked requests, which end in time, keep this one from a chain. */
-    private fun waitsForMarked(request: RoutingRequest): Boolean =
-        request.marked && request.markedBusy.isNotEmpty() &&
-            plan(routingRequest(marked = false)).isOk
+    /**
+     * A chain for a marked request, or null if it has to wait for other marked ones. It runs in
+     * this instance's part of the runners; only an answer that had tokens before the crash, and so
+     * is less likely its cause, goes elsewhere when that part is busy.
+     */
+    private fun planMarked(): Result<RoutingDecision, RoutingFailure>? {
+        val others = othersRunners()
+        val own = plan(request(marked = true, avoided = others))
+        if (own.isOk) return own
+        if (assembler.size == 0 && plan(request(avoided = others)).isOk) return null
+        val any = plan(request(marked = true))
+        return if (any.isErr && plan(request()).isOk) null else any
+    }
+
+    /** Runners on which other instances run their marked requests. */
+    private fun othersRunners(): Set<RunnerId> {
+        val live = parts.members.live().map { it.id }.sorted()
+        val position = maxOf(0, live.indexOf(parts.members.self))
+        val service = context.service.name
+        val own = parts.backends.partOfRunners(service, position, maxOf(1, live.size))
+        return parts.backends.fleet.service(service).runners.map { it.id }.toSet() - own
+    }
 
     private fun plan(request: RoutingRequest): Result<RoutingDecision, RoutingFailure> =
         parts.planner.plan(parts.backends.fleet.service(request.service), request)
 
-    private fun routingRequest(marked: Boolean) = RoutingRequest(
-        id = context.id,
-        service = context.service.name,
-        dataCentre = parts.dataCentre,
-        attempt = assembler.attempt + 1,
-        promptTokens = call.promptTokens + assembler.size,
-        outputTokens = maxOf(1, call.maxTokens - assembler.size),
-        prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
-        excluded = excluded + parts.backends.outliers.ejected(),
-        marked = marked,
-        markedBusy = suspects.markedBusy()
-    )
+    private fun request(marked: Boolean = false, avoided: Set<RunnerId> = emptySet()) =
+        RoutingRequest(
+            id = context.id,
+            service = context.service.name,
+            dataCentre = parts.dataCentre,
+            attempt = assembler.attempt + 1,
+            promptTokens = call.promptTokens + assembler.size,
+            outputTokens = maxOf(1, call.maxTokens - assembler.size),
+            prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
+            excluded = excluded + avoided + parts.backends.outliers.ejected(),
+            marked = marked,
+            markedBusy = suspects.markedBusy()
+        )
 
     private fun tryStart(d: RoutingDecision) =
         suspects.tryStart(context.id, call.fingerprint, d.stages.map { it.id }) {
@@ -175,10 +193,8 @@
         return Err(RequestError.CrashesRunners())
     }
 
-    private fun noChain(
-        failure: RoutingFailure,
-        request: RoutingRequest
-    ): Result<RoutingDecision, RequestError> {
+    private fun noChain(failure: RoutingFailure): Result<RoutingDecision, RequestError> {
+        val request = request()
         val text = failure.logLine(request).substringAfter("failed: ")
         parts.decisions.record(context.id, "routing", "attempt=${request.attempt} failed: $text")
         return if (execution == Execution.NOT_RUN) {
--- a/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
@@ -18,11 +18,24 @@
     val rank: Rank,
     val service: Service,
     val arrivedAt: Long,
-    val deadlineAt: Long
+    val deadlineAt: Long,
+    /** Whether the caller named the deadline, and so is willing to wait for it. */
+    val hasOwnDeadline: Boolean = false
 ) {
     /** Whether the request is of the most urgent rank. */
     val isUrgent: Boolean get() = rank.settings.priority == 0
 
+    /**
+     * Latest useful time to start, if serving takes [serveMillis]. Without a deadline of the
+     * caller the first token is due at the rank's target; a request that starts later takes
+     * capacity from one that can still be in time.
+     */
+    fun latestStart(serveMillis: Long): Long {
+        val byDeadline = deadlineAt - minOf(serveMillis, deadlineAt - arrivedAt - 1)
+        val byTarget = arrivedAt + rank.settings.firstTokenMillis
+        return if (hasOwnDeadline) byDeadline else minOf(byDeadline, byTarget)
+    }
+
     /** Label of the organisation in metrics; names of organisations would be too many series. */
     val sizeClass: String get() = organisation.settings.sizeClass.name.lowercase()
 }
--- a/entry/src/main/kotlin/io/greengageport/entry/RequestGate.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RequestGate.kt
@@ -46,7 +46,8 @@
                 rank = rank,
                 service = s,
                 arrivedAt = now,
-                deadlineAt = now + (deadline ?: rank.settings.deadlineMillis.toLong())
+                deadlineAt = now + (deadline ?: rank.settings.deadlineMillis.toLong()),
+                hasOwnDeadline = deadline != null
             )
         )
     }
--- a/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
@@ -57,15 +57,14 @@
             maxTokens.toLong()
         )
         val output = maxOf(0, tokens - promptTokens)
-        val serveMillis =
-            minOf((output * tokenGapMillis).roundToLong(), c.deadlineAt - c.arrivedAt - 1)
+        val serveMillis = (output * tokenGapMillis).roundToLong()
         return controller.admit(
             QueuedRequest(
                 id = c.id,
                 rank = c.rank.name,
                 organisation = c.organisation.name,
                 estimatedTokens = tokens,
-                deadlineMillis = c.deadlineAt - maxOf(0, serveMillis)
+                deadlineMillis = c.latestStart(serveMillis)
             )
         )
     }
--- a/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
@@ -7,6 +7,8 @@
 import io.greengageport.common.GossipListener
 import io.greengageport.common.InstanceId
 import io.greengageport.common.LayerRange
+import io.greengageport.common.Member
+import io.greengageport.common.Members
 import io.greengageport.common.OrganisationName
 import io.greengageport.common.RankName
 import io.greengageport.common.RequestError
@@ -111,6 +113,21 @@
         }
     }
 
+    @Nested
+    inner class MarkedRequests {
+        /** Guards against two instances that run marked requests on one runner. */
+        @Test
+        fun `instances share the runners of each layer range among them`() {
+            val backends = backends()
+            val engines = listOf("a", "b", "c", "d").map { engine(it) { answerFrom(0) } }
+            backends.onListing(InstanceListing(runners = engines.map { it.listed }))
+            val parts = (0 until 3).map { p ->
+                backends.partOfRunners(ServiceName("model"), p, instances = 3).map { it.value }
+            }
+            expectThat(parts).isEqualTo(listOf(listOf("a", "d"), listOf("b"), listOf("c")))
+        }
+    }
+
     @Nested
     inner class Resume {
         @Test
@@ -186,6 +203,7 @@
         ModelParts(
             clock = SystemClock,
             dataCentre = DataCentre("dc1"),
+            members = OneMember,
             backends = backends,
             planner = FirstFit(
                 CostModel(backends.loads, backends.links, backends.prefixes, SystemClock)
@@ -236,6 +254,12 @@
         fingerprint = Fingerprint("f")
     )
 
+    private object OneMember : Members {
+        override val self = InstanceId("entry-1")
+
+        override fun live() = listOf(Member(self, "", DataCentre("dc1")))
+    }
+
     private object NoGossip : Gossip {
         override fun publish(topic: String, key: String, version: Long, payload: ByteArray) = Unit
 
