Give the model run and each stand-in command a file of its own

Cause: ModelPath.kt and the stand-ins' Main.kt were the largest files, and duplicates listed the options of the two runner commands.

--- /dev/null
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
@@ -0,0 +1,357 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.greengageport.common.Execution
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RequestError
+import io.greengageport.common.RunnerId
+import io.greengageport.platform.GenerateRequest
+import io.greengageport.platform.RouteHop
+import io.greengageport.platform.TokenFrame
+import io.greengageport.routing.AnswerAssembler
+import io.greengageport.routing.AnswerFrame
+import io.greengageport.routing.CostModel
+import io.greengageport.routing.FrameOutcome
+import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.RetryDecision
+import io.greengageport.routing.RoutingDecision
+import io.greengageport.routing.RoutingFailure
+import io.greengageport.routing.RoutingRequest
+import io.greengageport.routing.SuspectVerdict
+import io.greengageport.routing.TracedStage
+import kotlinx.coroutines.delay
+
+/** One request on its way, over all its attempts. Used by one coroutine. */
+internal class ModelRun(
+    private val parts: ModelParts,
+    private val call: ModelCall,
+    private val admission: ServiceAdmission,
+    private val sink: TokenSink
+) {
+    private val context = call.context
+    private val model = requireNotNull(context.service.settings.model) { "not a model service" }
+    private val assembler = AnswerAssembler(context.id, model.layers)
+    private val excluded = mutableSetOf<RunnerId>()
+    private val suspects = parts.backends.suspects
+    private var current: Attempt? = null
+    private var execution = Execution.NOT_RUN
+
+    /** Attempts that reached a backend server. */
+    private var reached = 0
+
+    /** Whether the attempt runs alone among marked requests and has not passed its crash yet. */
+    private var isMarked = false
+
+    suspend fun run(): Result<Int, RequestError> {
+        while (true) {
+            if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
+            val decision = plan().getOrElse { return Err(it) }
+            val failure = attempt(decision)
+            if (assembler.isComplete) {
+                admission.observeAnswer(context, assembler.size)
+                return Ok(assembler.size)
+            }
+            if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
+            diagnose(decision, failure)
+            retry(failure)?.let { return Err(it) }
+        }
+    }
+
+    /** Ends what an interrupted attempt left open. */
+    fun close() {
+        val a = current ?: return
+        end(a, "cancelled")
+        parts.engines.cancel(a.address, context.id)
+    }
+
+    private fun isLate() = parts.clock.monotonicMillis() >= context.deadlineAt
+
+    private suspend fun plan(): Result<RoutingDecision, RequestError> {
+        while (true) {
+            val verdict = suspects.verdict(call.fingerprint)
+            if (verdict == SuspectVerdict.BLOCKED) return blocked()
+            val decision = if (verdict == SuspectVerdict.MARKED) planMarked() else plan(request())
+            if (decision != null && decision.isErr) return noChain(decision.error)
+            if (decision != null && tryStart(decision.value)) {
+                parts.decisions.record(context.id, "routing", decision.value.describe())
+                return Ok(decision.value)
+            }
+            if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
+            delay(MARKED_WAIT_MILLIS)
+        }
+    }
+
+    /**
+     * A chain for a marked request, or null if it has to wait for other marked ones. It runs in
+     * this instance's part of the runners; only an answer that had tokens before the crash, and so
+     * is less likely its cause, goes elsewhere when that part is busy.
+     */
+    private fun planMarked(): Result<RoutingDecision, RoutingFailure>? {
+        val others = othersRunners()
+        val own = plan(request(marked = true, avoided = others))
+        if (own.isOk) return own
+        if (assembler.size == 0 && plan(request(avoided = others)).isOk) return null
+        val any = plan(request(marked = true))
+        return if (any.isErr && plan(request()).isOk) null else any
+    }
+
+    /** Runners on which other instances run their marked requests. */
+    private fun othersRunners(): Set<RunnerId> {
+        val live = parts.members.live().map { it.id }.sorted()
+        val position = maxOf(0, live.indexOf(parts.members.self))
+        val service = context.service.name
+        val own = parts.backends.partOfRunners(service, position, maxOf(1, live.size))
+        return parts.backends.fleet.service(service).runners.map { it.id }.toSet() - own
+    }
+
+    private fun plan(request: RoutingRequest): Result<RoutingDecision, RoutingFailure> =
+        parts.planner.plan(parts.backends.fleet.service(request.service), request)
+
+    private fun request(marked: Boolean = false, avoided: Set<RunnerId> = emptySet()) =
+        RoutingRequest(
+            id = context.id,
+            service = context.service.name,
+            dataCentre = parts.dataCentre,
+            attempt = assembler.attempt + 1,
+            promptTokens = call.promptTokens + assembler.size,
+            outputTokens = maxOf(1, call.maxTokens - assembler.size),
+            prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
+            excluded = excluded + avoided + parts.backends.outliers.ejected(),
+            marked = marked,
+            markedBusy = suspects.markedBusy()
+        )
+
+    private fun tryStart(d: RoutingDecision) =
+        suspects.tryStart(context.id, call.fingerprint, d.stages.map { it.id }) {
+            assembler.size
+        }.also { if (it) isMarked = suspects.verdict(call.fingerprint) != SuspectVerdict.CLEAR }
+
+    private fun blocked(): Result<RoutingDecision, RequestError> {
+        parts.decisions.record(context.id, "routing", "blocked, it crashed two runners")
+        return Err(RequestError.CrashesRunners())
+    }
+
+    private fun noChain(failure: RoutingFailure): Result<RoutingDecision, RequestError> {
+        val request = request()
+        val text = failure.logLine(request).substringAfter("failed: ")
+        parts.decisions.record(context.id, "routing", "attempt=${request.attempt} failed: $text")
+        return if (execution == Execution.NOT_RUN) {
+            Err(RequestError.NoCapacity(text, RETRY_MILLIS))
+        } else {
+            Err(RequestError.BackendFailed("no other chain: $text", execution))
+        }
+    }
+
+    private suspend fun attempt(d: RoutingDecision): StreamEnd {
+        val start = assembler.nextAttempt()
+        val route = d.stages.map {
+            val l = requireNotNull(it.layers) { "a stage of a model has layers" }
+            RouteHop(it.id, it.runner.address, l.from, l.until)
+        }
+        val a = Attempt(d, route, AttemptObserver(d.stages, parts.clock))
+        current = a
+        val now = parts.clock.wallMillis()
+        for (s in d.stages) parts.backends.loads.sent(s.id, s.workTokens, now)
+        val before = execution
+        execution = Execution.UNKNOWN
+        val end = parts.engines.stream(
+            GenerateRequest(
+                request = context.id,
+                attempt = start.attempt,
+                service = context.service.name,
+                prompt = call.prompt,
+                maxTokens = call.maxTokens,
+                firstIndex = start.firstIndex,
+                delivered = start.delivered,
+                priority = context.rank.settings.priority,
+                version = model.version,
+                route = route
+            ),
+            times(d)
+        ) { onFrame(a, it) }
+        if (end is StreamEnd.Refused || end is StreamEnd.Unreachable) execution = before
+        end(a, if (assembler.isComplete) "complete" else end.javaClass.simpleName)
+        return end
+    }
+
+    private fun times(d: RoutingDecision): StreamTimes {
+        val t = context.service.settings.timeouts
+        val silence = maxOf(parts.times.frameTimeoutMillis, t.silenceMillis.toLong())
+        val wait = d.stages.sumOf { it.waitMillis }.toLong()
+        return StreamTimes(
+            connectMillis = t.connectMillis.toLong(),
+            firstFrameMillis = 2 * silence + minOf(wait, MAX_EXPECTED_WAIT_MILLIS),
+            frameMillis = silence
+        )
+    }
+
+    private suspend fun onFrame(a: Attempt, f: TokenFrame): FrameUse {
+        val frame = AnswerFrame(
+            request = f.request,
+            attempt = f.attempt,
+            index = f.index,
+            text = f.text,
+            layers = f.layers.map {
+                TracedStage(it.runner, LayerRange(it.from, it.until))
+            },
+            last = f.last
+        )
+        return when (val outcome = assembler.accept(frame)) {
+            is FrameOutcome.Token -> {
+                execution = Execution.RAN
+                a.observer.onFrame(f)
+                if (isMarked) isMarked = !suspects.progressed(context.id, assembler.size)
+                sink.token(outcome.text, outcome.last)
+                when {
+                    outcome.last -> FrameUse.LAST
+                    isLate() -> FrameUse.STOP
+                    else -> FrameUse.TAKEN
+                }
+            }
+
+            is FrameOutcome.Dropped -> {
+                parts.metrics.droppedFrames.labelValues(outcome.reason.name.lowercase()).inc()
+                FrameUse.IGNORED
+            }
+
+            is FrameOutcome.WrongTrace -> {
+                parts.metrics.droppedFrames.labelValues("wrong_trace").inc()
+                parts.decisions.record(context.id, "routing", "wrong layers ${outcome.trace}")
+                FrameUse.STOP
+            }
+        }
+    }
+
+    private fun end(a: Attempt, how: String) {
+        current = null
+        assembler.endAttempt()
+        val now = parts.clock.wallMillis()
+        for (s in a.decision.stages) parts.backends.loads.finished(s.id, s.workTokens, now)
+        if (!a.observer.isEmpty) parts.backends.answered(a.decision.stages.map { it.id })
+        a.observer.report(parts.backends.outliers, parts.backends.links)
+        a.observer.gapMillis?.let { admission.observeGap(it) }
+        if (assembler.isComplete) {
+            suspects.completed(context.id)?.let { parts.backends.publish(it) }
+        }
+        parts.metrics.attempts.labelValues(context.service.name.value, how).inc()
+    }
+
+    /** Finds out which stages failed, so that the next attempt avoids them. */
+    private suspend fun diagnose(d: RoutingDecision, end: StreamEnd) {
+        val head = d.stages.first()
+        if (end is StreamEnd.Refused) {
+            if (end.leaving) parts.backends.markLeaving(head.id, head.runner.address)
+            excluded += head.id
+            suspects.ended(context.id)
+            return
+        }
+        // A request that reached no runner can't have crashed one.
+        if (end is StreamEnd.Unreachable) suspects.ended(context.id)
+        val results = parts.probe.probe(
+            d.stages.map { RouteHop(it.id, it.runner.address, 0, 1) }
+        )
+        var found = false
+        for ((hop, result) in results) found = judge(hop, result) || found
+        suspects.ended(context.id)
+        // With all stages alive the fault lies between them, so the first one is replaced too.
+        if (!found) excluded += head.id
+        parts.decisions.record(
+            context.id,
+            "routing",
+            "attempt=${assembler.attempt} ended: $end, excluded=${excluded.sorted()}"
+        )
+    }
+
+    private fun judge(hop: RouteHop, result: ProbeResult): Boolean = when (result) {
+        ProbeResult.Refused -> {
+            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
+            suspects.connectionRefused(hop.runner).forEach { parts.backends.publish(it) }
+            parts.backends.silent(hop.runner, context.service.name)
+            excluded += hop.runner
+            true
+        }
+
+        ProbeResult.Silent -> {
+            // A process that is just ending may still take connections.
+            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
+            parts.backends.silent(hop.runner, context.service.name)
+            excluded += hop.runner
+            true
+        }
+
+        is ProbeResult.Answered -> {
+            result.report?.let { r ->
+                suspects.bootId(hop.runner, r.bootId, r.reportedAtMillis)
+                    .forEach { parts.backends.publish(it) }
+                if (r.leaving) parts.backends.markLeaving(hop.runner, hop.address)
+            }
+            false
+        }
+    }
+
+    /** Waits before the next attempt; an error if there is to be none. */
+    private suspend fun retry(end: StreamEnd): RequestError? {
+        if (parts.retryPolicy == RetryPolicy.ALWAYS) return null
+        // These attempts cost the backend servers no work, and each excludes a runner.
+        if (end is StreamEnd.Unreachable) return null
+        if (end is StreamEnd.Refused && end.leaving) return null
+        reached++
+        if (reached >= context.service.settings.retry.maxAttempts) {
+            parts.decisions.record(context.id, "routing", "no retry after $reached attempts")
+            return RequestError.BackendFailed("$reached attempts failed", execution)
+        }
+        return when (
+            val r = parts.retries.tryRetry(
+                assembler.attempt,
+                context.isUrgent,
+                repeatedShare(),
+                context.service.settings.retry.backoff()
+            )
+        ) {
+            is RetryDecision.Allowed -> {
+                delay(minOf(r.delayMillis, MAX_RESUME_DELAY_MILLIS))
+                null
+            }
+
+            is RetryDecision.Denied -> {
+                parts.decisions.record(context.id, "routing", "no retry, the budget is used up")
+                if (execution == Execution.NOT_RUN) {
+                    RequestError.Overloaded("the retry budget is used up", RETRY_MILLIS)
+                } else {
+                    RequestError.BackendFailed("a stage failed and no retry is left", execution)
+                }
+            }
+        }
+    }
+
+    /** The part of the request's work that another attempt does again. */
+    private fun repeatedShare(): Double {
+        if (assembler.size == 0) return 1.0
+        val again = (call.promptTokens + assembler.size) * CostModel.DEFAULT_PREFILL_WEIGHT
+        val whole = call.promptTokens * CostModel.DEFAULT_PREFILL_WEIGHT + call.maxTokens
+        return minOf(1.0, again / whole)
+    }
+
+    private class Attempt(
+        val decision: RoutingDecision,
+        route: List<RouteHop>,
+        val observer: AttemptObserver
+    ) {
+        val address: String = route.first().address
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 1_000L
+        const val MARKED_WAIT_MILLIS = 20L
+        const val MAX_EXPECTED_WAIT_MILLIS = 10_000L
+
+        /** An interrupted answer goes on within 1 s, so its backoff is bounded. */
+        const val MAX_RESUME_DELAY_MILLIS = 200L
+
+        fun RoutingDecision.describe(): String = logLine().substringAfter("attempt=")
+            .let { "attempt=$it" }
+    }
+}
--- a/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
@@ -197,7 +197,7 @@
         return Err(RequestError.BackendFailed("the answer was lost", Execution.UNKNOWN))
     }
 
-    /** A runner that takes connections, so that a dead one does not cost the only send. */
+    /** A runner that takes connections, so that one that has ended does not cost the only send. */
     private suspend fun connectable(
         call: PlainCall,
         excluded: MutableSet<RunnerId>
--- a/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
@@ -32,7 +32,7 @@
     data object Silent : ProbeResult
 }
 
-/** Asks runners directly for their load, on a new connection, to tell dead from silent ones. */
+/** Asks runners directly for their load, on a new connection, to tell those that ended from silent ones. */
 internal class RunnerProbe(private val client: HttpClient, private val timeoutMillis: Long) {
     /** Probes all runners of [route] at once. */
     suspend fun probe(route: List<RouteHop>): Map<RouteHop, ProbeResult> = coroutineScope {
@@ -42,7 +42,7 @@
     /** Probes the runner at [address]. */
     suspend fun probe(address: String): ProbeResult = try {
         val r = client.get("http://$address/v1/load") {
-            // A kept connection may be the silent one that is to be told from a dead runner.
+            // A kept connection may be the silent one that is to be told from a runner that ended.
             header(HttpHeaders.Connection, "close")
             timeout {
                 connectTimeoutMillis = timeoutMillis
--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -10,7 +10,7 @@
  * A runner has crashed if a connection to it was lost and a new one is then refused, or if it
  * reports a new boot id; a runner that announced that it leaves has not. The requests in flight on
  * it are suspects. Those with a mark get one more, and only if there are none, all get their first,
- * so a request that shares a runner with a marked one is not punished for it.
+ * so a request that shares a runner with a marked one is not blamed for it.
  *
  * A marked request runs alone among marked ones until its answer has passed the token at which the
  * runner crashed ([progressed]). If several that passed it are on a runner that crashes, a failure
@@ -194,12 +194,12 @@
         bootId: String,
         suspects: Map<Fingerprint, Int>,
         now: Long
-    ): List<SuspectState> = guilty(suspects.keys).sorted().map {
+    ): List<SuspectState> = blamed(suspects.keys).sorted().map {
         val mark = SuspectMark(runner, bootId, now, suspects.getValue(it))
         store(SuspectState(it, listOf(mark)))
     }
 
-    private fun guilty(suspects: Set<Fingerprint>): Set<Fingerprint> {
+    private fun blamed(suspects: Set<Fingerprint>): Set<Fingerprint> {
         val marked = suspects.filter { verdict(it) != SuspectVerdict.CLEAR }
         val alone = marked.filter { it !in passed }
         return when {
--- /dev/null
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineCommand.kt
@@ -0,0 +1,106 @@
+package io.greengageport.standins
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.platform.ListedRunner
+import io.greengageport.platform.ListedState
+import io.ktor.client.request.put
+import io.ktor.client.request.setBody
+import java.util.concurrent.Callable
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.encodeToString
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Option
+
+/** Runs a model engine stand-in. */
+@Command(name = "engine", description = ["A model engine that holds a range of layers."])
+internal class EngineCommand : Callable<Int> {
+    @Mixin
+    lateinit var runner: RunnerOptions
+
+    @Option(names = ["--from"], defaultValue = "0")
+    var from: Int = 0
+
+    @Option(names = ["--until"], defaultValue = "12")
+    var until: Int = 0
+
+    @Option(names = ["--model-layers"], defaultValue = "12")
+    var modelLayers: Int = 0
+
+    @Option(names = ["--accelerator"], defaultValue = "standard")
+    lateinit var accelerator: String
+
+    @Option(names = ["--step-ms"], defaultValue = "0")
+    var step: Long = 0
+
+    @Option(names = ["--batch"], defaultValue = "16")
+    var batch: Int = 0
+
+    @Option(names = ["--hop-ms"], defaultValue = "0")
+    var hop: Long = 0
+
+    @Option(names = ["--load-ms"], defaultValue = "200")
+    var load: Long = 0
+
+    @Option(names = ["--ignores-fencing"])
+    var ignoresFencing: Boolean = false
+
+    @Option(names = ["--crash-marker"], description = ["Crashes on prompts with this text."])
+    var crashMarker: String? = null
+
+    @Option(names = ["--version-loaded"], description = ["Model version held at the start."])
+    var version: String = "v1"
+
+    override fun call(): Int = runBlocking {
+        val settings = EngineSettings(
+            id = RunnerId(runner.id),
+            service = ServiceName(runner.service),
+            dataCentre = DataCentre(runner.dataCentre),
+            layers = LayerRange(from, until),
+            modelLayers = modelLayers,
+            accelerator = accelerator,
+            stepMillis = step,
+            batch = batch,
+            hopMillis = hop,
+            loadMillis = load,
+            checksFencing = !ignoresFencing,
+            crashMarker = crashMarker,
+            version = version
+        )
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val client = newHttpClient()
+        val engine = EngineServer(settings, client)
+        engine.start(scope)
+        val (_, address) = startServer(HostPort.parse(runner.listen)) { engine.routes(this) }
+        runner.platform?.let { url ->
+            scope.register(client, url) {
+                ListedRunner(
+                    id = settings.id,
+                    service = settings.service,
+                    address = address.toString(),
+                    dataCentre = settings.dataCentre,
+                    state = if (engine.isLeaving) ListedState.LEAVING else ListedState.LIVE,
+                    accelerator = settings.accelerator,
+                    layers = settings.layers
+                )
+            }
+            scope.repeatedly(settings.reportMillis) {
+                if (engine.isReporting) {
+                    client.put("$url/v1/load") { setBody(json.encodeToString(engine.load())) }
+                }
+            }
+        }
+        announce(address)
+        awaitTermination {
+            engine.leave()
+            drain { engine.isIdle }
+        }
+        0
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlainCommand.kt
@@ -0,0 +1,48 @@
+package io.greengageport.standins
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.platform.ListedRunner
+import io.greengageport.platform.ListedState
+import java.util.concurrent.Callable
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.runBlocking
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Option
+
+/** Runs a runner of a plain service. */
+@Command(name = "plain", description = ["A plain service with non-idempotent calls."])
+internal class PlainCommand : Callable<Int> {
+    @Mixin
+    lateinit var runner: RunnerOptions
+
+    @Option(names = ["--deduplicates"], description = ["Runs each idempotency key once."])
+    var deduplicates: Boolean = false
+
+    override fun call(): Int = runBlocking {
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val plain = PlainServer(runner.id, deduplicates)
+        val (_, address) = startServer(HostPort.parse(runner.listen)) { plain.routes(this) }
+        runner.platform?.let { url ->
+            scope.register(newHttpClient(), url) {
+                ListedRunner(
+                    id = RunnerId(runner.id),
+                    service = ServiceName(runner.service),
+                    address = address.toString(),
+                    dataCentre = DataCentre(runner.dataCentre),
+                    state = if (plain.isLeaving) ListedState.LEAVING else ListedState.LIVE
+                )
+            }
+        }
+        announce(address)
+        awaitTermination {
+            plain.leave()
+            drain { plain.isIdle }
+        }
+        0
+    }
+}
