--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
@@ -1,8 +1,10 @@
 package io.greengageport.systemtest
 
+import io.greengageport.bench.LocalFleet
 import io.greengageport.standins.ModelFunction
 import io.greengageport.systemtest.TestFleet.Companion.LAYERS
 import io.greengageport.systemtest.TestFleet.Companion.engine
+import java.net.Socket
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
@@ -96,6 +98,24 @@
         }
     }
 
+    @Nested
+    inner class ACallerThatDisconnects {
+        /** Guards against engines that go on with answers that nobody reads. */
+        @Test
+        fun `ends the work of the engines`() {
+            val address = local.callers("entry-1").split(':')
+            Socket(address[0], address[1].toInt()).use { socket ->
+                socket.getOutputStream().write(fleet.rawCompletion("nobody reads", LONG_ANSWER))
+                LocalFleet.await("the engines run the answer") { running() > 0 }
+                socket.getInputStream().read()
+            }
+            // The whole answer would take longer than the bound of this wait.
+            LocalFleet.await("no engine runs the answer", seconds = 20) { running() == 0L }
+        }
+
+        private fun running() = fleet.liveEngines.sumOf { fleet.counter(it, "running") }
+    }
+
     @Nested
     inner class WrongFrames {
         /** Guards against frames that are doubled, early, late or of another request. */
@@ -125,6 +145,7 @@
     }
 
     private companion object {
+        const val LONG_ANSWER = 3_000
         const val TOKENS = 40
         const val STREAMS = 20
         const val INSTANCES = 3
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -66,6 +66,21 @@
             mapOf("Authorization" to "Bearer $key", "Greengage-Rank" to "urgent")
         )
 
+    /** The bytes of a streamed completion call over a plain socket. */
+    fun rawCompletion(prompt: String, tokens: Int): ByteArray {
+        val body = completionBody(prompt, tokens, stream = true)
+        return listOf(
+            "POST /v1/completions HTTP/1.1",
+            "Host: entry",
+            "Authorization: Bearer $BUILDERS",
+            "Greengage-Rank: urgent",
+            "Greengage-Deadline-Ms: 600000",
+            "Content-Length: ${body.length}",
+            "",
+            body
+        ).joinToString("\r\n").encodeToByteArray()
+    }
+
     /** Sends a completion that is answered as a whole. */
     fun complete(instance: String, prompt: String, tokens: Int): HttpResponse<String> = local.post(
         "http://${local.callers(instance)}/v1/completions",
