--- a/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
@@ -32,7 +32,7 @@
     data object Silent : ProbeResult
 }
 
-/** Asks runners directly for their load, on a new connection, to tell those that ended from silent ones. */
+/** Asks runners for their load on new connections, to tell those that ended from silent ones. */
 internal class RunnerProbe(private val client: HttpClient, private val timeoutMillis: Long) {
     /** Probes all runners of [route] at once. */
     suspend fun probe(route: List<RouteHop>): Map<RouteHop, ProbeResult> = coroutineScope {
--- a/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
@@ -167,7 +167,8 @@
             queue = if (policies.queue == QueuePolicy.FIFO) FifoQueue(q) else FairQueue(q),
             limits = limits,
             capacity = Capacity(INITIAL_SLOTS),
-            observer = ::observe
+            observer = ::observe,
+            urgentExtraShare = URGENT_EXTRA_SHARE
         )
         val a = ServiceAdmission(clock, controller, work)
         scope.launch { a.run() }
@@ -192,6 +193,9 @@
         private const val MILLIS_PER_SECOND = 1_000.0
         private const val PLAIN_SLOTS_PER_RUNNER = 64.0
 
+        /** Engines serve urgent requests first, so that some more of them than slots do no harm. */
+        private const val URGENT_EXTRA_SHARE = 0.25
+
         /** Requests at a time before the first load reports arrive. */
         private const val INITIAL_SLOTS = 16
 
--- a/limits/src/main/kotlin/io/greengageport/limits/AdmissionController.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/AdmissionController.kt
@@ -9,6 +9,7 @@
 import io.greengageport.common.RequestId
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
+import kotlin.math.ceil
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
@@ -37,7 +38,9 @@
     capacity: Capacity,
     private val adaptive: AimdLimit? = null,
     private val firstTokenTargetMillis: (QueuedRequest) -> Long = { Long.MAX_VALUE },
-    private val observer: AdmissionObserver = AdmissionObserver { }
+    private val observer: AdmissionObserver = AdmissionObserver { },
+    /** Slots for the most urgent rank beyond those of the capacity, as a share of them. */
+    private val urgentExtraShare: Double = 0.0
 ) {
     private val lock = ReentrantLock()
     private val waiters = HashMap<RequestId, Waiter>()
@@ -192,8 +195,8 @@
     }
 
     private fun dispatch(nowMillis: Long) {
-        while (inFlight < slots() && hasTokens(nowMillis)) {
-            val request = queue.poll() ?: return
+        while (hasTokens(nowMillis)) {
+            val request = next() ?: return
             val waiter = checkNotNull(waiters.remove(request.id)) { "no caller of ${request.id}" }
             if (inFlight + 1 == slots()) meter.record(0, wasSaturated = false, nowMillis)
             inFlight++
@@ -208,6 +211,19 @@
         takenTokens += tokens
     }
 
+    /**
+     * A running request keeps its slot to its end, so the most urgent rank may have some slots
+     * more; the engines serve it before what runs in the others.
+     */
+    private fun next(): QueuedRequest? {
+        val slots = slots()
+        return when {
+            inFlight < slots -> queue.poll()
+            inFlight < slots + ceil(slots * urgentExtraShare).toInt() -> queue.pollUrgent()
+            else -> null
+        }
+    }
+
     private fun permitFor(waiter: Waiter, nowMillis: Long): Permit = Permit(
         id = waiter.request.id,
         waitedMillis = nowMillis - waiter.arrivedAt,
--- a/limits/src/main/kotlin/io/greengageport/limits/FairQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/FairQueue.kt
@@ -50,10 +50,19 @@
     override fun poll(): QueuedRequest? {
         val owed = ranks.filter { !it.isEmpty() && it.credit > 0 }.maxByOrNull { it.credit }
         val rank = owed ?: ranks.firstOrNull { !it.isEmpty() } ?: return null
+        return start(rank, isCharged = owed != null)
+    }
+
+    override fun pollUrgent(): QueuedRequest? {
+        val rank = ranks.firstOrNull()?.takeUnless { it.isEmpty() } ?: return null
+        return start(rank, isCharged = false)
+    }
+
+    private fun start(rank: RankQueue, isCharged: Boolean): QueuedRequest {
         val entry = rank.poll()
         forget(entry)
-        running[entry.request.id] = Running(entry.request, rank, isCharged = owed != null)
-        account(rank, entry.tokens, isCharged = owed != null)
+        running[entry.request.id] = Running(entry.request, rank, isCharged)
+        account(rank, entry.tokens, isCharged)
         return entry.request
     }
 
--- a/limits/src/main/kotlin/io/greengageport/limits/RequestQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/RequestQueue.kt
@@ -31,6 +31,9 @@
     /** Takes the request to run next; call [expire] first. */
     public fun poll(): QueuedRequest?
 
+    /** Takes the next request of the most urgent rank, or null; the floors do not apply. */
+    public fun pollUrgent(): QueuedRequest? = null
+
     /** Takes the requests whose deadline passed before [nowMillis]. */
     public fun expire(nowMillis: Long): List<QueuedRequest>
 
