Reserve runners for marked requests and confirm blocks before the answer

Cause: marks and blocks spread by gossip alone, which takes some milliseconds. A caller that got its final error could send the request again through another instance before the block was there, and marked requests of two instances could meet on a runner, so that an innocent one got a second mark. A request whose chain lost two stages at once, as with a rack, got two marks in one attempt and was blocked for an hour. Without the owner's answer the part of the runners of each instance still applies. Blocks and marks are rare, so that a message to each instance costs nothing in the ordinary case.

--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -28,6 +28,7 @@
 import io.greengageport.routing.LeastQueue
 import io.greengageport.routing.LinkEstimator
 import io.greengageport.routing.LoadEstimator
+import io.greengageport.routing.MarkedReservations
 import io.greengageport.routing.OutlierDetector
 import io.greengageport.routing.PrefixIndex
 import io.greengageport.routing.RetryBudget
@@ -85,6 +86,9 @@
     private val store = SettingsStore(log, node, node, node, node, clock, random = random)
     private val publisher = SettingsPublisher(log, { store.state }, clock, random = random)
     private val ledger = OrderLedger(log, config.instance, node, node, clock, random)
+    private val suspects = SuspectRequests(clock)
+    private val suspectExchange =
+        SuspectExchange(node, node, node, suspects, MarkedReservations(clock))
     private val backends = BackendFleet(
         clock,
         node,
@@ -93,7 +97,7 @@
         LinkEstimator(),
         PrefixIndex(),
         OutlierDetector(clock),
-        SuspectRequests(clock)
+        suspects
     )
     private val reporter = UsageReporter(config.instance, ::policyOf)
     private val limits = OrganisationLimits(::policyOf, reporter)
@@ -128,6 +132,10 @@
     @Volatile
     private var acceptsRequests = true
 
+    init {
+        suspectExchange.start()
+    }
+
     /** Listens, joins the other instances and begins to follow the platform. */
     public suspend fun start(): Result<BoundAddresses, StartError> {
         val admin = AdminServer(
@@ -216,6 +224,7 @@
                 dataCentre = config.dataCentre,
                 members = node,
                 backends = backends,
+                suspects = suspectExchange,
                 planner = planner,
                 engines = EngineClient(clients.backend, clock, scope),
                 probe = probe,
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -31,6 +31,7 @@
     val dataCentre: DataCentre,
     val members: Members,
     val backends: BackendFleet,
+    val suspects: SuspectExchange,
     val planner: ChainPlanner,
     val engines: EngineClient,
     val probe: RunnerProbe,
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
@@ -16,10 +16,12 @@
 import io.greengageport.routing.CostModel
 import io.greengageport.routing.FrameOutcome
 import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.ReservationRequest
 import io.greengageport.routing.RetryDecision
 import io.greengageport.routing.RoutingDecision
 import io.greengageport.routing.RoutingFailure
 import io.greengageport.routing.RoutingRequest
+import io.greengageport.routing.SuspectState
 import io.greengageport.routing.SuspectVerdict
 import io.greengageport.routing.TracedStage
 import kotlinx.coroutines.delay
@@ -45,6 +47,12 @@
     /** Whether the attempt runs alone among marked requests and has not passed its crash yet. */
     private var isMarked = false
 
+    /** Whether the attempt holds a reservation of its runners. */
+    private var isReserved = false
+
+    /** Runners on which marked requests of other instances were when this one last asked. */
+    private var reservedByOthers = emptySet<RunnerId>()
+
     suspend fun run(): Result<Int, RequestError> {
         while (true) {
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
@@ -56,12 +64,15 @@
             }
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
             diagnose(decision, failure)
+            // Not before the crash is known: until then the same request would pass for harmless.
+            release()
             retry(failure)?.let { return Err(it) }
         }
     }
 
     /** Ends what an interrupted attempt left open. */
-    fun close() {
+    suspend fun close() {
+        release()
         val a = current ?: return
         end(a, "cancelled")
         parts.engines.cancel(a.address, context.id)
@@ -79,26 +90,46 @@
                 parts.decisions.record(context.id, "routing", decision.value.describe())
                 return Ok(decision.value)
             }
+            release()
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
             delay(MARKED_WAIT_MILLIS)
         }
     }
 
     /**
-     * A chain for a marked request, or null if it has to wait for other marked ones. It runs in
-     * this instance's part of the runners; only an answer that had tokens before the crash, and so
-     * is less likely its cause, goes elsewhere when that part is busy.
+     * A chain for a marked request, or null if it has to wait for other marked ones. If the owner
+     * of the reservations does not answer, the request runs in this instance's part of the runners,
+     * or anywhere if that part has no chain.
      */
-    private fun planMarked(): Result<RoutingDecision, RoutingFailure>? {
-        val others = othersRunners()
-        val own = plan(request(marked = true, avoided = others))
-        if (own.isOk) return own
-        if (assembler.size == 0 && plan(request(avoided = others)).isOk) return null
-        val any = plan(request(marked = true))
-        return if (any.isErr && plan(request()).isOk) null else any
+    private suspend fun planMarked(): Result<RoutingDecision, RoutingFailure>? {
+        val planned = plan(request(marked = true, avoided = reservedByOthers))
+        val decision = planned.getOrElse {
+            reservedByOthers = emptySet()
+            return if (plan(request()).isOk) null else planned
+        }
+        val runners = decision.stages.map { it.id }.toSet()
+        val wanted = ReservationRequest(context.id, call.fingerprint, runners)
+        val reply = parts.suspects.reserve(context.service.name, wanted)
+        reservedByOthers = reply?.busy.orEmpty()
+        isReserved = reply?.granted == true
+        return when {
+            reply == null ->
+                plan(request(marked = true, avoided = othersRunners())).takeIf { it.isOk }
+                    ?: planned
+
+            reply.granted -> planned
+
+            else -> null
+        }
+    }
+
+    private suspend fun release() {
+        if (!isReserved) return
+        isReserved = false
+        parts.suspects.release(context.service.name, context.id)
     }
 
-    /** Runners on which other instances run their marked requests. */
+    /** Runners on which other instances run marked requests that they can't reserve. */
     private fun othersRunners(): Set<RunnerId> {
         val live = parts.members.live().map { it.id }.sorted()
         val position = maxOf(0, live.indexOf(parts.members.self))
@@ -203,7 +234,10 @@
             is FrameOutcome.Token -> {
                 execution = Execution.RAN
                 a.observer.onFrame(f)
-                if (isMarked) isMarked = !suspects.progressed(context.id, assembler.size)
+                if (isMarked && suspects.progressed(context.id, assembler.size)) {
+                    isMarked = false
+                    release()
+                }
                 sink.token(outcome.text, outcome.last)
                 when {
                     outcome.last -> FrameUse.LAST
@@ -253,6 +287,8 @@
         val results = parts.probe.probe(
             d.stages.map { RouteHop(it.id, it.runner.address, 0, 1) }
         )
+        val refused = results.filterValues { it == ProbeResult.Refused }.keys.map { it.runner }
+        if (refused.size > 1) suspects.machinesFailed(refused)
         var found = false
         for ((hop, result) in results) found = judge(hop, result) || found
         suspects.ended(context.id)
@@ -265,10 +301,16 @@
         )
     }
 
-    private fun judge(hop: RouteHop, result: ProbeResult): Boolean = when (result) {
+    private suspend fun publish(state: SuspectState) {
+        parts.backends.publish(state)
+        val now = parts.clock.wallMillis()
+        if (state.verdict(now) == SuspectVerdict.BLOCKED) parts.suspects.announceBlock(state)
+    }
+
+    private suspend fun judge(hop: RouteHop, result: ProbeResult): Boolean = when (result) {
         ProbeResult.Refused -> {
             if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
-            suspects.connectionRefused(hop.runner).forEach { parts.backends.publish(it) }
+            suspects.connectionRefused(hop.runner).forEach { publish(it) }
             parts.backends.silent(hop.runner, context.service.name)
             excluded += hop.runner
             true
@@ -285,7 +327,7 @@
         is ProbeResult.Answered -> {
             result.report?.let { r ->
                 suspects.bootId(hop.runner, r.bootId, r.reportedAtMillis)
-                    .forEach { parts.backends.publish(it) }
+                    .forEach { publish(it) }
                 if (r.leaving) parts.backends.markLeaving(hop.runner, hop.address)
             }
             false
--- a/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
@@ -1,5 +1,6 @@
 package io.greengageport.entry
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import io.greengageport.common.DataCentre
@@ -10,6 +11,9 @@
 import io.greengageport.common.Member
 import io.greengageport.common.Members
 import io.greengageport.common.OrganisationName
+import io.greengageport.common.PeerCalls
+import io.greengageport.common.PeerError
+import io.greengageport.common.PeerHandlers
 import io.greengageport.common.RankName
 import io.greengageport.common.RequestError
 import io.greengageport.common.RequestId
@@ -31,6 +35,7 @@
 import io.greengageport.routing.Fleet
 import io.greengageport.routing.LinkEstimator
 import io.greengageport.routing.LoadEstimator
+import io.greengageport.routing.MarkedReservations
 import io.greengageport.routing.OutlierDetector
 import io.greengageport.routing.PrefixIndex
 import io.greengageport.routing.RetryBudget
@@ -44,6 +49,7 @@
 import io.greengageport.settings.ServiceSettings
 import io.greengageport.settings.TimeoutSettings
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -205,6 +211,13 @@
             dataCentre = DataCentre("dc1"),
             members = OneMember,
             backends = backends,
+            suspects = SuspectExchange(
+                OneMember,
+                NoPeers,
+                NoPeers,
+                backends.suspects,
+                MarkedReservations(SystemClock)
+            ),
             planner = FirstFit(
                 CostModel(backends.loads, backends.links, backends.prefixes, SystemClock)
             ),
@@ -266,6 +279,20 @@
         override fun subscribe(topic: String, listener: GossipListener) = Unit
     }
 
+    private object NoPeers : PeerCalls, PeerHandlers {
+        override suspend fun call(
+            peer: InstanceId,
+            channel: String,
+            payload: ByteArray,
+            timeout: Duration
+        ): Result<ByteArray, PeerError> = Err(PeerError.Unreachable(peer))
+
+        override fun handle(
+            channel: String,
+            handler: suspend (from: InstanceId, payload: ByteArray) -> ByteArray
+        ) = Unit
+    }
+
     private companion object {
         const val LAYERS = 4
     }
--- /dev/null
+++ b/entry/src/test/kotlin/io/greengageport/entry/SuspectExchangeTest.kt
@@ -0,0 +1,172 @@
+package io.greengageport.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.greengageport.common.DataCentre
+import io.greengageport.common.InstanceId
+import io.greengageport.common.Member
+import io.greengageport.common.Members
+import io.greengageport.common.PeerCalls
+import io.greengageport.common.PeerError
+import io.greengageport.common.PeerHandlers
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.routing.Fingerprint
+import io.greengageport.routing.MarkedReservations
+import io.greengageport.routing.ReservationReply
+import io.greengageport.routing.ReservationRequest
+import io.greengageport.routing.SuspectMark
+import io.greengageport.routing.SuspectRequests
+import io.greengageport.routing.SuspectState
+import io.greengageport.routing.SuspectVerdict
+import io.greengageport.testkit.ManualClock
+import kotlin.time.Duration
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+/** Three instances whose calls to each other are direct. */
+class SuspectExchangeTest {
+    private val clock = ManualClock()
+    private val nodes = listOf("entry-1", "entry-2", "entry-3").map { Node(InstanceId(it)) }
+    private val bad = Fingerprint("bad")
+    private val service = ServiceName("model")
+
+    @Nested
+    inner class Blocks {
+        /** Guards against a third runner lost to a request sent again before gossip arrives. */
+        @Test
+        fun `a block is known to all instances when the announcement returns`() =
+            runBlocking<Unit> {
+                nodes.first().exchange.announceBlock(blocked())
+                expectThat(nodes.drop(1).map { it.suspects.verdict(bad) })
+                    .isEqualTo(List(2) { SuspectVerdict.BLOCKED })
+            }
+
+        @Test
+        fun `an instance that does not answer does not keep the others from knowing`() =
+            runBlocking<Unit> {
+                nodes[1].isReachable = false
+                nodes.first().exchange.announceBlock(blocked())
+                expectThat(nodes.drop(1).map { it.suspects.verdict(bad) })
+                    .isEqualTo(listOf(SuspectVerdict.CLEAR, SuspectVerdict.BLOCKED))
+            }
+
+        private fun blocked(): SuspectState {
+            val marks = listOf("a", "b").map { SuspectMark(RunnerId(it), "", clock.wallMillis()) }
+            return SuspectState(bad, marks)
+        }
+    }
+
+    @Nested
+    inner class Reservations {
+        /** Guards against an innocent request that is marked twice beside the guilty one. */
+        @Test
+        fun `marked requests of two instances do not share a runner`() = runBlocking<Unit> {
+            val replies = listOf(
+                reserve(0, "1", "bad", "a", "b"),
+                reserve(1, "2", "good", "b", "c"),
+                reserve(1, "2", "good", "c")
+            )
+            expectThat(replies).isEqualTo(listOf(granted, busy("a", "b"), granted))
+        }
+
+        /** Guards against copies of one request that crash a runner each. */
+        @Test
+        fun `copies of one request run one at a time`() = runBlocking<Unit> {
+            val replies = mutableListOf(reserve(0, "1", "bad", "a"), reserve(1, "2", "bad", "b"))
+            nodes[0].exchange.release(service, RequestId("1"))
+            replies += reserve(1, "2", "bad", "b")
+            expectThat(replies).isEqualTo(mutableListOf(granted, busy("a"), granted))
+        }
+
+        @Test
+        fun `reservations end with their instance and after their lifetime`() = runBlocking<Unit> {
+            reserve(0, "1", "bad", "a")
+            reserve(1, "2", "good", "b")
+            val before = reserve(2, "3", "new", "a", "b")
+            nodes[0].isLive = false
+            val one = reserve(2, "3", "new", "a", "b")
+            clock.advance(MarkedReservations.LIFETIME_MILLIS)
+            expectThat(listOf(before, one, reserve(2, "3", "new", "a", "b")))
+                .isEqualTo(listOf(busy("a", "b"), busy("b"), granted))
+        }
+
+        @Test
+        fun `there is no reply while the owner does not answer`() = runBlocking<Unit> {
+            nodes.forEach { it.isReachable = false }
+            val asked = nodes.first { it !== owner() }
+            val what = ReservationRequest(RequestId("1"), bad, setOf(RunnerId("a")))
+            expectThat(asked.exchange.reserve(service, what)).isNull()
+        }
+
+        private val granted = ReservationReply(granted = true)
+
+        private fun busy(vararg runners: String) =
+            ReservationReply(granted = false, busy = runners.map(::RunnerId).toSet())
+
+        private suspend fun reserve(
+            node: Int,
+            id: String,
+            fingerprint: String,
+            vararg runners: String
+        ): ReservationReply? = nodes[node].exchange.reserve(
+            service,
+            ReservationRequest(
+                RequestId(id),
+                Fingerprint(fingerprint),
+                runners.map(::RunnerId).toSet()
+            )
+        )
+
+        /** The node that the others ask: it alone grants without a call. */
+        private suspend fun owner(): Node = nodes.first {
+            val what = ReservationRequest(RequestId("probe"), Fingerprint("p"), emptySet())
+            it.exchange.reserve(service, what) != null
+        }
+    }
+
+    private inner class Node(override val self: InstanceId) :
+        Members,
+        PeerCalls,
+        PeerHandlers {
+        private val handlers = HashMap<String, suspend (InstanceId, ByteArray) -> ByteArray>()
+        var isReachable = true
+        var isLive = true
+        val suspects = SuspectRequests(clock)
+        val exchange =
+            SuspectExchange(this, this, this, suspects, MarkedReservations(clock))
+
+        init {
+            exchange.start()
+        }
+
+        override fun live(): List<Member> =
+            nodes.filter { it.isLive }.map { Member(it.self, "", DataCentre("dc1")) }
+
+        override suspend fun call(
+            peer: InstanceId,
+            channel: String,
+            payload: ByteArray,
+            timeout: Duration
+        ): Result<ByteArray, PeerError> {
+            delay(1)
+            val node = nodes.first { it.self == peer }
+            if (!node.isReachable) return Err(PeerError.Unreachable(peer))
+            return Ok(node.handlers.getValue(channel)(self, payload))
+        }
+
+        override fun handle(
+            channel: String,
+            handler: suspend (from: InstanceId, payload: ByteArray) -> ByteArray
+        ) {
+            handlers[channel] = handler
+        }
+    }
+}
--- a/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
@@ -111,7 +111,7 @@
 
         fun owner(organisation: OrganisationName): InstanceId {
             if (owners.size > MAX_CACHED_OWNERS) owners.clear()
-            return owners.getOrPut(organisation) { rendezvous.owner(organisation) }
+            return owners.getOrPut(organisation) { rendezvous.owner(organisation.value) }
         }
     }
 
--- a/limits/src/test/kotlin/io/greengageport/limits/UsageSharingTest.kt
+++ b/limits/src/test/kotlin/io/greengageport/limits/UsageSharingTest.kt
@@ -137,7 +137,7 @@
         fun `holds when the aggregator changes`() {
             val fleet = Fleet(9)
             repeat(8) { fleet.second { i -> 500.0 * i } }
-            val aggregator = Rendezvous(fleet.live).owner(name)
+            val aggregator = Rendezvous(fleet.live).owner(name.value)
             fleet.live = fleet.live - aggregator
             val sums = List(6) { fleet.second { i -> 500.0 * i }.sum() }
             expectThat(sums).all { isLessThanOrEqualTo(900.0 * 1.0625) }
--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -10,7 +10,9 @@
  * A runner has crashed if a connection to it was lost and a new one is then refused, or if it
  * reports a new boot id; a runner that announced that it leaves has not. The requests in flight on
  * it are suspects. Those with a mark get one more, and only if there are none, all get their first,
- * so a request that shares a runner with a marked one is not blamed for it.
+ * so a request that shares a runner with a marked one is not blamed for it. A request gets at most
+ * one mark in an attempt: the stages after the one that it crashes don't run it, so that the loss of
+ * several stages of its chain has another cause.
  *
  * A marked request runs alone among marked ones until its answer has passed the token at which the
  * runner crashed ([progressed]). If several that passed it are on a runner that crashes, a failure
@@ -30,10 +32,15 @@
         val runners: List<RunnerId>,
         val startedAtMillis: Long,
         val tokens: () -> Int
-    )
+    ) {
+        /** Whether the attempt has brought its request a mark. */
+        var isCharged = false
+    }
+
+    /** An attempt that was on a runner when the connection to it was lost, with its tokens. */
+    private class Suspect(val flight: Flight, val tokens: Int)
 
-    /** Requests on a runner when the connection to it was lost, with the tokens they had. */
-    private class Lost(val suspects: Map<Fingerprint, Int>, val atMillis: Long)
+    private class Lost(val suspects: List<Suspect>, val atMillis: Long)
 
     private val states = LinkedHashMap<Fingerprint, SuspectState>()
     private val flights = HashMap<RequestId, Flight>()
@@ -132,6 +139,18 @@
         return crashed(runner, boot, record.suspects, now)
     }
 
+    /**
+     * Several stages of one chain refused connections at once: a failure of machines, for a request
+     * crashes one stage in an attempt. No request is marked for it.
+     */
+    @Synchronized
+    public fun machinesFailed(runners: Collection<RunnerId>) {
+        for (r in runners) {
+            lost.remove(r)
+            boots[r]?.let { crashedBoots[r] = it }
+        }
+    }
+
     /** The runner has announced that it leaves, so a refused connection is no crash. */
     @Synchronized
     public fun leaving(runner: RunnerId) {
@@ -184,19 +203,23 @@
         leaving.remove(runner)
     }
 
-    private fun inFlight(runner: RunnerId, untilMillis: Long): Map<Fingerprint, Int> =
-        flights.values
-            .filter { runner in it.runners && it.startedAtMillis <= untilMillis }
-            .associate { it.fingerprint to it.tokens() }
+    private fun inFlight(runner: RunnerId, untilMillis: Long): List<Suspect> = flights.values
+        .filter { runner in it.runners && it.startedAtMillis <= untilMillis }
+        .map { Suspect(it, it.tokens()) }
 
     private fun crashed(
         runner: RunnerId,
         bootId: String,
-        suspects: Map<Fingerprint, Int>,
+        suspects: List<Suspect>,
         now: Long
-    ): List<SuspectState> = blamed(suspects.keys).sorted().map {
-        val mark = SuspectMark(runner, bootId, now, suspects.getValue(it))
-        store(SuspectState(it, listOf(mark)))
+    ): List<SuspectState> {
+        val uncharged = suspects.filter { !it.flight.isCharged }.groupBy { it.flight.fingerprint }
+        return blamed(uncharged.keys).sorted().map { fingerprint ->
+            val attempts = uncharged.getValue(fingerprint)
+            attempts.forEach { it.flight.isCharged = true }
+            val mark = SuspectMark(runner, bootId, now, attempts.maxOf { it.tokens })
+            store(SuspectState(fingerprint, listOf(mark)))
+        }
     }
 
     private fun blamed(suspects: Set<Fingerprint>): Set<Fingerprint> {
--- a/routing/src/test/kotlin/io/greengageport/routing/SuspectRequestsTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/SuspectRequestsTest.kt
@@ -85,6 +85,28 @@
             expectThat(suspects.verdict(bad)).isEqualTo(SuspectVerdict.MARKED)
         }
 
+        /** Guards against a block of each request whose chain lost two stages with a rack. */
+        @Test
+        fun `an attempt brings its request one mark, however many stages are lost`() {
+            start("1", bad, a, next = b)
+            start("2", good, b)
+            expectThat(listOf(crash(a), crash(b))).isEqualTo(listOf(listOf(bad), listOf(good)))
+            expectThat(verdicts()).isEqualTo(List(2) { SuspectVerdict.MARKED })
+        }
+
+        /** Guards against marks for all requests on the machines of a rack that is lost. */
+        @Test
+        fun `stages that are lost together mark no request`() {
+            listOf(a, b).forEach { suspects.bootId(it, "x", clock.wallMillis()) }
+            start("1", bad, a, next = b)
+            start("2", good, b)
+            suspects.connectionLost(a)
+            suspects.machinesFailed(listOf(a, b))
+            val marked = crash(a) + crash(b)
+            val restarted = suspects.bootId(b, "y", clock.wallMillis()).map { it.fingerprint }
+            expectThat(marked + restarted).isEmpty()
+        }
+
         @Test
         fun `marks expire after ten minutes and blocks after an hour`() {
             start("1", bad, a)
