Let capacity follow the instance list and the settings at once

Cause: the slots of a queue were set with the load reports only, every 500 ms. An instance that had just learned of its services or of a runner had no slot until then, and urgent requests expired in the queue after 272 ms with free runners listed. TwoFaultsTest 2 was red by it in 2 of 8 runs ('the deadline passed in the queue', load average 3 to 20). Ruled out: ejected runners (the cap holds per layer), a stall between arrival and queue (such requests are refused with another message). Change: a new list and new settings update the capacity; a service without any slot is logged. The readiness page now fails until the instance list was read, as the status already said. Failing tests print the error and the log.

--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -264,7 +264,7 @@
                 plains = plains,
                 bounds = config.bounds,
                 metrics = metrics,
-                isReady = { acceptsRequests && store.ready.value }
+                isReady = { acceptsRequests && store.ready.value && backends.isKnown }
             )
         )
     }
@@ -277,6 +277,7 @@
         scope.launch {
             store.view.collect { v ->
                 admissions.onSettings(v)
+                updateCapacity()
                 metrics.settingsVersion.set(v.version.toDouble())
                 Logger.info("settings: version=${v.version} is in force")
             }
@@ -284,15 +285,15 @@
         scope.every(config.times.listPollMillis) {
             platform.list().onSuccess { listing ->
                 backends.onListing(listing)
+                updateCapacity()
                 val others = listing.instances.filter { it.id != config.instance }
                 node.addSeeds(others.map { it.peerAddress })
             }
         }
         scope.every(config.times.loadPollMillis) {
             platform.latest().onSuccess { backends.onLoads(it) }
-            val v = store.view.value
-            admissions.onLoads(v, node.live().count { !it.leaving })
-            backends.evaluateOutliers(v.services.map { it.name })
+            updateCapacity()
+            backends.evaluateOutliers(store.view.value.services.map { it.name })
             probeEjected()
             updateGauges()
         }
@@ -302,6 +303,14 @@
         }
     }
 
+    /**
+     * Applies what is known of the fleet to the queues. With the next load reports alone, an
+     * instance that has just learned of its services or runners would refuse urgent requests for
+     * want of capacity.
+     */
+    private fun updateCapacity(): Unit =
+        admissions.updateCapacity(store.view.value, node.live().count { !it.leaving })
+
     private fun probeEjected() {
         for (id in backends.outliers.dueProbes()) {
             val address = backends.fleet.runner(id)?.address ?: continue
--- a/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
@@ -4,6 +4,7 @@
 import io.greengageport.common.Clock
 import io.greengageport.common.OrganisationName
 import io.greengageport.common.RequestError
+import io.greengageport.common.ServiceName
 import io.greengageport.limits.AdmissionController
 import io.greengageport.limits.AdmissionDecision
 import io.greengageport.limits.Capacity
@@ -26,6 +27,7 @@
 import kotlin.math.roundToLong
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
 
 /** Admission of the requests of one service, with the capacity that this instance may use. */
 internal class ServiceAdmission(
@@ -110,6 +112,9 @@
     private val services = ConcurrentHashMap<String, ServiceAdmission>()
     private val work = WorkEstimator()
 
+    /** Whether the fleet had no capacity at all for a service at the last reports. */
+    private val without = ConcurrentHashMap<ServiceName, Boolean>()
+
     @Volatile
     private var isStopping = false
 
@@ -129,8 +134,8 @@
         for (s in view.services) backends.fleet.setLayers(s.name, s.settings.model?.layers ?: 0)
     }
 
-    /** Applies the load reports to the capacity of all services. */
-    fun onLoads(view: SettingsView, liveInstances: Int) {
+    /** Sets the capacity of all services from the listed runners and their load reports. */
+    fun updateCapacity(view: SettingsView, liveInstances: Int) {
         val target = view.ranks.firstOrNull()?.settings?.betweenTokensMillis ?: DEFAULT_GAP_MILLIS
         for (s in view.services) {
             val a = of(s, view)
@@ -138,10 +143,21 @@
             val reports = backends.reports(s.name)
             val newest = reports.maxOfOrNull { it.reportedAtMillis } ?: 0
             val age = maxOf(0, clock.wallMillis() - newest)
-            a.updateCapacity(fleetLoad(s, reports.sumOf { it.running }, target), age, liveInstances)
+            val load = fleetLoad(s, reports.sumOf { it.running }, target)
+            logCapacity(s, load)
+            a.updateCapacity(load, age, liveInstances)
         }
     }
 
+    /** A service that nothing can run is refused as a whole, which operators have to see. */
+    private fun logCapacity(s: Service, load: FleetLoad) {
+        val isNone = load.slots <= 0
+        if (without.put(s.name, isNone) == isNone) return
+        val slots = "%.1f".format(load.slots)
+        val ejected = backends.outliers.ejected().sorted()
+        Logger.info("limits: service=${s.name} capacity slots=$slots ejected=$ejected")
+    }
+
     /** Refuses new requests; queued and running ones go on. */
     fun stopAdmitting() {
         isStopping = true
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamedAnswer.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamedAnswer.kt
@@ -30,6 +30,10 @@
     var end: String? = null
         private set
 
+    /** The message of the error that ended the stream, if there was one. */
+    @Volatile
+    private var message = ""
+
     private val thread = Thread({ read(url, body, headers) }, "stream").apply {
         isDaemon = true
         start()
@@ -40,7 +44,9 @@
     /** Waits until at least [count] tokens came. */
     fun awaitTokens(count: Int): StreamedAnswer = apply {
         LocalFleet.await("$count tokens, then end=$end status=$status") {
-            check(end == null || tokens.size >= count) { "ended early: $end, status $status" }
+            check(end == null || tokens.size >= count) {
+                "ended early: $end, status $status, $message"
+            }
             tokens.size >= count
         }
     }
@@ -77,7 +83,10 @@
         if (data.isEmpty()) return null
         if (data == "[DONE]") return "complete"
         val o = Json.parseToJsonElement(data).jsonObject
-        (o["error"] as? JsonObject)?.let { return it.getValue("code").jsonPrimitive.content }
+        (o["error"] as? JsonObject)?.let {
+            message = it.getValue("message").jsonPrimitive.content
+            return it.getValue("code").jsonPrimitive.content
+        }
         val choice = o.getValue("choices").jsonArray.first().jsonObject
         synchronized(received) { received += choice.getValue("text").jsonPrimitive.content }
         return null
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -34,14 +34,15 @@
     private val plain: List<PlainSpec> = emptyList(),
     platform: PlatformSpec = PlatformSpec(),
     spare: List<String> = emptyList(),
-    settings: String = "settings.yaml"
+    settings: String = "settings.yaml",
+    times: Map<String, Long> = emptyMap()
 ) : AutoCloseable {
     val local: LocalFleet = LocalFleet(
         Path.of(System.getProperty("greengageport.root")),
         FleetFile(
             platform = platform,
             settings = settings,
-            instances = (1..instances).map { InstanceSpec("entry-$it") } +
+            instances = (1..instances).map { InstanceSpec("entry-$it", times = times) } +
                 spare.map { InstanceSpec(it, startsLater = true) },
             engines = engines,
             plain = plain
@@ -227,16 +228,27 @@
     fun explain(request: String) {
         for (i in local.instances) {
             val lines = process(i).output
-            lines.filter { request in it || "ejected" in it || "left the instance list" in it }
+            lines.filter { l -> request in l || NOTABLE.any { it in l } }
                 .forEach { println("$i: ${it.substringAfter("INFO ")}") }
         }
     }
 
+    /** Runs [action]; if it fails, prints what the instances logged of [answer]. */
+    fun <T> explaining(answer: StreamedAnswer, action: () -> T): T = try {
+        action()
+    } catch (e: IllegalStateException) {
+        explain(answer.requestId)
+        throw e
+    }
+
     override fun close(): Unit = local.close()
 
     companion object {
         const val BUILDERS = "line-one-key"
         const val LAYERS = 12
+
+        /** Parts of log lines that explain refusals and failures of any request. */
+        private val NOTABLE = listOf("ejected", "left the instance list", "capacity", "leaving")
         const val ORDER = """{"part":7}"""
         private val callers = Executors.newCachedThreadPool { r ->
             Thread(r, "caller").apply { isDaemon = true }
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TwoFaultsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TwoFaultsTest.kt
@@ -77,7 +77,7 @@
     private fun start(name: String): Map<String, StreamedAnswer> =
         fleet.local.instances.flatMap { i -> (1..PER_INSTANCE).map { i to "$name $it at $i" } }
             .associate { (i, prompt) -> prompt to fleet.stream(i, prompt, TOKENS) }
-            .onEach { (_, answer) -> answer.awaitTokens(2) }
+            .onEach { (_, answer) -> fleet.explaining(answer) { answer.awaitTokens(2) } }
 
     private fun expectWhole(prompt: String, answer: StreamedAnswer) {
         answer.awaitEnd()
