Keep each rank's share of the retry budget for it

Cause: retryReserveShare was checked and kept, but nothing read it; the budget kept a fixed half for the most urgent rank. Ruled out: a limit per rank alone, which would let a rank that used its own share take part of another's. Change: RetryBudget takes the shares of the ranks from the settings in force and counts retries by rank. What a rank leaves of its share counts as used for all others. Shares above 1 in sum are scaled down. Without any share the most urgent rank keeps half as before.

--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -209,7 +209,12 @@
             PlannerPolicy.LEAST_QUEUE -> LeastQueue(costs)
             PlannerPolicy.FIRST_FIT -> FirstFit(costs)
         }
-        val retries = RetryBudget(clock, random, minimum = MIN_RETRIES)
+        val retries = RetryBudget(
+            clock,
+            random,
+            reserves = { retryReserves(store.view.value.ranks) },
+            minimum = MIN_RETRIES
+        )
         val models = ModelPath(
             ModelParts(
                 clock = clock,
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
@@ -306,7 +306,7 @@
         return when (
             val r = parts.retries.tryRetry(
                 assembler.attempt,
-                context.isUrgent,
+                context.rank.name,
                 repeatedShare(),
                 context.service.settings.retry.backoff()
             )
--- a/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlainPath.kt
@@ -88,7 +88,7 @@
             if (attempt >= rules.maxAttempts) return Err(failure(end))
             val decision = parts.retries.tryRetry(
                 attempt,
-                call.context.isUrgent,
+                call.context.rank.name,
                 backoff = rules.backoff()
             )
             when (val r = decision) {
--- a/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
@@ -1,5 +1,6 @@
 package io.greengageport.entry
 
+import io.greengageport.common.RankName
 import io.greengageport.common.RequestId
 import io.greengageport.routing.Backoff
 import io.greengageport.settings.Organisation
@@ -22,9 +23,6 @@
     /** Whether the caller named the deadline, and so is willing to wait for it. */
     val hasOwnDeadline: Boolean = false
 ) {
-    /** Whether the request is of the most urgent rank. */
-    val isUrgent: Boolean get() = rank.settings.priority == 0
-
     /**
      * Latest useful time to start, if serving takes [serveMillis]. Without a deadline of the
      * caller the first token is due at the rank's target, of which a fifth is left to the engines;
@@ -44,6 +42,20 @@
     }
 }
 
+/**
+ * The share of the retry budget that each rank keeps. Where no rank states one, the most urgent one
+ * keeps half, so that a failure under load can't leave urgent answers without a resume.
+ */
+internal fun retryReserves(ranks: List<Rank>): Map<RankName, Double> {
+    val shares = ranks.associate { it.name to it.settings.retryReserveShare }
+        .filterValues { it > 0 }
+    val mostUrgent = ranks.firstOrNull()?.name
+    if (shares.isNotEmpty() || mostUrgent == null) return shares
+    return mapOf(mostUrgent to DEFAULT_URGENT_RESERVE)
+}
+
+private const val DEFAULT_URGENT_RESERVE = 0.5
+
 /** The backoff that the settings of a service ask for. */
 internal fun RetrySettings.backoff(): Backoff =
     Backoff(baseDelayMillis.toLong(), maxDelayMillis.toLong())
--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -1,6 +1,7 @@
 package io.greengageport.routing
 
 import io.greengageport.common.Clock
+import io.greengageport.common.RankName
 import kotlin.math.ceil
 import kotlin.random.Random
 
@@ -10,12 +11,13 @@
  * Each admitted request adds [share] of a token, which lapses after [WINDOW_MILLIS]; a retry takes
  * one, and a resume only the part of the request's work that is done again. Over any 10 s that end
  * with a retry, the work at backend servers therefore stays at or below `1 + share` times that of
- * the requests admitted. Ranks that aren't urgent leave [urgentReserve] of the
- * tokens to urgent ones. [minimum] retries per window are allowed in any case; with the default of
- * 0, fewer than 10 requests in 10 s allow no retry. Thread-safe.
+ * the requests admitted. [reserves] states the share of the tokens that only the named rank may
+ * use; a rank uses its own share first, then what is reserved for none. Shares of more than 1 in sum
+ * are scaled down to 1. [minimum] retries per window are allowed in any case; with the default of 0,
+ * fewer than 10 requests in 10 s allow no retry. Thread-safe.
  *
  * ```
- * when (val retry = budget.tryRetry(attempt = 1, urgent = true)) {
+ * when (val retry = budget.tryRetry(attempt = 1, rank)) {
  *     is RetryDecision.Allowed -> delay(retry.delayMillis)
  *     is RetryDecision.Denied -> answerWithError()
  * }
@@ -25,16 +27,15 @@
     private val clock: Clock,
     private val random: Random,
     private val share: Double = DEFAULT_SHARE,
-    private val urgentReserve: Double = DEFAULT_URGENT_RESERVE,
+    private val reserves: () -> Map<RankName, Double> = { emptyMap() },
     private val minimum: Int = 0,
     private val backoff: Backoff = Backoff()
 ) {
     private val admitted = SlidingCount()
-    private val retries = SlidingCount()
+    private val retries = HashMap<RankName, SlidingCount>()
 
     init {
         require(share >= 0) { "the share of retries is not negative: $share" }
-        require(urgentReserve in 0.0..1.0) { "the reserve is a share in 0..1: $urgentReserve" }
     }
 
     /** Counts an admitted request. */
@@ -44,14 +45,14 @@
     }
 
     /**
-     * Asks for a retry or resume after [attempt] attempts; an allowed one is counted. [cost] is the
-     * part of the request's work that is done again: 1 unless an answer is resumed. A service may
-     * have a [backoff] of its own.
+     * Asks for a retry or resume of a request of [rank] after [attempt] attempts; an allowed one is
+     * counted. [cost] is the part of the request's work that is done again: 1 unless an answer is
+     * resumed. A service may have a [backoff] of its own.
      */
     @Synchronized
     public fun tryRetry(
         attempt: Int,
-        urgent: Boolean,
+        rank: RankName,
         cost: Double = 1.0,
         backoff: Backoff = this.backoff
     ): RetryDecision {
@@ -59,18 +60,29 @@
         val now = clock.monotonicMillis()
         // Whole slots only for what is admitted, part slots too for retries: never too many.
         val earned = admitted.inWholeSlots(now) / UNITS * share
-        val usable = if (urgent) earned else earned * (1 - urgentReserve)
-        val used = retries.inAllSlots(now) / UNITS
-        if (used + cost > maxOf(usable + ROUNDING, minimum.toDouble())) {
-            return RetryDecision.Denied(used, earned)
+        val used = retries.mapValues { it.value.inAllSlots(now) / UNITS }
+        val all = used.values.sum()
+        // What a rank leaves of its share counts as used, so that no other rank takes it.
+        val kept = shares().entries.sumOf { (name, share) ->
+            val own = (used[name] ?: 0.0) + if (name == rank) cost else 0.0
+            maxOf(0.0, earned * share - own)
         }
-        retries.add(now, ceil(cost * UNITS).toLong())
+        if (all + cost > maxOf(earned - kept + ROUNDING, minimum.toDouble())) {
+            return RetryDecision.Denied(all, earned)
+        }
+        retries.keys.removeAll { used[it] == 0.0 && it != rank }
+        retries.getOrPut(rank) { SlidingCount() }.add(now, ceil(cost * UNITS).toLong())
         return RetryDecision.Allowed(backoff.delayMillis(attempt, random))
     }
 
+    private fun shares(): Map<RankName, Double> {
+        val shares = reserves()
+        val sum = shares.values.sum()
+        return if (sum <= 1) shares else shares.mapValues { it.value / sum }
+    }
+
     public companion object {
         public const val DEFAULT_SHARE: Double = 0.1
-        public const val DEFAULT_URGENT_RESERVE: Double = 0.5
         public const val WINDOW_MILLIS: Long = 10_000
 
         /** Parts of a request in which work is counted. */
--- a/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
@@ -1,5 +1,6 @@
 package io.greengageport.routing
 
+import io.greengageport.common.RankName
 import io.greengageport.common.RunnerId
 import io.greengageport.testkit.ManualClock
 import kotlin.random.Random
@@ -142,13 +143,21 @@
     @Nested
     inner class Budget {
         private val clock = ManualClock()
+        private val urgent = RankName("urgent")
+        private val middle = RankName("middle")
+        private val lowest = RankName("lowest")
+
+        private fun allowed(budget: RetryBudget, rank: RankName) =
+            (1..20).count { budget.tryRetry(1, rank) is RetryDecision.Allowed }
+
+        private fun rank(random: Random) = if (random.nextBoolean()) urgent else lowest
 
         /** Guards against more than 1.1 calls per admitted request in the 10 s before a retry. */
         @Test
         fun `keeps retries within a tenth of the requests of any 10 s`() {
             for (seed in 1..20) {
                 val random = Random(seed)
-                val budget = RetryBudget(clock, random)
+                val budget = RetryBudget(clock, random, reserves = { mapOf(urgent to 0.5) })
                 val admitted = ArrayList<Long>()
                 val retried = ArrayList<Long>()
                 repeat(4_000) {
@@ -157,7 +166,7 @@
                     if (random.nextInt(3) > 0) {
                         budget.admitted()
                         admitted += now
-                    } else if (budget.tryRetry(1, random.nextBoolean()) is RetryDecision.Allowed) {
+                    } else if (budget.tryRetry(1, rank(random)) is RetryDecision.Allowed) {
                         retried += now
                         val since = now - RetryBudget.WINDOW_MILLIS
                         val allowed = admitted.count { it > since } * 0.1 + 1e-9
@@ -171,21 +180,41 @@
 
         @Test
         fun `leaves half of the budget to urgent requests`() {
-            val budget = RetryBudget(clock, Random(1))
+            val budget = RetryBudget(clock, Random(1), reserves = { mapOf(urgent to 0.5) })
             repeat(100) { budget.admitted() }
-            fun allowed(urgent: Boolean) =
-                (1..20).count { budget.tryRetry(1, urgent) is RetryDecision.Allowed }
-            expectThat(listOf(allowed(urgent = false), allowed(urgent = true)))
+            expectThat(listOf(allowed(budget, lowest), allowed(budget, urgent)))
                 .isEqualTo(listOf(5, 5))
         }
 
+        /** Guards against a rank whose share another rank uses up, also by its own share. */
+        @Test
+        fun `keeps the share of each rank, however the others use theirs`() {
+            val shares = mapOf(urgent to 0.5, middle to 0.2)
+            val orders = listOf(listOf(lowest, middle, urgent), listOf(urgent, lowest, middle))
+            val results = orders.map { order ->
+                val budget = RetryBudget(clock, Random(1), reserves = { shares })
+                repeat(100) { budget.admitted() }
+                order.map { allowed(budget, it) }
+            }
+            expectThat(results).isEqualTo(listOf(listOf(3, 2, 5), listOf(8, 0, 2)))
+        }
+
+        @Test
+        fun `scales shares of more than the whole budget down`() {
+            val shares = mapOf(urgent to 1.0, middle to 1.0)
+            val budget = RetryBudget(clock, Random(1), reserves = { shares })
+            repeat(100) { budget.admitted() }
+            expectThat(listOf(lowest, urgent, middle).map { allowed(budget, it) })
+                .isEqualTo(listOf(0, 5, 5))
+        }
+
         /** Guards against answers that are given up because a whole retry is charged for a resume. */
         @Test
         fun `charges a resume for the work that is done again only`() {
             val budget = RetryBudget(clock, Random(1))
             repeat(10) { budget.admitted() }
             val resumes = (1..20).count {
-                budget.tryRetry(1, urgent = true, cost = 0.1) is RetryDecision.Allowed
+                budget.tryRetry(1, urgent, cost = 0.1) is RetryDecision.Allowed
             }
             expectThat(resumes).isEqualTo(10)
         }
