State what ledger.outage_ms means

Its doc comment called it null while the log takes records. Ruled out: turning the field into the length of the outage, since callers are told this very value as their retry-after and appends are probed only when there is something to append, so that the end of an outage is not known.

--- a/entry/src/main/kotlin/io/greengageport/entry/AdminMessages.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/AdminMessages.kt
@@ -70,7 +70,10 @@
     @SerialName("fleet_bound_tokens_per_second") val boundTokensPerSecond: Double
 )
 
-/** The record of non-idempotent calls at an instance. */
+/**
+ * The record of non-idempotent calls at an instance; [outageMillis] is the time until a retry is
+ * worthwhile while the log fails.
+ */
 @Serializable
 public data class LedgerState(
     val ready: Boolean,
--- a/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
@@ -372,7 +372,10 @@
     }
 }
 
-/** Figures of an [OrderLedger]; [outageMillis] is null while the log takes records. */
+/**
+ * Figures of an [OrderLedger]. [outageMillis] is the time until a retry is worthwhile while the log
+ * fails, not the length of the outage; null when neither reads nor appends are known to fail.
+ */
 public data class LedgerStatus(
     val ready: Boolean,
     val keys: Int,
--- a/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
@@ -144,6 +144,22 @@
             expectThat(time.monotonicMillis() - before).isLessThan(3)
         }
 
+        /** Guards against a status that operators read as the length of the outage. */
+        @Test
+        fun `the status tells the time until a retry as callers are told it`() {
+            log.store.down = true
+            begin(a)
+            time.advance(60_000)
+            val told = (begin(a, call(key = "other")) as BeginResult.LogUnavailable)
+            val during = a.ledger.status().outageMillis
+            log.store.down = false
+            time.advance(10_000)
+            finish(win(a, call(key = "third")))
+            time.advance(1_000)
+            expectThat(listOf(during, a.ledger.status().outageMillis))
+                .isEqualTo(listOf(told.retryAfterMillis, null))
+        }
+
         @Test
         fun `outcomes and releases are appended after the outage`() {
             val (first, second) = win(a) to win(a, call(key = "other"))
