Keep an answer on its model version, and serve requests that name one

Cause: a chain never mixed versions, but a resume took whichever version was fastest, so that an answer could begin with one version and go on with another during a roll-out. The version sent to the engines was that of the settings, not that of the chain. No request could name a version. Change: the version of the chain that gave the first token is kept for all further attempts, whatever the settings say; without a chain of it the answer ends with backend_failed. "model": "SERVICE:VERSION" asks for a version of the settings, 404 unknown_version for others. Without a version those listed under versions are used only if no other has a chain, so that a roll-out still finds the old one. Ruled out: going on with another version when the first is gone, which mixes two models in one answer. Run: ModelPathTest and ChainPlannerTest are green with four new tests; without the change the resume of the first of them goes to the faster engine of the other version (by reading, not run).

--- a/common/src/main/kotlin/io/greengageport/common/RequestError.kt
+++ b/common/src/main/kotlin/io/greengageport/common/RequestError.kt
@@ -26,6 +26,10 @@
     public class UnknownService(name: String) :
         RequestError(404, "unknown_service", "no service is named '$name'")
 
+    /** The model does not offer the version that the request names. */
+    public class UnknownVersion(service: String, version: String) :
+        RequestError(404, "unknown_version", "'$service' does not offer version '$version'")
+
     /** The body or its headers exceed the configured size. */
     public class TooLarge(limitBytes: Long) :
         RequestError(413, "request_too_large", "the request exceeds $limitBytes bytes")
--- a/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -9,6 +9,7 @@
 import io.greengageport.common.RequestError
 import io.greengageport.common.RequestId
 import io.greengageport.routing.Fingerprint
+import io.greengageport.settings.ModelSettings
 import io.greengageport.settings.SettingsView
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
@@ -114,11 +115,14 @@
     ): RequestError? {
         val body = body(call).getOrElse { return it }
         val parsed = CompletionFormat.parse(form, body.decodeToString()).getOrElse { return it }
-        val context = parts.gate.open(request.id, parsed.model, headers(call))
+        val context = parts.gate.open(request.id, parsed.service, headers(call))
             .getOrElse { return it }
         request.context = context
-        if (context.service.settings.model == null) {
-            return RequestError.Invalid("'${parsed.model}' is a plain service, not a model")
+        val model = context.service.settings.model
+            ?: return RequestError.Invalid("'${parsed.service}' is a plain service, not a model")
+        val version = parsed.version
+        if (version != null && version !in versionsOf(model)) {
+            return RequestError.UnknownVersion(parsed.service, version)
         }
         val exchange = CompletionExchange(parts, call, parsed, context)
         val promptTokens = exchange.promptTokens
@@ -191,12 +195,16 @@
     }
 
     private suspend fun models(call: ApplicationCall): RequestError? {
-        val names = parts.view().services.filter { it.settings.model != null }
-            .joinToString(",") { """{"id":"${it.name}","object":"model"}""" }
+        val names = parts.view().services.flatMap { s ->
+            val further = s.settings.model?.versions ?: return@flatMap emptyList()
+            listOf("${s.name}") + further.map { "${s.name}${CompletionCall.VERSION_MARK}$it" }
+        }.joinToString(",") { """{"id":"$it","object":"model"}""" }
         call.respondText("""{"object":"list","data":[$names]}""", ContentType.Application.Json)
         return null
     }
 
+    private fun versionsOf(model: ModelSettings) = model.versions + model.version
+
     private fun headers(call: ApplicationCall) = RequestHeaders(
         authorization = call.request.headers[HttpHeaders.Authorization],
         rank = call.request.headers[CallerHeaders.RANK],
--- a/entry/src/main/kotlin/io/greengageport/entry/CompletionExchange.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CompletionExchange.kt
@@ -61,7 +61,8 @@
             prompt = completion.prompt,
             promptTokens = promptTokens,
             maxTokens = completion.maxTokens,
-            fingerprint = fingerprint
+            fingerprint = fingerprint,
+            version = completion.version
         )
         val producer = launch {
             val end = parts.models.run(model, admission) { text, last ->
--- a/entry/src/main/kotlin/io/greengageport/entry/CompletionFormat.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CompletionFormat.kt
@@ -29,7 +29,22 @@
     val prompt: String,
     val maxTokens: Int,
     val stream: Boolean
-)
+) {
+    /** The service that [model] names: `guide` in `guide` and in `guide:v2`. */
+    val service: String get() = model.substringBefore(VERSION_MARK)
+
+    /** The version that [model] names, `v2` in `guide:v2`, or null if it names none. */
+    val version: String? get() = if (VERSION_MARK in model) {
+        model.substringAfter(VERSION_MARK)
+    } else {
+        null
+    }
+
+    companion object {
+        /** Separates service and version; names of services do not contain it. */
+        const val VERSION_MARK = ':'
+    }
+}
 
 /** Reads and writes the completions formats that callers' client libraries speak. */
 internal object CompletionFormat {
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelPath.kt
@@ -22,7 +22,9 @@
     val prompt: String,
     val promptTokens: Int,
     val maxTokens: Int,
-    val fingerprint: Fingerprint
+    val fingerprint: Fingerprint,
+    /** The version of the model that the caller named, if any. */
+    val version: String? = null
 )
 
 /** The parts that the model path uses. */
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
@@ -42,6 +42,9 @@
     /** Attempts that reached a backend server. */
     private var reached = 0
 
+    /** The version that the caller named, later that of the answer's first token. */
+    private var version = call.version
+
     /** Whether the attempt runs alone among marked requests and has not passed its crash yet. */
     private var isMarked = false
 
@@ -121,7 +124,9 @@
             prefixBlocks = PrefixIndex.blocks(context.service.name.value, call.prompt),
             excluded = excluded + avoided + parts.backends.outliers.ejected(),
             marked = marked,
-            markedBusy = suspects.markedBusy()
+            markedBusy = suspects.markedBusy(),
+            version = version,
+            lastVersions = model.versions.toSet() - model.version
         )
 
     private fun tryStart(d: RoutingDecision) =
@@ -167,7 +172,7 @@
                 firstIndex = start.firstIndex,
                 delivered = start.delivered,
                 priority = context.rank.settings.priority,
-                version = model.version,
+                version = a.version.ifEmpty { model.version },
                 route = route
             ),
             times(d)
@@ -202,6 +207,8 @@
         return when (val outcome = assembler.accept(frame)) {
             is FrameOutcome.Token -> {
                 execution = Execution.RAN
+                // Tokens of two versions do not make one answer, whatever the settings say by now.
+                version = a.version
                 a.observer.onFrame(f)
                 if (isMarked) isMarked = !suspects.progressed(context.id, assembler.size)
                 sink.token(outcome.text, outcome.last)
@@ -341,6 +348,9 @@
         val observer: AttemptObserver
     ) {
         val address: String = route.first().address
+
+        /** The version of the model that the chain holds. */
+        val version: String = decision.stages.first().runner.version
     }
 
     private companion object {
--- a/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
@@ -173,16 +173,51 @@
         }
     }
 
-    private fun engine(id: String, script: suspend ScriptedEngine.Script.() -> Unit) =
-        ScriptedEngine(RunnerId(id), LayerRange(0, LAYERS), script).also { opened += it }
+    @Nested
+    inner class Versions {
+        private val breaking = engine("a", "v1") { send(frame(0)) }
+        private val other = engine("b", "v2") { answerFrom(request.firstIndex) }
+        private val same = engine("c", "v1") { answerFrom(request.firstIndex) }
+
+        /** Guards against an answer whose rest comes from a version that became faster or newer. */
+        @Test
+        fun `an answer goes on with the version of its first token`() {
+            expectThat(answer(breaking, other, same)).isEqualTo("t0 t1 t2 t3 ")
+            expectThat(other.requests.size to same.requests.map { it.version })
+                .isEqualTo(0 to listOf("v1"))
+        }
+
+        @Test
+        fun `an answer whose version has no chain left ends in an error`() {
+            expectThat(answer(breaking, other)).isEqualTo("t0 backend_failed ran")
+        }
+
+        @Test
+        fun `a request runs on the version that it names`() {
+            expectThat(answer(breaking, other, same, version = "v2")).isEqualTo("t0 t1 t2 t3 ")
+            expectThat(listOf(breaking, other, same).map { it.requests.size })
+                .isEqualTo(listOf(0, 1, 0))
+        }
+    }
+
+    private fun engine(
+        id: String,
+        version: String = "",
+        script: suspend ScriptedEngine.Script.() -> Unit
+    ) = ScriptedEngine(RunnerId(id), LayerRange(0, LAYERS), version, script).also { opened += it }
 
-    /** The text that the caller gets, followed by the error if there is one. */
-    private fun answer(vararg engines: ScriptedEngine): String = runBlocking {
+    /**
+     * The text that the caller gets, followed by the error if there is one. The engines are the
+     * faster the earlier they come.
+     */
+    private fun answer(vararg engines: ScriptedEngine, version: String? = null) = runBlocking {
         val text = StringBuilder()
         val backends = backends()
         backends.fleet.setLayers(ServiceName("model"), LAYERS)
         backends.onListing(InstanceListing(runners = engines.map { it.listed }))
-        val end: Result<Int, RequestError> = path(backends).run(call(), admission()) { t, _ ->
+        backends.onLoads(engines.mapIndexed { i, e -> e.report(rate = 1_000.0 / (i + 1)) })
+        val call = call(version)
+        val end: Result<Int, RequestError> = path(backends).run(call, admission()) { t, _ ->
             text.append(t)
         }
         end.fold({ text.toString() }, { "$text${it.code} ${it.execution.wireName}" })
@@ -228,7 +263,7 @@
         )
     )
 
-    private fun call() = ModelCall(
+    private fun call(version: String?) = ModelCall(
         context = RequestContext(
             id = RequestId("request-1"),
             organisation = Organisation(
@@ -251,7 +286,8 @@
         prompt = "a prompt",
         promptTokens = 2,
         maxTokens = 4,
-        fingerprint = Fingerprint("f")
+        fingerprint = Fingerprint("f"),
+        version = version
     )
 
     private object OneMember : Members {
--- a/entry/src/test/kotlin/io/greengageport/entry/ScriptedEngine.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ScriptedEngine.kt
@@ -25,6 +25,7 @@
 internal class ScriptedEngine(
     val id: RunnerId,
     private val layers: LayerRange,
+    private val version: String = "",
     private val script: suspend Script.() -> Unit
 ) : AutoCloseable {
     /** What a script can do with one request. */
@@ -57,7 +58,7 @@
         val (s, a) = runBlocking {
             startServer("127.0.0.1:0", BoundsConfig()) {
                 get("/v1/load") {
-                    call.respondText(LoadReport(id, ServiceName("model"), "boot-1").toJson())
+                    call.respondText(report(rate = 0.0).toJson())
                 }
                 post("/v1/generate") {
                     val g = entryJson.decodeFromString<GenerateRequest>(call.receiveText())
@@ -80,6 +81,15 @@
         layers = layers
     )
 
+    /** A load report with the service [rate] in tokens/s. */
+    fun report(rate: Double) = LoadReport(
+        id,
+        ServiceName("model"),
+        "boot-1",
+        tokensPerSecond = rate,
+        version = version
+    )
+
     override fun close() {
         server.stop(0, 0)
     }
--- a/routing/src/main/kotlin/io/greengageport/routing/ChainPlanner.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ChainPlanner.kt
@@ -29,15 +29,27 @@
     fun eligible(fleet: ServiceFleet, request: RoutingRequest): BooleanArray =
         BooleanArray(fleet.runners.size) { request.allows(fleet.runners[it]) }
 
-    /** Plans with each version of the model and takes the least expected time. */
+    /** Plans with each version that the request may use and takes the least expected time. */
     fun perVersion(
         fleet: ServiceFleet,
+        request: RoutingRequest,
         plan: (ServiceFleet) -> Result<RoutingDecision, RoutingFailure>
     ): Result<RoutingDecision, RoutingFailure> {
-        if (fleet.versions.size == 1) return plan(fleet)
-        val results = fleet.versions.map(plan)
-        return results.filter { it.isOk }.minByOrNull { it.value.expectedMillis }
-            ?: results.first()
+        if (fleet.isPlain || fleet.runners.isEmpty()) return plan(fleet)
+        val wanted = request.version
+        if (wanted != null) {
+            val part = fleet.versions.firstOrNull { it.version == wanted }
+            return part?.let(plan) ?: Err(RoutingFailure.NoVersion(fleet.service, wanted))
+        }
+        val (last, usual) = fleet.versions.partition { it.version in request.lastVersions }
+        var failure: Result<RoutingDecision, RoutingFailure>? = null
+        for (versions in listOf(usual, last)) {
+            val results = versions.map(plan)
+            val best = results.filter { it.isOk }.minByOrNull { it.value.expectedMillis }
+            if (best != null) return best
+            failure = failure ?: results.firstOrNull()
+        }
+        return checkNotNull(failure) { "a fleet with runners has a version" }
     }
 
     /** The failure that [eligible] implies, or null if some chain or plain runner exists. */
--- a/routing/src/main/kotlin/io/greengageport/routing/FirstFit.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/FirstFit.kt
@@ -36,7 +36,7 @@
         request: RoutingRequest,
         choose: (List<Runner>) -> Runner
     ): Result<RoutingDecision, RoutingFailure> =
-        Chains.perVersion(fleet) { planVersion(planner, costs, it, request, choose) }
+        Chains.perVersion(fleet, request) { planVersion(planner, costs, it, request, choose) }
 
     private fun planVersion(
         planner: ChainPlanner,
--- a/routing/src/main/kotlin/io/greengageport/routing/RoutingDecision.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RoutingDecision.kt
@@ -73,6 +73,12 @@
             failed(request, "all $runners runners are excluded")
     }
 
+    /** No runner holds [version] of the model. */
+    public data class NoVersion(val service: ServiceName, val version: String) : RoutingFailure {
+        override fun logLine(request: RoutingRequest): String =
+            failed(request, "no runner holds version $version")
+    }
+
     private companion object {
         fun failed(request: RoutingRequest, reason: String) =
             "routing: request=${request.id} attempt=${request.attempt} " +
--- a/routing/src/main/kotlin/io/greengageport/routing/RoutingRequest.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RoutingRequest.kt
@@ -11,7 +11,9 @@
  * [promptTokens] and [outputTokens] are expected amounts of work. [prefixBlocks] are the hashes of
  * the prompt's blocks, each covering the prompt from its start (see [PrefixIndex.blocks]).
  * [excluded] holds ejected runners and those that failed in earlier attempts; [markedBusy] holds
- * the runners that already run a marked request, which a [marked] request avoids.
+ * the runners that already run a marked request, which a [marked] request avoids. With a [version]
+ * only runners of that version of the model are used; without one those of [lastVersions] are used
+ * only if no other version has a chain.
  */
 public class RoutingRequest(
     public val id: RequestId,
@@ -23,7 +25,9 @@
     public val prefixBlocks: LongArray = NO_BLOCKS,
     public val excluded: Set<RunnerId> = emptySet(),
     public val marked: Boolean = false,
-    public val markedBusy: Set<RunnerId> = emptySet()
+    public val markedBusy: Set<RunnerId> = emptySet(),
+    public val version: String? = null,
+    public val lastVersions: Set<String> = emptySet()
 ) {
     init {
         require(promptTokens >= 0) { "prompt tokens are not negative: $promptTokens" }
--- a/routing/src/main/kotlin/io/greengageport/routing/ServiceFleet.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ServiceFleet.kt
@@ -54,5 +54,8 @@
         }
     }
 
+    /** The version of all runners, if this is one of [versions]. */
+    internal val version: String? get() = runners.firstOrNull()?.version
+
     internal fun segment(index: Int) = LayerRange(boundaries[index], boundaries[index + 1])
 }
--- a/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ShortestChain.kt
@@ -44,7 +44,7 @@
         fleet: ServiceFleet,
         request: RoutingRequest
     ): Result<RoutingDecision, RoutingFailure> =
-        Chains.perVersion(fleet) { planVersion(it, request) }
+        Chains.perVersion(fleet, request) { planVersion(it, request) }
 
     private fun planVersion(
         fleet: ServiceFleet,
--- a/routing/src/test/kotlin/io/greengageport/routing/ChainPlannerTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/ChainPlannerTest.kt
@@ -172,6 +172,45 @@
             expectThat(all).all { get { distinct().size }.isEqualTo(1) }
         }
 
+        /** Guards against requests without a version that land on one kept for a few callers. */
+        @Test
+        fun `uses the named version, else further ones only if no other has a chain`() {
+            val all = listOf(
+                runner("a", LayerRange(0, 8), rate = 100.0, version = "v1"),
+                runner("b", LayerRange(0, 8), rate = 900.0, version = "v2"),
+                runner("c", LayerRange(0, 4), rate = 900.0, version = "v3")
+            )
+            fun version(named: String?, further: Set<String>, runners: List<Runner> = all) =
+                listOf(world.exact, FirstFit(world.costs), LeastQueue(world.costs)).map { p ->
+                    val r = p.plan(
+                        fleet(8, runners),
+                        request(version = named, lastVersions = further)
+                    )
+                    if (r.isOk) r.value.stages.first().runner.version else "${r.error}"
+                }.distinct().joinToString()
+            expectThat(
+                listOf(
+                    version(null, emptySet()),
+                    version(null, setOf("v2")),
+                    version(null, setOf("v2"), all.drop(1)),
+                    version("v1", emptySet()),
+                    version("v2", setOf("v2")),
+                    version("v3", emptySet()),
+                    version("v4", emptySet())
+                )
+            ).isEqualTo(
+                listOf(
+                    "v2",
+                    "v1",
+                    "v2",
+                    "v1",
+                    "v2",
+                    "${RoutingFailure.UncoveredLayers(LayerRange(4, 8), excluded = false)}",
+                    "${RoutingFailure.NoVersion(service, "v4")}"
+                )
+            )
+        }
+
         @Test
         fun `picks the least expected wait of a plain service`() {
             val plain = fleet(0, listOf(runner("a"), runner("b", rate = 4_000.0), runner("c")))
--- a/routing/src/test/kotlin/io/greengageport/routing/Fixtures.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/Fixtures.kt
@@ -27,7 +27,9 @@
     marked: Boolean = false,
     markedBusy: Set<RunnerId> = emptySet(),
     prompt: Int = 0,
-    blocks: LongArray = LongArray(0)
+    blocks: LongArray = LongArray(0),
+    version: String? = null,
+    lastVersions: Set<String> = emptySet()
 ) = RoutingRequest(
     id = RequestId(id),
     service = service,
@@ -37,7 +39,9 @@
     prefixBlocks = blocks,
     excluded = excluded,
     marked = marked,
-    markedBusy = markedBusy
+    markedBusy = markedBusy,
+    version = version,
+    lastVersions = lastVersions
 )
 
 internal fun fleet(layers: Int, runners: List<Runner>): ServiceFleet = Fleet().run {
