Place further versions and bounds on the copies of a layer

Cause: model.versions, minCopies and maxCopies were checked and kept, but placement did not read them: it gave each layer one holder, more only for demand or another data centre, and renewed every other version away. Change: after layers without a holder, placement gives each layer of the default version minCopies runners, from idle runners or ones that can be spared without falling below a minimum elsewhere. A further version gets one whole chain, and only if the default version keeps its copies; its runners are reserved and go back when the default version lacks them. Nothing adds copies above maxCopies; surplus runners are ordered to the role standby, in which they stay loaded, get no requests and are the first to return. Runners report their role for that. Limits on concurrent moves and the weight store hold for these orders too; what is in its bounds is left alone, so that moves do not undo each other. Ruled out: unloading surplus runners, as the engines have no order for it and a return would load weights again; converting runners one by one while a whole chain is not in sight, which costs the default version capacity for nothing.

--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -127,6 +127,9 @@
         gossip.publish(HOLD_TOPIC, runner.value, version, "$until".encodeToByteArray())
     }
 
+    /** Whether [runner] reports that it holds its layers, but is not to serve. */
+    fun isStandby(runner: RunnerId): Boolean = reports[runner]?.isStandby == true
+
     /** Whether [runner] gets no new work because an order is to change it. */
     fun isHeld(runner: RunnerId): Boolean = (holds[runner]?.until ?: 0) > clock.wallMillis()
 
@@ -214,7 +217,8 @@
                 version = report?.version.orEmpty(),
                 leaving = l.state == ListedState.LEAVING ||
                     leaving[id] == l.address ||
-                    isHeld(id)
+                    isHeld(id) ||
+                    isStandby(id)
             )
         )
     }
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -342,6 +342,7 @@
 
     private fun stateOf(id: io.greengageport.common.RunnerId, ejected: Set<*>): String = when {
         backends.isHeld(id) -> "held"
+        backends.isStandby(id) -> "standby"
         backends.fleet.runner(id)?.leaving == true -> "leaving"
         id in ejected -> "ejected"
         else -> "live"
@@ -369,7 +370,7 @@
         const val REGISTER_MILLIS = 1_000L
         const val DRAIN_POLL_MILLIS = 20L
         val FLUSH_LIMIT = 10.seconds
-        val RUNNER_STATES = listOf("live", "held", "leaving", "ejected")
+        val RUNNER_STATES = listOf("live", "held", "standby", "leaving", "ejected")
 
         /** Retries per 10 s that are allowed even when few requests arrive. */
         const val MIN_RETRIES = 10
--- a/entry/src/main/kotlin/io/greengageport/entry/PlacementService.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/PlacementService.kt
@@ -16,6 +16,7 @@
 import io.greengageport.routing.PlaceableRunner
 import io.greengageport.routing.PlacementObstacle
 import io.greengageport.routing.PlacementPlanner
+import io.greengageport.routing.RunnerRole
 import io.greengageport.settings.Service
 import io.greengageport.settings.SettingsView
 import io.ktor.client.HttpClient
@@ -158,14 +159,18 @@
             tokensPerSecond = running * TOKENS_PER_SECOND_OF_A_STREAM,
             bytesPerLayer = BYTES_PER_LAYER,
             version = model.version,
-            adapters = model.adapters.toSet()
+            adapters = model.adapters.toSet(),
+            minCopies = model.placement.minCopies,
+            maxCopies = model.placement.maxCopies,
+            furtherVersions = model.versions - model.version
         )
     }
 
     private fun placeable(l: ListedRunner): PlaceableRunner? {
         val report = backends.report(l.id) ?: return null
         val layers: LayerRange = report.layers ?: l.layers ?: return null
-        val current = Assignment(l.service, layers, report.version)
+        val role = if (report.isStandby) RunnerRole.STANDBY else RunnerRole.SERVING
+        val current = Assignment(l.service, layers, report.version, role)
         val sent = pending[l.id]
         if (sent?.wanted?.sameLoad(current) == true) {
             pending.remove(l.id)
@@ -185,7 +190,7 @@
     }
 
     private fun Assignment.sameLoad(other: Assignment) =
-        layers == other.layers && version == other.version
+        layers == other.layers && version == other.version && role == other.role
 
     private companion object {
         const val LEASE = "placement"
--- a/routing/src/main/kotlin/io/greengageport/routing/Placement.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/Placement.kt
@@ -26,6 +26,9 @@
 /**
  * The wanted state of a model: [tokensPerSecond] of demand to serve, [version] and [adapters] to
  * hold, and the size of one layer's weights in bytes.
+ *
+ * Each layer of [version] shall have [minCopies] to [maxCopies] runners; each of [furtherVersions]
+ * one whole chain besides.
  */
 public data class ModelDemand(
     val service: ServiceName,
@@ -33,9 +36,14 @@
     val tokensPerSecond: Double,
     val bytesPerLayer: Long,
     val version: String = "",
-    val adapters: Set<String> = emptySet()
+    val adapters: Set<String> = emptySet(),
+    val minCopies: Int = 1,
+    val maxCopies: Int = Int.MAX_VALUE,
+    val furtherVersions: List<String> = emptyList()
 ) {
     init {
+        require(minCopies in 1..maxCopies) { "copies are from 1 up: $minCopies..$maxCopies" }
+        require(version !in furtherVersions) { "$version is the default and a further version" }
         require(layers > 0) { "a model has at least one layer, not $layers" }
         require(bytesPerLayer > 0) { "a layer has a size: $bytesPerLayer B" }
         require(tokensPerSecond >= 0) { "demand is not negative: $tokensPerSecond" }
@@ -94,6 +102,15 @@
     /** The supply of [layers] is below demand with headroom; [gain] is the shortfall removed. */
     public data class Shortfall(val layers: LayerRange, val gain: Double) : PlacementReason
 
+    /** The default version of [layers] has fewer than [minCopies] runners. */
+    public data class TooFewCopies(val layers: LayerRange, val minCopies: Int) : PlacementReason
+
+    /** The default version of the runner's layers has more than [maxCopies] runners. */
+    public data class TooManyCopies(val maxCopies: Int) : PlacementReason
+
+    /** The further [version] of the model lacks a whole chain. */
+    public data class MissingVersion(val version: String) : PlacementReason
+
     /** The runner holds another version than the wanted one. */
     public data class WrongVersion(val held: String) : PlacementReason
 
--- a/routing/src/main/kotlin/io/greengageport/routing/PlacementPlanner.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/PlacementPlanner.kt
@@ -7,11 +7,12 @@
 /**
  * Decides which runner holds which layers of which model, by few and damped moves.
  *
- * Needs are met in this order: layers without a holder, layers held in one data centre only,
- * supply below demand with headroom, wrong versions, wrong adapters. Each order has to be worth it:
- * the shortfall that it removes exceeds the one it causes by the hysteresis. The last serving
- * holder of a layer is never moved. Orders of equal input are equal, so the next holder of the
- * placement lease sends the same ones.
+ * Needs are met in this order: layers without a holder, layers with too few copies, layers held in
+ * one data centre only, further versions, supply below demand with headroom, too many copies, wrong
+ * versions, wrong adapters. An order for supply has to be worth it: the shortfall that it removes
+ * exceeds the one it causes by the hysteresis. The last serving holder of a layer is never moved,
+ * and only a layer without a holder takes a runner from a model that then has too few copies.
+ * Orders of equal input are equal, so the next holder of the placement lease sends the same ones.
  *
  * ```
  * val plan = PlacementPlanner(clock).plan(models, runners)
@@ -41,13 +42,20 @@
     private val obstacles = LinkedHashSet<PlacementObstacle>()
     private val moved = HashSet<RunnerId>()
     private var loadingBytes = 0L
+    private val copies = HashMap<Supply, ModelCopies>()
+
+    /** Models whose default version needs the runners of the further ones. */
+    private val scarce = HashSet<Supply>()
 
     fun run(): PlacementPlan {
         runners.forEach(::takeIn)
         // Repair comes first for all models, before any model gets more than one holder.
         for (supply in supplies.values) repair(supply)
+        for (supply in supplies.values) keepMinimum(supply)
         for (supply in supplies.values) spread(supply)
+        for (supply in supplies.values) loadFurther(supply)
         balance()
+        for (supply in supplies.values) trim(supply)
         renew()
         return PlacementPlan(desired, orders, obstacles.toList())
     }
@@ -93,6 +101,153 @@
         }
     }
 
+    private fun copiesOf(supply: Supply) = copies.getOrPut(supply) {
+        ModelCopies(supply.model, desired, keepsFurther = supply !in scarce)
+    }
+
+    /** Whether [runner] may leave its model without too few copies there. */
+    private fun isSpare(runner: PlaceableRunner): Boolean {
+        val held = desired[runner.id] ?: return true
+        val supply = supplyOf(held) ?: return true
+        val all = copiesOf(supply)
+        return runner.id !in all.reserved && all.areMoreThan(supply.model.minCopies, held)
+    }
+
+    /** Brings the default version to its least number of copies. */
+    private fun keepMinimum(supply: Supply) {
+        val model = supply.model
+        var layer = 0
+        while (layer < model.layers) {
+            fun isShort(l: Int) = copiesOf(supply).count(l) < model.minCopies
+            if (!isShort(layer)) {
+                layer++
+                continue
+            }
+            var until = layer + 1
+            while (until < model.layers && isShort(until)) until++
+            val gap = LayerRange(layer, until)
+            val candidate = candidates(supply) { range(gap, it, model) }
+                .firstOrNull { isSpare(it.runner) }
+            if (candidate != null) {
+                val reason = PlacementReason.TooFewCopies(gap, model.minCopies)
+                if (!order(candidate, reason)) return
+            } else if (copiesOf(supply).reserved.isNotEmpty()) {
+                scarce += supply
+                copies -= supply
+            } else {
+                obstacles += PlacementObstacle.NoCapacity(model.service, gap)
+                layer = until
+            }
+        }
+    }
+
+    /** Loads further versions, each only if the runners that can be spared make a whole chain. */
+    private fun loadFurther(supply: Supply) {
+        val model = supply.model
+        for (version in model.furtherVersions) {
+            if (supply in scarce) {
+                val all = LayerRange(0, model.layers)
+                obstacles += PlacementObstacle.NoCapacity(model.service, all)
+                return
+            }
+            val gaps = copiesOf(supply).gaps.getValue(version)
+            val chain = chainFor(supply, gaps, version)
+            if (chain == null) {
+                obstacles += PlacementObstacle.NoCapacity(model.service, gaps.first())
+                continue
+            }
+            for (c in chain) {
+                // The order before may have made this runner the last holder of its layers.
+                val held = desired[c.runner.id]
+                if (!c.isIdle && held != null && !supply.canLose(held)) return
+                if (!order(c, PlacementReason.MissingVersion(version))) return
+            }
+        }
+    }
+
+    /** Runners that fill all [gaps] of [version], or null if too few can be spared. */
+    private fun chainFor(
+        supply: Supply,
+        gaps: List<LayerRange>,
+        version: String
+    ): List<Candidate>? {
+        val left = ModelCopies(supply.model, desired, keepsFurther = true)
+        val chosen = LinkedHashMap<RunnerId, Candidate>()
+        for (gap in gaps) {
+            var layer = gap.from
+            while (layer < gap.until) {
+                val rest = LayerRange(layer, gap.until)
+                val next = runners
+                    .filter { it.id !in moved && it.id !in chosen && it.id !in left.reserved }
+                    .mapNotNull { converted(supply, it, rest, left, version) }
+                    .minWithOrNull(
+                        compareByDescending<Candidate> { it.isIdle }
+                            .thenBy { desired[it.runner.id]?.version == supply.model.version }
+                            .thenByDescending { it.layers.until }
+                    ) ?: return null
+                if (!next.isIdle) left.remove(desired.getValue(next.runner.id))
+                chosen[next.runner.id] = next
+                layer = next.layers.until
+            }
+        }
+        return chosen.values.toList()
+    }
+
+    /** [runner] with [version] and the start of [rest], if it can be spared. */
+    private fun converted(
+        supply: Supply,
+        runner: PlaceableRunner,
+        rest: LayerRange,
+        left: ModelCopies,
+        version: String
+    ): Candidate? {
+        val model = supply.model
+        val held = desired[runner.id]
+        if (held == null || supplyOf(held) == null) {
+            val layers = from(rest, runner, model) ?: return null
+            return Candidate(runner, model, layers, 0.0, isIdle = true, version = version)
+        }
+        val covers = rest.from in held.layers.from until held.layers.until
+        val canGo =
+            covers && supplyOf(held) === supply && left.areMoreThan(model.minCopies, held) &&
+                supply.canLose(held)
+        if (!canGo) return null
+        return Candidate(runner, model, held.layers, 0.0, isIdle = false, version = version)
+    }
+
+    /** Takes runners above the largest number of copies out of service; they stay loaded. */
+    private fun trim(supply: Supply) {
+        val model = supply.model
+        while (true) {
+            val surplus = runners.filter { it.id !in moved && it.id !in copiesOf(supply).reserved }
+                .filter { r -> desired[r.id]?.let { isSurplus(supply, it) } == true }
+                .minWithOrNull(
+                    compareBy<PlaceableRunner> { desired[it.id]?.version == model.version }
+                        .thenByDescending { keepsCentres(it) }
+                        .thenByDescending { it.id }
+                ) ?: return
+            val held = desired.getValue(surplus.id)
+            val candidate = Candidate(
+                surplus,
+                model,
+                held.layers,
+                loss = 0.0,
+                isIdle = false,
+                role = RunnerRole.STANDBY,
+                version = held.version
+            )
+            if (!order(candidate, PlacementReason.TooManyCopies(model.maxCopies))) return
+        }
+    }
+
+    private fun keepsCentres(runner: PlaceableRunner): Boolean {
+        val held = desired[runner.id] ?: return true
+        return supplyOf(held)?.keepsCentres(runner, held.layers) ?: true
+    }
+
+    private fun isSurplus(supply: Supply, held: Assignment) = supplyOf(held) === supply &&
+        copiesOf(supply).areMoreThan(supply.model.maxCopies, held) && supply.canLose(held)
+
     /** Gives layers of one data centre a holder in another, if that costs no shortfall. */
     private fun spread(supply: Supply) {
         if (centres.size < 2) return
@@ -108,7 +263,10 @@
             while (until < model.layers && supply.onlyCentre(until) == only) until++
             val gap = LayerRange(layer, until)
             val candidate = candidates(supply) { from(gap, it, model) }
-                .firstOrNull { it.runner.dataCentre != only && it.loss <= 0.0 }
+                .firstOrNull {
+                    it.runner.dataCentre != only && it.loss <= 0.0 && isSpare(it.runner) &&
+                        copiesOf(supply).mayGrow(it.layers)
+                }
             if (candidate == null) {
                 obstacles += PlacementObstacle.NoCapacity(model.service, gap)
                 layer = until
@@ -128,6 +286,7 @@
             val scarce = supply.scarcest()
             val best = scarce?.let { gap ->
                 candidates(supply) { range(gap, it, supply.model) }
+                    .filter { isSpare(it.runner) && copiesOf(supply).mayGrow(it.layers) }
                     .filter { isWorthwhile(it, supply) }
                     .maxByOrNull { supply.gain(it.runner, it.layers) - it.loss }
             }
@@ -160,7 +319,9 @@
         for (runner in runners) {
             if (runner.id in moved) continue
             val held = runner.settled ?: continue
-            val model = supplies[held.service]?.model ?: continue
+            val supply = supplies[held.service] ?: continue
+            val model = supply.model
+            if (runner.id in copiesOf(supply).reserved) continue
             val reason = when {
                 held.version != model.version -> PlacementReason.WrongVersion(held.version)
                 held.adapters != model.adapters -> PlacementReason.WrongAdapters(held.adapters)
@@ -210,6 +371,7 @@
     }.sortedWith(
         compareByDescending<Candidate> { it.isIdle }.thenBy { it.loss }
             .thenByDescending { it.runner.tokensPerSecond(it.layers) }
+            .thenByDescending { it.runner.current?.layers == it.layers }
     )
 
     /** As much of [gap] from its start as fits into the runner's memory. */
@@ -240,7 +402,7 @@
         val wanted = Assignment(
             model.service,
             candidate.layers,
-            model.version,
+            candidate.version,
             candidate.role,
             model.adapters
         )
@@ -252,6 +414,7 @@
         }
         supplyOf(wanted)?.add(runner, wanted.layers)
         desired[runner.id] = wanted
+        copies.clear()
         moved += runner.id
         loadingBytes += bytes
         orders += EngineOrder(runner.id, wanted, reason, bytes)
@@ -291,6 +454,7 @@
         val layers: LayerRange,
         val loss: Double,
         val isIdle: Boolean,
-        val role: RunnerRole = RunnerRole.SERVING
+        val role: RunnerRole = RunnerRole.SERVING,
+        val version: String = model.version
     )
 }
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -61,6 +61,9 @@
     @Volatile
     private var layers = settings.layers
 
+    @Volatile
+    private var role = "serving"
+
     @Volatile
     private var frozen = false
 
@@ -86,7 +89,8 @@
         tokensPerSecond = scheduler.itemsPerSecond,
         layers = layers,
         version = version,
-        leaving = leaving
+        leaving = leaving,
+        role = role
     )
 
     val isLeaving: Boolean get() = leaving
@@ -303,6 +307,7 @@
         }
         version = o.order.version
         o.order.layers?.let { layers = it }
+        if (o.order.role.isNotEmpty()) role = o.order.role
         orders.incrementAndGet()
         call.json(json.encodeToString(OrderReply(accepted = true, fencing = highest)))
     }
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/PlacementTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/PlacementTest.kt
@@ -66,6 +66,28 @@
         checking.forEach { expectThat(fencing(it)).isGreaterThan(0) }
     }
 
+    /** Guards against further versions that are never loaded, or whose callers reach another one. */
+    @Test
+    fun `a further version is loaded beside the default one and serves who names it`() {
+        publish("v8", further = "v9")
+        LocalFleet.await("each service has both versions") {
+            versions().sorted() == listOf("v8", "v8", "v9", "v9")
+        }
+        for (model in listOf("guide", "guide:v8", "guide:v9", "atlas:v9")) {
+            LocalFleet.await("an answer of $model") { status(model) == 200 }
+        }
+        expectThat(status("guide:v7")).isEqualTo(404)
+        publish("v1")
+        awaitVersions("v1")
+    }
+
+    private fun status(model: String): Int = local.post(
+        "http://${local.callers("entry-1")}/v1/completions",
+        """{"model":"$model","prompt":"marble","max_tokens":2}""",
+        "Authorization" to "Bearer ${TestFleet.BUILDERS}",
+        "Greengage-Rank" to "urgent"
+    ).statusCode()
+
     private fun awaitHolder(except: String?): String {
         LocalFleet.await("a holder of the placement lease") {
             holders().any { it != except }
@@ -87,13 +109,14 @@
 
     private fun fencing(e: EngineSpec) = fleet.counters(e.id).getValue("fencing").jsonPrimitive.long
 
-    private fun publish(version: String, through: String = "entry-1") {
+    private fun publish(version: String, through: String = "entry-1", further: String = "") {
         for ((service, checks) in listOf("guide" to true, "atlas" to false)) {
             val base = local.get(
                 "http://${local.admin(through)}/admin/settings?path=services/quarry/$service",
                 "Authorization" to "Bearer operations-key"
             ).body().substringAfter("\"base_version\":").substringBefore(',').toLong()
-            val yaml = "{model: {layers: 12, version: $version, checksFencing: $checks}}"
+            val yaml = "{model: {layers: 12, version: $version, " +
+                "versions: [$further], checksFencing: $checks}}"
             val r = local.publish("services/quarry/$service", yaml, base, through)
             expectThat(r.statusCode()).isEqualTo(200)
         }
