--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -12,9 +12,9 @@
  * one, and a resume only the part of the request's work that is done again. Over any 10 s that end
  * with a retry, the work at backend servers therefore stays at or below `1 + share` times that of
  * the requests admitted. [reserves] states the share of the tokens that only the named rank may
- * use; a rank uses its own share first, then what is reserved for none. Shares of more than 1 in sum
- * are scaled down to 1. [minimum] retries per window are allowed in any case; with the default of 0,
- * fewer than 10 requests in 10 s allow no retry. Thread-safe.
+ * use; a rank uses its own share first, then what is reserved for none. Shares of more than 1 in
+ * sum are scaled down to 1. [minimum] retries per window are allowed in any case; with the default
+ * of 0, fewer than 10 requests in 10 s allow no retry. Thread-safe.
  *
  * ```
  * when (val retry = budget.tryRetry(attempt = 1, rank)) {
