Cancel a request when its caller disconnects, also in the queue

Cause: the HTTP server reported the end of a connection only through a failed write, so that a request kept its place in the queue until the queue moved. Ruled out: a comment line as keep-alive, which helps streamed answers only and sends the status before the outcome is known. Change: the caller port installs the plugin; the admission controller already frees the place of a cancelled request.

--- a/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -99,6 +99,7 @@
     ): RequestError? = try {
         action(request)
     } catch (e: CancellationException) {
+        Logger.info("entry: request=${request.id} ended by its caller: $e")
         throw e
     } catch (e: IOException) {
         Logger.info("entry: request=${request.id} ended by its caller: $e")
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -144,9 +144,10 @@
         val (adminServer, adminAt) = startServer(config.listen.admin, config.bounds) {
             admin.routes(this)
         }
-        val (callerServer, callersAt) = startServer(config.listen.callers, config.bounds) {
-            caller.routes(this)
-        }
+        val (callerServer, callersAt) =
+            startServer(config.listen.callers, config.bounds, cancelOnClose = true) {
+                caller.routes(this)
+            }
         servers += listOf(callerServer, adminServer)
         // Joined last, so that an instance whose ports are taken is never seen by its peers.
         val peers = node.start().getOrElse { return Err(it) }
--- a/entry/src/main/kotlin/io/greengageport/entry/Http.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/Http.kt
@@ -7,10 +7,12 @@
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.put
 import io.ktor.client.request.setBody
+import io.ktor.server.application.install
 import io.ktor.server.cio.CIO as ServerCio
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.routing
 import java.io.IOException
@@ -60,10 +62,14 @@
     }
 }
 
-/** Starts an HTTP server at [listen] and returns it with the address it got. */
+/**
+ * Starts an HTTP server at [listen] and returns it with the address it got. With [cancelOnClose] a
+ * call is cancelled when its connection ends, also before anything was written to it.
+ */
 internal suspend fun startServer(
     listen: String,
     bounds: BoundsConfig,
+    cancelOnClose: Boolean = false,
     routes: Route.() -> Unit
 ): Pair<EmbeddedServer<*, *>, HostPort> {
     // The server's own hook closes the port and cuts its calls on SIGTERM, beside the drain.
@@ -78,7 +84,10 @@
             }
             connectionIdleTimeoutSeconds = bounds.idleConnectionSeconds
         }
-    ) { routing(routes) }
+    ) {
+        install(HttpRequestLifecycle) { cancelCallOnClose = cancelOnClose }
+        routing(routes)
+    }
     server.startSuspend(wait = false)
     return server to HostPort(at.host, server.engine.resolvedConnectors().first().port)
 }
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
@@ -113,6 +113,32 @@
             LocalFleet.await("no engine runs the answer", seconds = 20) { running() == 0L }
         }
 
+        /** Guards against requests that wait in the queue for callers that have gone. */
+        @Test
+        fun `frees its place in the queue`() {
+            val address = local.callers("entry-1").split(':')
+            val callers = ArrayList<Socket>()
+            try {
+                LocalFleet.await("a request waits in the queue") {
+                    repeat(BATCH) {
+                        val socket = Socket(address[0], address[1].toInt())
+                        callers += socket
+                        val prompt = "nobody waits ${callers.size}"
+                        socket.getOutputStream().write(fleet.rawCompletion(prompt, LONG_ANSWER))
+                    }
+                    queued() > 0
+                }
+                callers.takeLast(BATCH).forEach { it.close() }
+                // The answers that run go on for longer than this wait.
+                LocalFleet.await("the queue is empty", seconds = 20) { queued() == 0 }
+            } finally {
+                callers.forEach { it.close() }
+            }
+            LocalFleet.await("no engine runs an answer", seconds = 20) { running() == 0L }
+        }
+
+        private fun queued() = local.statusOrNull("entry-1")?.services.orEmpty().sumOf { it.queued }
+
         private fun running() = fleet.liveEngines.sumOf { fleet.counter(it, "running") }
     }
 
@@ -146,6 +172,7 @@
 
     private companion object {
         const val LONG_ANSWER = 3_000
+        const val BATCH = 8
         const val TOKENS = 40
         const val STREAMS = 20
         const val INSTANCES = 3
