Bound the connections of callers

Ruled out: counting by the remote port, since the end of a connection between two calls is not seen; a relay in front of the server, which copies each token twice; a server engine of our own. Change: each connection runs in a coroutine job below that of the server, so ConnectionLimit takes the topmost job above a call that is younger than the server as its connection. Not run: a load test with thousands of connections.

--- a/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -31,6 +31,8 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
 import kotlinx.io.readByteArray
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
@@ -46,7 +48,8 @@
     val plains: PlainPath,
     val bounds: BoundsConfig,
     val metrics: EntryMetrics,
-    val isReady: () -> Boolean
+    val isReady: () -> Boolean,
+    val connections: ConnectionLimit
 )
 
 /** The HTTP port towards callers: model completions and plain services. */
@@ -80,6 +83,12 @@
                 !parts.isReady() ->
                     RequestError.NotServing("this instance takes no requests", RETRY_MILLIS)
 
+                !parts.connections.admit(currentCoroutineContext().job) -> {
+                    parts.metrics.refusedConnections.inc()
+                    call.response.header(HttpHeaders.Connection, "close")
+                    RequestError.Overloaded("too many connections at this instance", RETRY_MILLIS)
+                }
+
                 running > parts.bounds.maxRequests ->
                     RequestError.Overloaded("too many requests at this instance", RETRY_MILLIS)
 
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -119,6 +119,13 @@
         clients.backend,
         random
     )
+    private val retries = RetryBudget(
+        clock,
+        random,
+        reserves = { retryReserves(store.view.value.ranks) },
+        minimum = MIN_RETRIES
+    )
+    private val connections = ConnectionLimit(config.bounds.maxConnections)
     private val caller = newCallerServer()
     private val adminAddresses = ConcurrentHashMap<String, String>()
     private val servers = mutableListOf<EmbeddedServer<*, *>>()
@@ -144,10 +151,14 @@
         val (adminServer, adminAt) = startServer(config.listen.admin, config.bounds) {
             admin.routes(this)
         }
-        val (callerServer, callersAt) =
-            startServer(config.listen.callers, config.bounds, cancelOnClose = true) {
-                caller.routes(this)
-            }
+        val (callerServer, callersAt) = startServer(
+            config.listen.callers,
+            config.bounds,
+            cancelOnClose = true,
+            connections
+        ) {
+            caller.routes(this)
+        }
         servers += listOf(callerServer, adminServer)
         // Joined last, so that an instance whose ports are taken is never seen by its peers.
         val peers = node.start().getOrElse { return Err(it) }
@@ -199,6 +210,7 @@
         scope.cancel()
         node.stop()
         servers.forEach { it.stop(0, 0) }
+        connections.close()
         clients.close()
         selector.close()
     }
@@ -210,12 +222,6 @@
             PlannerPolicy.LEAST_QUEUE -> LeastQueue(costs)
             PlannerPolicy.FIRST_FIT -> FirstFit(costs)
         }
-        val retries = RetryBudget(
-            clock,
-            random,
-            reserves = { retryReserves(store.view.value.ranks) },
-            minimum = MIN_RETRIES
-        )
         val models = ModelPath(
             ModelParts(
                 clock = clock,
@@ -261,7 +267,8 @@
                 plains = plains,
                 bounds = config.bounds,
                 metrics = metrics,
-                isReady = { acceptsRequests && store.ready.value }
+                isReady = { acceptsRequests && store.ready.value },
+                connections = connections
             )
         )
     }
@@ -293,6 +300,7 @@
             probeEjected()
             updateGauges()
         }
+        scope.every(SWEEP_MILLIS) { connections.sweep() }
         scope.every(CACHE_POLL_MILLIS) { cacheEvents.poll() }
         scope.every(REGISTER_MILLIS) {
             clients.register(config.platform, listed(peers))
@@ -310,6 +318,7 @@
     }
 
     private fun updateGauges() {
+        metrics.connections.set(connections.open.toDouble())
         metrics.members.set(node.live().size.toDouble())
         metrics.settingsCurrent.set(if (store.currency().current) 1.0 else 0.0)
         val ejected = backends.outliers.ejected()
@@ -369,6 +378,7 @@
         const val ANNOUNCE_MILLIS = 600_000L
         const val CACHE_POLL_MILLIS = 1_000L
         const val REGISTER_MILLIS = 1_000L
+        const val SWEEP_MILLIS = 1_000L
         const val DRAIN_POLL_MILLIS = 20L
         val FLUSH_LIMIT = 10.seconds
         val RUNNER_STATES = listOf("live", "held", "standby", "leaving", "ejected")
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryMetrics.kt
@@ -67,6 +67,16 @@
         .help("Requests that this instance is working on.")
         .register(registry)
 
+    val connections: Gauge = Gauge.builder()
+        .name("greengageport_caller_connections")
+        .help("Open connections of callers.")
+        .register(registry)
+
+    val refusedConnections: Counter = Counter.builder()
+        .name("greengageport_refused_connections_total")
+        .help("Requests refused because their connection was above the bound.")
+        .register(registry)
+
     val settingsVersion: Gauge = Gauge.builder()
         .name("greengageport_settings_version")
         .help("Version of the settings in force.")
--- a/entry/src/main/kotlin/io/greengageport/entry/Http.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/Http.kt
@@ -8,6 +8,7 @@
 import io.ktor.client.request.put
 import io.ktor.client.request.setBody
 import io.ktor.server.application.install
+import io.ktor.server.application.serverConfig
 import io.ktor.server.cio.CIO as ServerCio
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
@@ -64,30 +65,35 @@
 
 /**
  * Starts an HTTP server at [listen] and returns it with the address it got. With [cancelOnClose] a
- * call is cancelled when its connection ends, also before anything was written to it.
+ * call is cancelled when its connection ends, also before anything was written to it. The server's
+ * jobs are made children of those of [connections], which counts them.
  */
 internal suspend fun startServer(
     listen: String,
     bounds: BoundsConfig,
     cancelOnClose: Boolean = false,
+    connections: ConnectionLimit? = null,
     routes: Route.() -> Unit
 ): Pair<EmbeddedServer<*, *>, HostPort> {
     // The server's own hook closes the port and cuts its calls on SIGTERM, beside the drain.
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val at = HostPort.parse(listen)
-    val server = embeddedServer(
-        ServerCio,
-        configure = {
-            connector {
-                host = at.host
-                port = at.port
-            }
-            connectionIdleTimeoutSeconds = bounds.idleConnectionSeconds
+    val config = serverConfig {
+        connections?.let { parentCoroutineContext = it.root }
+        module {
+            install(HttpRequestLifecycle) { cancelCallOnClose = cancelOnClose }
+            routing(routes)
+        }
+    }
+    val server = embeddedServer(ServerCio, config) {
+        connector {
+            host = at.host
+            port = at.port
         }
-    ) {
-        install(HttpRequestLifecycle) { cancelCallOnClose = cancelOnClose }
-        routing(routes)
+        connectionIdleTimeoutSeconds = bounds.idleConnectionSeconds
     }
     server.startSuspend(wait = false)
-    return server to HostPort(at.host, server.engine.resolvedConnectors().first().port)
+    val port = server.engine.resolvedConnectors().first().port
+    connections?.started()
+    return server to HostPort(at.host, port)
 }
--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -80,6 +80,7 @@
                 Triple("bounds.max_body_bytes", b.maxBodyBytes, 1L..MAX_BODY_BYTES),
                 Triple("bounds.max_header_bytes", b.maxHeaderBytes, 1L..MAX_HEADER_BYTES),
                 Triple("bounds.max_requests", b.maxRequests.toLong(), 1L..MAX_REQUESTS),
+                Triple("bounds.max_connections", b.maxConnections.toLong(), 1L..MAX_REQUESTS),
                 Triple("bounds.idle_connection_s", b.idleConnectionSeconds.toLong(), 1L..DAY_S),
                 Triple("times.list_poll_ms", t.listPollMillis, POLLS),
                 Triple("times.load_poll_ms", t.loadPollMillis, POLLS),
@@ -113,6 +114,7 @@
     @SerialName("max_body_bytes") val maxBodyBytes: Long = 1_048_576,
     @SerialName("max_header_bytes") val maxHeaderBytes: Long = 16_384,
     @SerialName("max_requests") val maxRequests: Int = 4_096,
+    @SerialName("max_connections") val maxConnections: Int = 8_192,
     @SerialName("idle_connection_s") val idleConnectionSeconds: Int = 60
 )
 
--- /dev/null
+++ b/entry/src/test/kotlin/io/greengageport/entry/ConnectionLimitTest.kt
@@ -0,0 +1,86 @@
+package io.greengageport.entry
+
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import java.net.Socket
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Guards against connections without bound, also after a change of the HTTP library's jobs. */
+class ConnectionLimitTest {
+    private val limit = ConnectionLimit(max = 2)
+    private val opened = mutableListOf<AutoCloseable>(limit)
+
+    @AfterEach
+    fun close() = opened.reversed().forEach { it.close() }
+
+    @Test
+    fun `calls on a connection above the bound are refused until another one ends`() =
+        runBlocking<Unit> {
+            val at = start()
+            val (first, second, third) = List(3) { connect(at) }
+            val answers = listOf(first, second, third, first, third).map { ask(it) }
+            second.close()
+            await { limit.open == 2 }
+            expectThat(answers + ask(third)).isEqualTo(listOf(true, true, false, true, false, true))
+        }
+
+    @Test
+    fun `connections without a call are closed when there are too many`() = runBlocking<Unit> {
+        val at = start()
+        val busy = connect(at)
+        ask(busy)
+        val silent = List(4) { connect(at) }
+        await { limit.open == 5 }
+        await {
+            limit.sweep()
+            limit.open == 2
+        }
+        val ended = withContext(Dispatchers.IO) {
+            silent.count {
+                it.soTimeout = NEAR_MILLIS
+                runCatching { it.getInputStream().read() }.getOrNull() == -1
+            }
+        }
+        expectThat(ended to ask(busy)).isEqualTo(3 to true)
+    }
+
+    private suspend fun start(): HostPort {
+        val (server, at) = startServer("127.0.0.1:0", BoundsConfig(), connections = limit) {
+            get("/") { call.respondText("${limit.admit(currentCoroutineContext().job)}") }
+        }
+        opened += AutoCloseable { server.stop(0, 0) }
+        return at
+    }
+
+    private fun connect(at: HostPort) = Socket(at.host, at.port).also { opened += it }
+
+    /** Whether a call on [connection] was admitted. */
+    private suspend fun ask(connection: Socket): Boolean = withContext(Dispatchers.IO) {
+        connection.getOutputStream().write(
+            "GET / HTTP/1.1\r\nHost: entry\r\n\r\n".encodeToByteArray()
+        )
+        val lines = connection.getInputStream().bufferedReader()
+        val head = generateSequence { lines.readLine() }.takeWhile { it.isNotEmpty() }.toList()
+        val size = head.first { it.startsWith("Content-Length", ignoreCase = true) }
+            .substringAfter(':').trim().toInt()
+        String(CharArray(size).also { lines.read(it) }) == "true"
+    }
+
+    private suspend fun await(condition: () -> Boolean) =
+        withTimeout(FAR_MILLIS) { while (!condition()) delay(10) }
+
+    private companion object {
+        const val NEAR_MILLIS = 500
+        const val FAR_MILLIS = 10_000L
+    }
+}
