Forget a request in the record of suspects when it is over

Cause: ModelRun told SuspectRequests of the end of an attempt only after a failure or a complete answer. A request whose caller disconnected, or whose deadline passed, stayed in flight there for good. When a runner on its chain crashed later it got a mark, and marked requests waited for its runners until their deadline; it also kept its tokens in memory. Ruled out: the version that a resume keeps, as all engines of the test hold the same one. Change: the end of the run always ends the request there.

--- a/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
@@ -65,6 +65,8 @@
 
     /** Ends what an interrupted attempt left open. */
     fun close() {
+        // Else a request that is over keeps marked ones from its runners for good.
+        suspects.ended(context.id)
         val a = current ?: return
         end(a, "cancelled")
         parts.engines.cancel(a.address, context.id)
--- a/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
@@ -44,17 +44,21 @@
 import io.greengageport.settings.ServiceSettings
 import io.greengageport.settings.TimeoutSettings
 import kotlin.random.Random
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 
 /** The model path against engines in this process that misbehave by script. */
@@ -173,6 +177,28 @@
         }
     }
 
+    /** Guards against requests that are over and keep marked ones from their runners for good. */
+    @Test
+    fun `a request whose caller has gone is no suspect of a later crash`() = runBlocking<Unit> {
+        val engine = engine("a") {
+            send(frame(0))
+            awaitCancellation()
+        }
+        val backends = backends()
+        backends.fleet.setLayers(ServiceName("model"), LAYERS)
+        backends.onListing(InstanceListing(runners = listOf(engine.listed)))
+        val hasToken = CompletableDeferred<Unit>()
+        val run = launch {
+            path(backends).run(call(version = null), admission()) { _, _ ->
+                hasToken.complete(Unit)
+            }
+        }
+        hasToken.await()
+        run.cancelAndJoin()
+        backends.suspects.connectionLost(engine.id)
+        expectThat(backends.suspects.connectionRefused(engine.id)).isEmpty()
+    }
+
     @Nested
     inner class Versions {
         private val breaking = engine("a", "v1") { send(frame(0)) }
