--- a/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/CallerServer.kt
@@ -9,6 +9,7 @@
 import io.greengageport.common.RequestError
 import io.greengageport.common.RequestId
 import io.greengageport.routing.Fingerprint
+import io.greengageport.settings.ModelSettings
 import io.greengageport.settings.SettingsView
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
@@ -30,6 +31,8 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
 import kotlinx.io.readByteArray
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
@@ -45,7 +48,8 @@
     val plains: PlainPath,
     val bounds: BoundsConfig,
     val metrics: EntryMetrics,
-    val isReady: () -> Boolean
+    val isReady: () -> Boolean,
+    val connections: ConnectionLimit
 )
 
 /** The HTTP port towards callers: model completions and plain services. */
@@ -79,6 +83,12 @@
                 !parts.isReady() ->
                     RequestError.NotServing("this instance takes no requests", RETRY_MILLIS)
 
+                !parts.connections.admit(currentCoroutineContext().job) -> {
+                    parts.metrics.refusedConnections.inc()
+                    call.response.header(HttpHeaders.Connection, "close")
+                    RequestError.Overloaded("too many connections at this instance", RETRY_MILLIS)
+                }
+
                 running > parts.bounds.maxRequests ->
                     RequestError.Overloaded("too many requests at this instance", RETRY_MILLIS)
 
@@ -98,6 +108,7 @@
     ): RequestError? = try {
         action(request)
     } catch (e: CancellationException) {
+        Logger.info("entry: request=${request.id} ended by its caller: $e")
         throw e
     } catch (e: IOException) {
         Logger.info("entry: request=${request.id} ended by its caller: $e")
@@ -114,11 +125,14 @@
     ): RequestError? {
         val body = body(call).getOrElse { return it }
         val parsed = CompletionFormat.parse(form, body.decodeToString()).getOrElse { return it }
-        val context = parts.gate.open(request.id, parsed.model, headers(call))
+        val context = parts.gate.open(request.id, parsed.service, headers(call))
             .getOrElse { return it }
         request.context = context
-        if (context.service.settings.model == null) {
-            return RequestError.Invalid("'${parsed.model}' is a plain service, not a model")
+        val model = context.service.settings.model
+            ?: return RequestError.Invalid("'${parsed.service}' is a plain service, not a model")
+        val version = parsed.version
+        if (version != null && version !in versionsOf(model)) {
+            return RequestError.UnknownVersion(parsed.service, version)
         }
         val exchange = CompletionExchange(parts, call, parsed, context)
         val promptTokens = exchange.promptTokens
@@ -191,12 +205,16 @@
     }
 
     private suspend fun models(call: ApplicationCall): RequestError? {
-        val names = parts.view().services.filter { it.settings.model != null }
-            .joinToString(",") { """{"id":"${it.name}","object":"model"}""" }
+        val names = parts.view().services.flatMap { s ->
+            val further = s.settings.model?.versions ?: return@flatMap emptyList()
+            listOf("${s.name}") + further.map { "${s.name}${CompletionCall.VERSION_MARK}$it" }
+        }.joinToString(",") { """{"id":"$it","object":"model"}""" }
         call.respondText("""{"object":"list","data":[$names]}""", ContentType.Application.Json)
         return null
     }
 
+    private fun versionsOf(model: ModelSettings) = model.versions + model.version
+
     private fun headers(call: ApplicationCall) = RequestHeaders(
         authorization = call.request.headers[HttpHeaders.Authorization],
         rank = call.request.headers[CallerHeaders.RANK],
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -123,6 +123,13 @@
         clients.backend,
         random
     )
+    private val retries = RetryBudget(
+        clock,
+        random,
+        reserves = { retryReserves(store.view.value.ranks) },
+        minimum = MIN_RETRIES
+    )
+    private val connections = ConnectionLimit(config.bounds.maxConnections)
     private val caller = newCallerServer()
     private val adminAddresses = ConcurrentHashMap<String, String>()
     private val servers = mutableListOf<EmbeddedServer<*, *>>()
@@ -152,7 +159,12 @@
         val (adminServer, adminAt) = startServer(config.listen.admin, config.bounds) {
             admin.routes(this)
         }
-        val (callerServer, callersAt) = startServer(config.listen.callers, config.bounds) {
+        val (callerServer, callersAt) = startServer(
+            config.listen.callers,
+            config.bounds,
+            cancelOnClose = true,
+            connections
+        ) {
             caller.routes(this)
         }
         servers += listOf(callerServer, adminServer)
@@ -206,6 +218,7 @@
         scope.cancel()
         node.stop()
         servers.forEach { it.stop(0, 0) }
+        connections.close()
         clients.close()
         selector.close()
     }
@@ -217,7 +230,6 @@
             PlannerPolicy.LEAST_QUEUE -> LeastQueue(costs)
             PlannerPolicy.FIRST_FIT -> FirstFit(costs)
         }
-        val retries = RetryBudget(clock, random, minimum = MIN_RETRIES)
         val models = ModelPath(
             ModelParts(
                 clock = clock,
@@ -264,7 +276,8 @@
                 plains = plains,
                 bounds = config.bounds,
                 metrics = metrics,
-                isReady = { acceptsRequests && store.ready.value && backends.isKnown }
+                isReady = { acceptsRequests && store.ready.value && backends.isKnown },
+                connections = connections
             )
         )
     }
@@ -297,6 +310,7 @@
             probeEjected()
             updateGauges()
         }
+        scope.every(SWEEP_MILLIS) { connections.sweep() }
         scope.every(CACHE_POLL_MILLIS) { cacheEvents.poll() }
         scope.every(REGISTER_MILLIS) {
             clients.register(config.platform, listed(peers))
@@ -322,6 +336,7 @@
     }
 
     private fun updateGauges() {
+        metrics.connections.set(connections.open.toDouble())
         metrics.members.set(node.live().size.toDouble())
         metrics.settingsCurrent.set(if (store.currency().current) 1.0 else 0.0)
         val ejected = backends.outliers.ejected()
@@ -355,6 +370,7 @@
 
     private fun stateOf(id: io.greengageport.common.RunnerId, ejected: Set<*>): String = when {
         backends.isHeld(id) -> "held"
+        backends.isStandby(id) -> "standby"
         backends.fleet.runner(id)?.leaving == true -> "leaving"
         id in ejected -> "ejected"
         else -> "live"
@@ -380,9 +396,10 @@
         const val ANNOUNCE_MILLIS = 600_000L
         const val CACHE_POLL_MILLIS = 1_000L
         const val REGISTER_MILLIS = 1_000L
+        const val SWEEP_MILLIS = 1_000L
         const val DRAIN_POLL_MILLIS = 20L
         val FLUSH_LIMIT = 10.seconds
-        val RUNNER_STATES = listOf("live", "held", "leaving", "ejected")
+        val RUNNER_STATES = listOf("live", "held", "standby", "leaving", "ejected")
 
         /** Retries per 10 s that are allowed even when few requests arrive. */
         const val MIN_RETRIES = 10
