Refuse the removal of a settings path where nothing lies

Cause: the publish rule takes a removal as a replacement by nothing, so a mistyped path was reported as accepted and raised the version of the tree. The publisher now rejects it with nothing_to_remove before it appends. The rule of the fold is unchanged: readers of two program versions would otherwise disagree on a record; a removal that comes second in the log has a base version that no longer fits.

--- a/cli/src/main/kotlin/io/greengageport/cli/ChangeReport.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/ChangeReport.kt
@@ -52,5 +52,7 @@
         "${r.path} is at version ${r.version}, not ${r.baseVersion}" +
             (r.winner?.let { "; set by '${it.author}' with change ${it.id} at ${it.path}" } ?: "")
 
+    is Rejection.NothingToRemove -> "nothing lies at ${r.path}"
+
     is Rejection.Invalid -> r.problems.joinToString("\n")
 }
--- a/settings/src/main/kotlin/io/greengageport/settings/Decision.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/Decision.kt
@@ -65,6 +65,15 @@
         val winner: Winner?
     ) : Rejection
 
+    /**
+     * A removal where nothing lies at or below [path]. The publisher refuses it before it appends,
+     * so that the rule of the fold is the same for readers of any program version; a removal that
+     * comes second in the log has a base version that no longer fits.
+     */
+    @Serializable
+    @SerialName("nothing_to_remove")
+    public data class NothingToRemove(val path: SettingsPath) : Rejection
+
     /** The tree would be invalid; at most ten problems are kept. */
     @Serializable
     @SerialName("invalid")
--- a/settings/src/main/kotlin/io/greengageport/settings/SettingsPublisher.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/SettingsPublisher.kt
@@ -58,6 +58,9 @@
         }
         // Spares the log a record that would be rejected; the state here is at the log's end.
         start.rejectionOf(change)?.let { return PublishOutcome.Rejected(id, it) }
+        if (value.isNullOrEmpty() && start.isEmptyAt(path)) {
+            return PublishOutcome.Rejected(id, Rejection.NothingToRemove(path))
+        }
         val deadline = clock.monotonicMillis() + decideWithin.inWholeMilliseconds
         return when (val appended = appended(payload)) {
             is Append.Done -> {
--- a/settings/src/main/kotlin/io/greengageport/settings/SettingsState.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/SettingsState.kt
@@ -30,6 +30,9 @@
     /** The version to base a change of [path] on. */
     public fun pathVersion(path: SettingsPath): Long = versions.of(path, tree)
 
+    /** Whether no document lies at or below [path]. */
+    internal fun isEmptyAt(path: SettingsPath): Boolean = tree.under(path).isEmpty()
+
     /** What became of the change [id], or null if it was not seen up to [through]. */
     public fun fate(id: ChangeId): Fate? = ids[id]
 
--- a/settings/src/test/kotlin/io/greengageport/settings/SettingsPublisherTest.kt
+++ b/settings/src/test/kotlin/io/greengageport/settings/SettingsPublisherTest.kt
@@ -91,6 +91,19 @@
             .get { reason }.isEqualTo("ids of that age are forgotten")
     }
 
+    /** Guards against a mistyped path that is reported as removed. */
+    @Test
+    fun `a removal of nothing is refused and not appended`() = runBlocking<Unit> {
+        val removal = publisher().publish(admin, path, null, 0, id)
+        val reason = Rejection.NothingToRemove(path)
+        expectThat(removal).isEqualTo(PublishOutcome.Rejected(id, reason))
+        expectThat(publisher().publish(admin, path, emptyMap(), 0, id)).isEqualTo(removal)
+        expectThat(log.appends).isEqualTo(0)
+        publish()
+        expectThat(publisher().publish(admin, path, null, 1, ChangeId("d")))
+            .isEqualTo(PublishOutcome.Accepted(ChangeId("d"), 2))
+    }
+
     /** Guards against unclear answers for changes that never reach the log. */
     @Test
     fun `a change that the log cannot take is not appended, an invalid one is rejected`() {
