Let an instance that has left refute nothing

Cause: the last message of a drained instance reports itself as failed. Peers flood that record, the instance receives it back before it stops, and refuted it with a higher incarnation, so that the others saw it as a leaving member once more until probes failed. Ruled out: suspicions of others, which do not outrank the leaving state.

Before: SwimCoreTest 'an instance that has left does not refute that' found the departed instance in all four other views 1 s later. After: in none; SwimCoreTest green.

--- a/membership/src/main/kotlin/io/greengageport/membership/MemberTable.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/MemberTable.kt
@@ -36,6 +36,8 @@
     var self: MemberRecord = self
         private set
 
+    private var hasDeparted = false
+
     val size: Int get() = entries.values.count { it.record.isLive } + 1
 
     fun find(id: InstanceId): MemberRecord? = entries[id]?.record
@@ -117,6 +119,12 @@
         )
     }
 
+    /** The final record of this instance, which peers may send back and which must stand. */
+    fun depart(): MemberRecord {
+        hasDeparted = true
+        return self.with(MemberState.FAILED)
+    }
+
     /** XOR of the fingerprints of live members per bucket. */
     fun digest(): List<Long> {
         val buckets = LongArray(BUCKETS)
@@ -128,7 +136,7 @@
     }
 
     private fun refute(record: MemberRecord): MemberNotice? {
-        if (record <= self) return null
+        if (hasDeparted || record <= self) return null
         self = if (record.boot > self.boot) {
             self.copy(boot = record.boot + 1)
         } else {
--- a/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
+++ b/membership/src/main/kotlin/io/greengageport/membership/SwimCore.kt
@@ -120,9 +120,9 @@
         sender.add(table.self, null)
     }
 
-    /** The last message of an instance that left. */
+    /** The last message of an instance that left; from then on it refutes nothing. */
     fun depart(): List<Effect> = lock.withLock {
-        val last = table.self.with(MemberState.FAILED)
+        val last = table.depart()
         val message = SwimMessage(SwimKind.GOSSIP.ordinal, events = listOf(last))
         neighbours.mapNotNull { table.find(it) }.map { Effect.Send(it.id, it.address, message) }
     }
--- a/membership/src/test/kotlin/io/greengageport/membership/SwimCoreTest.kt
+++ b/membership/src/test/kotlin/io/greengageport/membership/SwimCoreTest.kt
@@ -226,6 +226,19 @@
             expectThat(simulation.notices<MemberNotice.Failed>()).isEmpty()
         }
 
+        /** Guards against a stopping instance that returns to the views for its last moments. */
+        @Test
+        fun `an instance that has left does not refute that`() {
+            val simulation = cluster(5)
+            simulation.node("n002").core.leave()
+            simulation.run(3_000)
+            simulation.depart("n002")
+            simulation.run(1_000)
+            val others = simulation.views().filterKeys { it != "n002" }
+            expectThat(others.values.distinct()).isEqualTo(listOf(names((0..4) - 2)))
+            expectThat(simulation.notices<MemberNotice.Refuted>()).isEmpty()
+        }
+
         @Test
         fun `an instance that joins late receives earlier items`() {
             val simulation = cluster(5)
--- a/membership/src/test/kotlin/io/greengageport/membership/SwimSimulation.kt
+++ b/membership/src/test/kotlin/io/greengageport/membership/SwimSimulation.kt
@@ -57,6 +57,8 @@
 
     fun kill(name: String) = nodes.remove(InstanceId(name))
 
+    fun depart(name: String) = perform(InstanceId(name), node(name).core.depart(), null)
+
     fun node(name: String): Node = nodes.getValue(InstanceId(name))
 
     fun publish(name: String, key: String, version: Long, bytes: ByteArray = ByteArray(32)) {
