Give work again to a runner that was restarted at its address

Cause: a runner that was seen leaving was kept out until its address changed, so one that came back at the same address got no work for as long as the instance ran. The note of a leaving process now has its boot id and the time of its newest report; a report with another boot id and a later time of the same runner's clock ends it. The instance list marks a process once only, since it may show the old process as leaving after the new one reported.

--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -20,6 +20,7 @@
 import io.greengageport.routing.SuspectRequests
 import io.greengageport.routing.SuspectState
 import java.util.concurrent.ConcurrentHashMap
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -42,8 +43,8 @@
     private val listed = ConcurrentHashMap<RunnerId, ListedRunner>()
     private val reports = ConcurrentHashMap<RunnerId, LoadReport>()
 
-    /** Addresses of runners that were seen leaving; a runner that comes back has a new one. */
-    private val leaving = ConcurrentHashMap<RunnerId, String>()
+    /** Processes of runners that were seen leaving. */
+    private val leaving = ConcurrentHashMap<RunnerId, LeavingProcess>()
 
     /** Addresses that were found silent or refusing and have not answered since. */
     private val lost = ConcurrentHashMap<RunnerId, String>()
@@ -60,14 +61,14 @@
 
     fun start() {
         gossip.subscribe(LEAVING_TOPIC) { key, _, payload ->
-            noteLeaving(RunnerId(key), payload.decodeToString())
+            decode<LeavingProcess>(payload)?.let { noteLeaving(RunnerId(key), it) }
         }
         gossip.subscribe(HOLD_TOPIC) { key, version, payload ->
             val until = payload.decodeToString().toLongOrNull() ?: version
             noteHeld(RunnerId(key), Hold(version, until))
         }
         gossip.subscribe(SUSPECT_TOPIC) { _, _, payload ->
-            decodeSuspect(payload)?.let { suspects.merge(it) }?.let(::publish)
+            decode<SuspectState>(payload)?.let { suspects.merge(it) }?.let(::publish)
         }
     }
 
@@ -80,10 +81,12 @@
             val before = listed.put(r.id, r)
             if (before == null && hasListing) joinedAt[r.id] = clock.monotonicMillis()
             if (before != null && before.address != r.address) {
-                leaving.remove(r.id, before.address)
+                leaving.remove(r.id)
                 joinedAt[r.id] = clock.monotonicMillis()
             }
-            if (r.state == ListedState.LEAVING) markLeaving(r.id, r.address)
+            // Marked once: the list may still show a process as leaving that was restarted since.
+            val isKnown = before?.state == r.state && before.address == r.address
+            if (r.state == ListedState.LEAVING && !isKnown) markLeaving(r.id, r.address)
             refresh(r.id)
         }
         hasListing = true
@@ -105,6 +108,11 @@
                 )
             )
             suspects.bootId(l.runner, l.bootId, l.reportedAtMillis).forEach(::publish)
+            if (leaving[l.runner]?.isReplacedBy(l) == true) {
+                leaving.remove(l.runner)
+                joinedAt[l.runner] = clock.monotonicMillis()
+                Logger.info("routing: runner=${l.runner} was restarted, takes new work")
+            }
             val address = listed[l.runner]?.address
             if (l.leaving && address != null) markLeaving(l.runner, address)
             refresh(l.runner)
@@ -113,8 +121,12 @@
 
     /** The runner at [address] was seen leaving by this instance. */
     fun markLeaving(runner: RunnerId, address: String) {
-        if (!noteLeaving(runner, address)) return
-        gossip.publish(LEAVING_TOPIC, runner.value, clock.wallMillis(), address.encodeToByteArray())
+        val report = reports[runner]
+        val process =
+            LeavingProcess(address, report?.bootId.orEmpty(), report?.reportedAtMillis ?: 0)
+        if (!noteLeaving(runner, process)) return
+        val bytes = cbor.encodeToByteArray(process)
+        gossip.publish(LEAVING_TOPIC, runner.value, clock.wallMillis(), bytes)
     }
 
     /** Keeps new work from [runner] on all instances for [millis], or ends that with 0. */
@@ -167,8 +179,8 @@
     fun all(): List<ListedRunner> = listed.values.sortedBy { it.id }
 
     /** Whether [runner] gets no new work because it is leaving. */
-    fun isLeaving(runner: RunnerId): Boolean = leaving[runner] == listed[runner]?.address &&
-        leaving.containsKey(runner)
+    fun isLeaving(runner: RunnerId): Boolean =
+        leaving[runner]?.let { it.address == listed[runner]?.address } ?: false
 
     /** The runner does not answer; it is ejected at once, before more requests are sent to it. */
     fun silent(runner: RunnerId, service: ServiceName) {
@@ -184,8 +196,11 @@
         suspects.expire()
     }
 
-    private fun noteLeaving(runner: RunnerId, address: String): Boolean {
-        if (leaving.put(runner, address) == address) return false
+    @Synchronized
+    private fun noteLeaving(runner: RunnerId, process: LeavingProcess): Boolean {
+        val isReplaced = reports[runner]?.let(process::isReplacedBy) ?: false
+        if (isReplaced || leaving[runner]?.isSame(process) == true) return false
+        leaving[runner] = process
         Logger.info("routing: runner=$runner is leaving, no new work")
         suspects.leaving(runner)
         refresh(runner)
@@ -213,7 +228,7 @@
                 bootId = report?.bootId.orEmpty(),
                 version = report?.version.orEmpty(),
                 leaving = l.state == ListedState.LEAVING ||
-                    leaving[id] == l.address ||
+                    isLeaving(id) ||
                     isHeld(id)
             )
         )
@@ -235,10 +250,10 @@
         Logger.info("routing: runner=$id left the instance list")
     }
 
-    private fun decodeSuspect(payload: ByteArray): SuspectState? = try {
-        cbor.decodeFromByteArray<SuspectState>(payload)
+    private inline fun <reified T> decode(payload: ByteArray): T? = try {
+        cbor.decodeFromByteArray<T>(payload)
     } catch (e: IllegalArgumentException) {
-        Logger.warn("routing: ignored a malformed suspect state")
+        Logger.warn("routing: ignored a malformed gossip item: $e")
         null
     }
 
@@ -248,6 +263,23 @@
     /** Of the holds of a runner, the one with the highest [version] counts. */
     private class Hold(val version: Long, val until: Long)
 
+    /**
+     * A process that leaves: its address, and the boot id and time of its newest load report when
+     * that was seen; the id is empty without a report, and then only a new address ends the state.
+     */
+    @Serializable
+    private data class LeavingProcess(
+        val address: String,
+        val bootId: String,
+        val reportedAtMillis: Long
+    ) {
+        fun isSame(other: LeavingProcess) = address == other.address && bootId == other.bootId
+
+        /** Both times are of the runner's clock, so that a late report of an old process is told. */
+        fun isReplacedBy(l: LoadReport) = bootId.isNotEmpty() && l.bootId.isNotEmpty() &&
+            l.bootId != bootId && l.reportedAtMillis > reportedAtMillis
+    }
+
     private companion object {
         const val LEAVING_TOPIC = "runner-leaving"
         const val HOLD_TOPIC = "runner-hold"
--- a/entry/src/test/kotlin/io/greengageport/entry/RunnerHoldTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/RunnerHoldTest.kt
@@ -1,7 +1,5 @@
 package io.greengageport.entry
 
-import io.greengageport.common.Gossip
-import io.greengageport.common.GossipListener
 import io.greengageport.common.RunnerId
 import io.greengageport.routing.Fleet
 import io.greengageport.routing.LinkEstimator
@@ -16,7 +14,7 @@
 
 class RunnerHoldTest {
     private val clock = ManualClock()
-    private val bus = Bus()
+    private val bus = GossipBus()
     private val fleets = List(2) {
         BackendFleet(
             clock,
@@ -48,17 +46,4 @@
         expectThat(seen.toList())
             .isEqualTo(listOf(true, false, true).map { listOf(it, it) })
     }
-
-    /** Passes items on at once, to their publisher too. */
-    private class Bus : Gossip {
-        private val listeners = mutableListOf<Pair<String, GossipListener>>()
-
-        override fun publish(topic: String, key: String, version: Long, payload: ByteArray) =
-            listeners.filter { it.first == topic }
-                .forEach { it.second.onItem(key, version, payload) }
-
-        override fun subscribe(topic: String, listener: GossipListener) {
-            listeners += topic to listener
-        }
-    }
 }
--- /dev/null
+++ b/entry/src/test/kotlin/io/greengageport/entry/RunnerLeavingTest.kt
@@ -0,0 +1,84 @@
+package io.greengageport.entry
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.platform.InstanceListing
+import io.greengageport.platform.ListedRunner
+import io.greengageport.platform.ListedState
+import io.greengageport.platform.LoadReport
+import io.greengageport.routing.Fleet
+import io.greengageport.routing.LinkEstimator
+import io.greengageport.routing.LoadEstimator
+import io.greengageport.routing.OutlierDetector
+import io.greengageport.routing.PrefixIndex
+import io.greengageport.routing.SuspectRequests
+import io.greengageport.testkit.ManualClock
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class RunnerLeavingTest {
+    private val clock = ManualClock()
+    private val bus = GossipBus()
+    private val fleets = List(2) {
+        BackendFleet(
+            clock,
+            bus,
+            Fleet(),
+            LoadEstimator(),
+            LinkEstimator(),
+            PrefixIndex(),
+            OutlierDetector(clock),
+            SuspectRequests(clock)
+        ).also { it.start() }
+    }
+    private val runner = RunnerId("a")
+    private val service = ServiceName("guide")
+
+    private fun list(state: ListedState) {
+        val listed =
+            ListedRunner(runner, service, ADDRESS, DataCentre("dc1"), state = state)
+        fleets.forEach { it.onListing(InstanceListing(runners = listOf(listed))) }
+    }
+
+    private fun report(bootId: String, at: Long, leaving: Boolean = false) = fleets.forEach {
+        it.onLoads(listOf(LoadReport(runner, service, bootId, at, leaving = leaving)))
+    }
+
+    /** Whether each instance keeps new work from the runner. */
+    private fun isOut() = fleets.map { it.fleet.runner(runner)?.leaving }
+
+    /** Guards against a runner that is restarted at its address and never gets work again. */
+    @Test
+    fun `a restarted process at the same address takes new work, an old report ends nothing`() {
+        list(ListedState.LIVE)
+        report("boot-1", at = 1)
+        fleets[0].markLeaving(runner, ADDRESS)
+        expectThat(isOut()).isEqualTo(listOf(true, true))
+        report("boot-1", at = 2)
+        expectThat(isOut()).isEqualTo(listOf(true, true))
+        report("boot-2", at = 3)
+        expectThat(isOut()).isEqualTo(listOf(false, false))
+        fleets[1].markLeaving(runner, ADDRESS)
+        report("boot-1", at = 2)
+        expectThat(isOut()).isEqualTo(listOf(true, true))
+    }
+
+    /** Guards against a lagging list that marks the new process in place of the old one. */
+    @Test
+    fun `a list that still shows the old process as leaving keeps nothing out for good`() {
+        list(ListedState.LIVE)
+        report("boot-1", at = 1, leaving = true)
+        list(ListedState.LEAVING)
+        report("boot-2", at = 2)
+        list(ListedState.LEAVING)
+        expectThat(isOut()).isEqualTo(listOf(true, true))
+        list(ListedState.LIVE)
+        expectThat(isOut()).isEqualTo(listOf(false, false))
+    }
+
+    private companion object {
+        const val ADDRESS = "10.0.0.1:80"
+    }
+}
