--- a/bench/src/main/kotlin/io/greengageport/bench/FleetFile.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/FleetFile.kt
@@ -32,13 +32,14 @@
     @SerialName("retention_ms") val retentionMillis: Long = 3_600_000
 )
 
-/** An entry instance; [policies] is put into its settings file as it is. */
+/** An entry instance; [policies], [times] and [snapshots] go into its settings file as they are. */
 @Serializable
 public data class InstanceSpec(
     val id: String,
     @SerialName("data_centre") val dataCentre: String = "dc1",
     val policies: Map<String, String> = emptyMap(),
     val times: Map<String, Long> = emptyMap(),
+    val snapshots: Map<String, Long> = emptyMap(),
     @SerialName("heap_mb") val heapMegabytes: Int = 192,
     /** Not started with the fleet, but by a later call. */
     @SerialName("starts_later") val startsLater: Boolean = false
--- a/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
@@ -236,6 +236,7 @@
         appendLine("platform: \"${platformUrl()}\"")
         appendLine("peer_secret: \"loopback test secret\"")
         section("policies", i.policies)
+        section("snapshots", i.snapshots)
         section("times", mapOf("drain_notice_ms" to 300L) + i.times)
     }
 
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -35,6 +35,7 @@
 import io.greengageport.routing.SuspectRequests
 import io.greengageport.settings.SettingsPublisher
 import io.greengageport.settings.SettingsStore
+import io.greengageport.settings.SettingsStoreConfig
 import io.ktor.network.selector.SelectorManager
 import io.ktor.server.engine.EmbeddedServer
 import java.util.concurrent.ConcurrentHashMap
@@ -82,7 +83,16 @@
     private val platform = HttpPlatform(clients.platform, config.platform)
     private val node = PeerNode(peerSettings(config), config.peerSecret.encodeToByteArray(), clock)
     private val metrics = EntryMetrics(node::stats)
-    private val store = SettingsStore(log, node, node, node, node, clock, random = random)
+    private val store = SettingsStore(
+        log,
+        node,
+        node,
+        node,
+        node,
+        clock,
+        SettingsStoreConfig(snapshotEvery = config.snapshots.everyRecords),
+        random
+    )
     private val publisher = SettingsPublisher(log, { store.state }, clock, random = random)
     private val ledger = OrderLedger(log, config.instance, node, node, clock, random)
     private val backends = BackendFleet(
--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -37,6 +37,7 @@
     val bounds: BoundsConfig = BoundsConfig(),
     val times: TimesConfig = TimesConfig(),
     val policies: PolicyConfig = PolicyConfig(),
+    val snapshots: SnapshotConfig = SnapshotConfig(),
     /** SHA-256 of a key for the admin port, besides the keys of teams; empty for none. */
     @SerialName("admin_key_hash") val adminKeyHash: String = ""
 ) {
@@ -81,6 +82,7 @@
                 Triple("bounds.max_header_bytes", b.maxHeaderBytes, 1L..MAX_HEADER_BYTES),
                 Triple("bounds.max_requests", b.maxRequests.toLong(), 1L..MAX_REQUESTS),
                 Triple("bounds.idle_connection_s", b.idleConnectionSeconds.toLong(), 1L..DAY_S),
+                Triple("snapshots.every_records", c.snapshots.everyRecords.toLong(), SNAPSHOTS),
                 Triple("times.list_poll_ms", t.listPollMillis, POLLS),
                 Triple("times.load_poll_ms", t.loadPollMillis, POLLS),
                 Triple("times.connect_timeout_ms", t.connectTimeoutMillis, 1L..MINUTE_MILLIS),
@@ -100,6 +102,9 @@
         private const val DAY_S = 86_400L
         private const val MINUTE_MILLIS = 60_000L
         private val POLLS = 10L..MINUTE_MILLIS
+
+        /** Below the records at the end of the log that a new reader looks through first. */
+        private val SNAPSHOTS = 1L..2_000L
     }
 }
 
@@ -130,6 +135,13 @@
     @SerialName("drain_notice_ms") val drainNoticeMillis: Long = 1_000
 )
 
+/** When this instance writes the settings as a snapshot to the log. */
+@Serializable
+public data class SnapshotConfig(
+    /** Records of the stream, other than snapshots, after which one is due. */
+    @SerialName("every_records") val everyRecords: Int = 1_000
+)
+
 /** Choices between a policy and its naive baseline, for measurements. */
 @Serializable
 public data class PolicyConfig(
--- a/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/UsageReporter.kt
@@ -63,6 +63,9 @@
         if (members != view.members) view = View(members)
     }
 
+    /** The instance that divides the limits of [organisation] among the live ones. */
+    public fun aggregatorOf(organisation: OrganisationName): InstanceId = view.owner(organisation)
+
     /** Takes the reply of [from] to the report sent at [sentAtMillis]. */
     public fun onReply(from: InstanceId, reply: UsageReply, sentAtMillis: Long) {
         val until = sentAtMillis + sharing.validMillis(view.size)
--- a/standins/src/main/kotlin/io/greengageport/standins/PlainServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlainServer.kt
@@ -58,7 +58,9 @@
         get("/effects") {
             call.json(json.encodeToString(synchronized(effects) { effects.toList() }))
         }
-        get("/counters") { call.json("""{"received":${received.get()}}""") }
+        get("/counters") {
+            call.json("""{"received":${received.get()},"running":${running.get()}}""")
+        }
         get("/v1/load") { call.json("{}") }
         put("/control") {
             val c = json.decodeFromString<PlainControl>(call.receiveText())
--- a/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
@@ -52,6 +52,10 @@
     @SerialName("lose_next_acknowledgement") val loseNextAcknowledgement: Boolean = false,
     /** Stores the next append to this stream and answers as if its fate were unknown. */
     @SerialName("lose_acknowledgement_of") val loseAcknowledgementOf: String? = null,
+    /** As [loseAcknowledgementOf], but for all appends to this stream; empty ends it. */
+    @SerialName("lose_acknowledgements_of") val loseAcknowledgementsOf: String? = null,
+    /** Drops the next append to this stream and answers as if its fate were unknown. */
+    @SerialName("drop_append_of") val dropAppendOf: String? = null,
     @SerialName("list_down") val listDown: Boolean? = null,
     @SerialName("truncate_stream") val truncateStream: String? = null,
     @SerialName("truncate_before") val truncateBefore: Long = 0
@@ -64,7 +68,7 @@
     val reads: Long,
     /** Appends that arrived, by stream, whether or not they took effect. */
     val arrived: Map<String, Long> = emptyMap(),
-    /** Appends that took effect and whose acknowledgement was lost. */
+    /** Appends whose fate was kept from the appender, those dropped included. */
     @SerialName("lost_acknowledgements") val lostAcknowledgements: Long = 0,
     /** Calls of entry instances by kind; those to the log are of the kind `append STREAM`. */
     val calls: Map<String, CallCount> = emptyMap()
@@ -92,6 +96,10 @@
     private val arrived = ConcurrentHashMap<String, Long>()
     private val lost = LongAdder()
     private val losing = AtomicReference<String?>()
+    private val dropping = AtomicReference<String?>()
+
+    @Volatile
+    private var losingAll = ""
 
     @Volatile
     private var listing = TaggedPage.of(json.encodeToString(InstanceListing()))
@@ -188,8 +196,13 @@
         val payload = call.receive<ByteArray>()
         arrived.merge(stream, 1, Long::plus)
         if (appendDelayMillis > 0) delay(appendDelayMillis)
+        if (!log.down && dropping.takes(stream)) {
+            lost.increment()
+            call.logError(LogError.Uncertain("append dropped"))
+            return
+        }
         val result = log.append(stream, payload)
-        if (result.isOk && losing.getAndUpdate { if (it == stream) null else it } == stream) {
+        if (result.isOk && (stream == losingAll || losing.takes(stream))) {
             lost.increment()
             call.logError(LogError.Uncertain("acknowledgement lost"))
             return
@@ -225,6 +238,8 @@
         c.listDown?.let { listDown = it }
         if (c.loseNextAcknowledgement) log.nextAppend = AppendFault.LOSE_ACKNOWLEDGEMENT
         c.loseAcknowledgementOf?.let { losing.set(it) }
+        c.loseAcknowledgementsOf?.let { losingAll = it }
+        c.dropAppendOf?.let { dropping.set(it) }
         c.truncateStream?.let { log.truncate(it, c.truncateBefore) }
         call.json("{}")
     }
@@ -242,6 +257,10 @@
         json(reply)
     }
 
+    /** Whether the fault is set for [stream]; it is then spent. */
+    private fun AtomicReference<String?>.takes(stream: String): Boolean =
+        getAndUpdate { if (it == stream) null else it } == stream
+
     private fun fresh(r: Registered<*>, now: Long) = now - r.at < times.registrationTtlMillis
 
     private fun nowMillis() = System.nanoTime() / NANOS_PER_MILLI
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -34,15 +34,16 @@
     private val plain: List<PlainSpec> = emptyList(),
     platform: PlatformSpec = PlatformSpec(),
     spare: List<String> = emptyList(),
-    settings: String = "settings.yaml"
+    settings: String = "settings.yaml",
+    snapshots: Map<String, Long> = emptyMap()
 ) : AutoCloseable {
     val local: LocalFleet = LocalFleet(
         Path.of(System.getProperty("greengageport.root")),
         FleetFile(
             platform = platform,
             settings = settings,
-            instances = (1..instances).map { InstanceSpec("entry-$it") } +
-                spare.map { InstanceSpec(it, startsLater = true) },
+            instances = (1..instances).map { InstanceSpec("entry-$it", snapshots = snapshots) } +
+                spare.map { InstanceSpec(it, startsLater = true, snapshots = snapshots) },
             engines = engines,
             plain = plain
         ),
@@ -138,9 +139,26 @@
     }
 
     /** Loses the acknowledgement of the next append to [stream]; [action] has to make one. */
-    fun <T> losingAcknowledgement(stream: String, action: () -> T): T {
+    fun <T> losingAcknowledgement(stream: String, action: () -> T): T =
+        withUncertainAppend("lose_acknowledgement_of", stream, action)
+
+    /** Drops the next append to [stream] without telling so; [action] has to make one. */
+    fun <T> droppingAppend(stream: String, action: () -> T): T =
+        withUncertainAppend("drop_append_of", stream, action)
+
+    /** Loses the acknowledgement of each append to [stream] while [action] runs. */
+    fun <T> losingAllAcknowledgements(stream: String, action: () -> T): T {
+        fault("platform", "\"lose_acknowledgements_of\":\"$stream\"")
+        return try {
+            action()
+        } finally {
+            fault("platform", "\"lose_acknowledgements_of\":\"\"")
+        }
+    }
+
+    private fun <T> withUncertainAppend(fault: String, stream: String, action: () -> T): T {
         val before = lostAcknowledgements()
-        fault("platform", "\"lose_acknowledgement_of\":\"$stream\"")
+        fault("platform", "\"$fault\":\"$stream\"")
         val result = action()
         LocalFleet.await("an append to $stream") { lostAcknowledgements() > before }
         return result
