--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/NonIdempotentCallsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/NonIdempotentCallsTest.kt
@@ -27,7 +27,10 @@
 
     @AfterEach
     fun repair() {
-        fleet.fault("platform", """"log_down":false,"append_delay_ms":0""")
+        fleet.fault(
+            "platform",
+            """"log_down":false,"append_delay_ms":0,"lose_acknowledgements_of":""""""
+        )
         fleet.thaw()
         fleet.process(SHOP).thaw()
         fleet.fault(SHOP, """"delay_ms":0,"lose_next_answers":0""")
@@ -108,22 +111,50 @@
             expectThat(effects(key)).isIn(0..1)
         }
 
-        /** Guards against a claim that lands in the log after its claimant died. */
+        /** Guards against a second run for a claim that lands in the log after a retry ran. */
         @Test
-        fun `before the call left`() {
+        fun `before the call left, and its claim lands after the retry of another instance`() {
             val key = key()
             val now = Instant.now()
-            fleet.fault("platform", "\"append_delay_ms\":500")
-            val before = ordersArrived()
-            val first = fleet.startOrder("entry-3", key, now)
-            LocalFleet.await("the claim at the log") { ordersArrived() > before }
+            val landed = killBeforeClaim(key, now)
+            val retry = fleet.order("entry-1", key, now)
+            expectThat(retry.status).isEqualTo(201)
+            LocalFleet.await("the claim in the log") { landed() }
+            retryQuickly(key, now, listOf("entry-2", "entry-1")) {
+                it == retry.copy(isReplayed = true)
+            }
+            expectThat(effects(key)).isEqualTo(1)
+        }
+
+        /** Guards against a send for a claim whose claimant may have sent the call. */
+        @Test
+        fun `before the call left, and its claim lands before any retry`() {
+            val key = key()
+            val now = Instant.now()
+            val landed = killBeforeClaim(key, now)
+            LocalFleet.await("the claim in the log") { landed() }
+            retryQuickly(key, now, listOf("entry-2", "entry-1")) {
+                it.status == 409 && it.execution == "unknown"
+            }
+            expectThat(effects(key)).isEqualTo(0)
+        }
+
+        /** Kills entry-3 while the log holds its claim back; tells whether the claim has landed. */
+        private fun killBeforeClaim(key: String, issuedAt: Instant): () -> Boolean {
+            fleet.fault("platform", "\"append_delay_ms\":$CLAIM_DELAY_MILLIS")
+            val arrived = ordersArrived()
+            val first = fleet.startOrder("entry-3", key, issuedAt)
+            LocalFleet.await("the claim at the log") { ordersArrived() > arrived }
             fleet.process("entry-3").kill()
             expectThat(first.join().code).isEqualTo("cut")
             expectThat(effects(key)).isEqualTo(0)
             fleet.fault("platform", "\"append_delay_ms\":0")
-            val retry = fleet.order("entry-1", key, now)
-            retryQuickly(key, now, listOf("entry-2", "entry-1")) { it.execution != "not_run" }
-            expectThat(effects(key)).isEqualTo(if (retry.execution == "ran") 1 else 0)
+            val since = System.nanoTime()
+            val end = fleet.logEnd("orders")
+            return {
+                System.nanoTime() - since > CLAIM_DELAY_MILLIS * NANOS_PER_MILLI &&
+                    fleet.logEnd("orders") > end
+            }
         }
     }
 
@@ -236,6 +267,73 @@
             expectRecorded(key, now, end)
             expectThat(effects(key)).isEqualTo(1)
         }
+
+        /** Guards against an outcome that is taken for recorded though its append was lost. */
+        @Test
+        fun `of an outcome that did not reach the log`() {
+            val key = key()
+            val now = Instant.now()
+            fleet.fault(SHOP, "\"delay_ms\":400")
+            val before = fleet.received(SHOP)
+            val first = fleet.startOrder("entry-1", key, now)
+            LocalFleet.await("the call at the shop") { fleet.received(SHOP) > before }
+            val end = fleet.droppingAppend("orders") { first.join() }
+            expectThat(end.status).isEqualTo(201)
+            expectRecorded(key, now, end)
+            expectThat(effects(key)).isEqualTo(1)
+        }
+    }
+
+    @Nested
+    inner class TwoFaults {
+        /** Guards against a thawed claimant that sends because it can't read that it may not. */
+        @Test
+        fun `the log goes down while the claimant is frozen`() {
+            val key = key()
+            val now = Instant.now()
+            val first = freezeClaimant(key, now)
+            val frozenAt = System.nanoTime()
+            fleet.duringLogOutage {
+                val other = fleet.startOrder("entry-2", key, now)
+                LocalFleet.await("the end of the send window") {
+                    System.nanoTime() - frozenAt > SEND_WINDOW_NANOS + SEND_WINDOW_NANOS / 4
+                }
+                fleet.process("entry-1").thaw()
+                expectThat(first.join().isNotRun).isTrue()
+                expectThat(other.join().execution).isContainedIn(listOf("not_run", "unknown"))
+                expectThat(effects(key)).isEqualTo(0)
+            }
+            fleet.awaitLedgers()
+            LocalFleet.await("a retry runs") { fleet.order("entry-3", key, now).status == 201 }
+            retryQuickly(key, now, INSTANCES) { it.status == 201 && it.isReplayed }
+            expectThat(effects(key)).isEqualTo(1)
+        }
+
+        /** Guards against a stop that loses outcomes, or never ends, without acknowledgements. */
+        @Test
+        fun `an instance is replaced while the log loses acknowledgements`() {
+            val keys = List(ORDERS) { key() }
+            val now = Instant.now()
+            fleet.fault(SHOP, "\"delay_ms\":400")
+            val before = fleet.received(SHOP)
+            val orders = keys.map { fleet.startOrder("entry-3", it, now) }
+            LocalFleet.await("the calls at the shop") { fleet.received(SHOP) >= before + ORDERS }
+            val ends = fleet.losingAllAcknowledgements("orders") {
+                val process = fleet.process("entry-3")
+                process.terminate()
+                val ends = orders.map { it.join() }
+                expectThat(process.awaitExit(EXIT_SECONDS)).isEqualTo(SIGTERM_STATUS)
+                fleet.startInstance("entry-3")
+                ends
+            }
+            expectThat(ends.map { it.status }.distinct()).isEqualTo(listOf(201))
+            fleet.awaitLedgers()
+            for ((key, end) in keys.zip(ends)) {
+                val replays = INSTANCES.map { fleet.order(it, key, now) }
+                expectThat(replays).isEqualTo(INSTANCES.map { end.copy(isReplayed = true) })
+                expectThat(effects(key)).isEqualTo(1)
+            }
+        }
     }
 
     @Nested
@@ -245,14 +343,7 @@
         fun `past the send window and thawed, so its call is never sent`() {
             val key = key()
             val now = Instant.now()
-            fleet.fault("platform", "\"append_delay_ms\":500")
-            val before = ordersArrived()
-            val end = fleet.logEnd("orders")
-            val first = fleet.startOrder("entry-1", key, now)
-            LocalFleet.await("the claim at the log") { ordersArrived() > before }
-            fleet.process("entry-1").freeze()
-            LocalFleet.await("the claim in the log") { fleet.logEnd("orders") > end }
-            fleet.fault("platform", "\"append_delay_ms\":0")
+            val first = freezeClaimant(key, now)
             val frozenAt = System.nanoTime()
             val other = fleet.startOrder("entry-2", key, now)
             LocalFleet.await("the end of the send window") {
@@ -269,6 +360,19 @@
         }
     }
 
+    /** Freezes entry-1 when its claim is at the log, and waits until it is in the log. */
+    private fun freezeClaimant(key: String, issuedAt: Instant): CompletableFuture<CallEnd> {
+        fleet.fault("platform", "\"append_delay_ms\":500")
+        val before = ordersArrived()
+        val end = fleet.logEnd("orders")
+        val first = fleet.startOrder("entry-1", key, issuedAt)
+        LocalFleet.await("the claim at the log") { ordersArrived() > before }
+        fleet.process("entry-1").freeze()
+        LocalFleet.await("the claim in the log") { fleet.logEnd("orders") > end }
+        fleet.fault("platform", "\"append_delay_ms\":0")
+        return first
+    }
+
     /** The outcome is in the log and not only known to entry-1, which made the call. */
     private fun expectRecorded(key: String, issuedAt: Instant, end: CallEnd) {
         fleet.awaitRecorded("entry-1")
@@ -308,6 +412,15 @@
         const val RETRIES = 60
         const val PARALLEL = 12
         const val KEY_LOG = 36
+        const val ORDERS = 4
+        const val EXIT_SECONDS = 30L
+
+        /** A JVM that ends on SIGTERM after its shutdown hooks reports 128 + 15. */
+        const val SIGTERM_STATUS = 143
+
+        /** Long enough for a retry at another instance to come first. */
+        const val CLAIM_DELAY_MILLIS = 1_500L
+        const val NANOS_PER_MILLI = 1_000_000L
 
         /** The default of the ledger's settings. */
         const val SEND_WINDOW_NANOS = 2_000_000_000L
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/PlacementTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/PlacementTest.kt
@@ -5,16 +5,21 @@
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
 import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.MethodOrderer
+import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestMethodOrder
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEqualTo
 
 /** One instance at a time gives orders to engines, under a lease (section 3.3). */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
 internal class PlacementTest {
     private val checking = listOf(engine("c1", "guide"), engine("c2", "guide"))
     private val ignoring = listOf(engine("i1", "atlas"), engine("i2", "atlas"))
@@ -32,6 +37,7 @@
      * another instance, with engines that check fencing tokens and with engines that don't.
      */
     @Test
+    @Order(1)
     fun `a holder frozen past its lease gives no order after it is thawed`() {
         val first = awaitHolder(except = null)
         publish("v2")
@@ -66,6 +72,30 @@
         checking.forEach { expectThat(fencing(it)).isGreaterThan(0) }
     }
 
+    /** Guards against a holder that gives orders while it can't renew its lease. */
+    @Test
+    @Order(2)
+    fun `a holder stops with its lease in a log outage, and placement goes on after it`() {
+        awaitHolder(except = null)
+        val version = versions().first()
+        awaitVersions(version)
+        val restarted = listOf(checking.first(), ignoring.first()).map { it.id }
+        fleet.duringLogOutage {
+            LocalFleet.await("the end of the lease") { holders().isEmpty() }
+            // Engines that come back with the first version are what a holder gives orders to.
+            restarted.forEach { fleet.process(it).kill() }
+            fleet.restartEngines()
+            val since = System.nanoTime()
+            LocalFleet.await("a period of placement and the lag of the load reports") {
+                System.nanoTime() - since > PERIOD_NANOS + REPORT_LAG_NANOS
+            }
+            expectThat(restarted.map { fleet.counter(it, "orders_accepted") })
+                .isEqualTo(listOf(0L, 0L))
+        }
+        awaitVersions(version)
+        expectThat(holders()).hasSize(1)
+    }
+
     private fun awaitHolder(except: String?): String {
         LocalFleet.await("a holder of the placement lease") {
             holders().any { it != except }
@@ -106,6 +136,9 @@
         /** Period of the placement service. */
         const val PERIOD_NANOS = 2_000_000_000L
 
+        /** Lags of the list and the load reports, and the periods of reading them. */
+        const val REPORT_LAG_NANOS = 1_000_000_000L
+
         fun engine(id: String, service: String) = EngineSpec(
             id = id,
             service = service,
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/SettingsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/SettingsTest.kt
@@ -93,6 +93,18 @@
             .isEqualTo(local.instances.map { 1 })
     }
 
+    /** Guards against a lost change that its author takes for published. */
+    @Test
+    @Order(3)
+    fun `a publish whose append is dropped is withdrawn for good`() {
+        val before = local.instances.map(::page)
+        val reply = fleet.droppingAppend("settings") { publish("entry-1", 34_000) }
+        expectThat(reply.rejection).isNotNull().isA<Rejection.Withdrawn>()
+        expectThat(local.instances.map(::page)).isEqualTo(before)
+        expectThat(publish("entry-2", 35_000).result).isEqualTo(PublishResult.ACCEPTED)
+        local.instances.forEach { expectThat(changes(it, reply.changeId)).hasSize(0) }
+    }
+
     /** Guards against a lost update, and against a loser who isn't told why. */
     @Test
     @Order(4)
@@ -130,6 +142,12 @@
         expectThat(seen).isEqualTo(seen.sorted().toMutableList())
         expectSame(50_000 + CHANGES)
         expectThat(local.instances.map(::version).min()).isEqualTo(last)
+        // A version that is in force only between two questions shows in the log lines.
+        for (i in local.instances) {
+            val inForce = fleet.process(i).output
+                .mapNotNull { IN_FORCE_LINE.find(it) }.map { it.groupValues[1].toLong() }
+            expectThat(inForce).isEqualTo(inForce.sorted())
+        }
     }
 
     /** Guards against an instance that can't start, or starts empty, while the log is down. */
@@ -204,6 +222,7 @@
 
         /** Bound of invariant 7. */
         const val IN_FORCE_NANOS = 5_000_000_000L
+        val IN_FORCE_LINE = Regex("settings: version=(\\d+) is in force")
         val json = Json { ignoreUnknownKeys = true }
 
         fun yaml(deadline: Int) = "{priority: 2, firstTokenMillis: 9000, " +
