Bound the appends to the stream orders over the whole fleet

Cause: each instance spaced its appends by its own rate of 30/s only, so that 360 instances could append 10,800 times a second to a log that takes several hundred. Ruled out: owners that batch for others, since they need shards of the stream first; a token bucket, since its bursts add up. Change: the spacing is instances / 300 s and at least 1/30 s; the number of instances is the larger of the live members and the listed instances. Nothing changes up to 10 instances.

--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -84,7 +84,15 @@
     private val metrics = EntryMetrics(node::stats)
     private val store = SettingsStore(log, node, node, node, node, clock, random = random)
     private val publisher = SettingsPublisher(log, { store.state }, clock, random = random)
-    private val ledger = OrderLedger(log, config.instance, node, node, clock, random)
+    private val ledger = OrderLedger(
+        log,
+        config.instance,
+        node,
+        node,
+        clock,
+        random,
+        ::fleetSize
+    )
     private val backends = BackendFleet(
         clock,
         node,
@@ -128,6 +136,9 @@
     @Volatile
     private var acceptsRequests = true
 
+    @Volatile
+    private var listedInstances = 1
+
     /** Listens, joins the other instances and begins to follow the platform. */
     public suspend fun start(): Result<BoundAddresses, StartError> {
         val admin = AdminServer(
@@ -275,6 +286,7 @@
         scope.every(config.times.listPollMillis) {
             platform.list().onSuccess { listing ->
                 backends.onListing(listing)
+                listedInstances = listing.instances.size
                 val others = listing.instances.filter { it.id != config.instance }
                 node.addSeeds(others.map { it.peerAddress })
             }
@@ -330,6 +342,12 @@
         state = if (isDraining.get()) ListedState.LEAVING else ListedState.LIVE
     )
 
+    /**
+     * Instances that may append to the log. The list counts those too that this instance can't
+     * reach, since without the links between them all would otherwise append at the full rate.
+     */
+    private fun fleetSize(): Int = maxOf(node.live().size, listedInstances)
+
     private fun policyOf(name: OrganisationName): OrganisationPolicy? =
         store.view.value.organisation(name)?.settings?.let {
             OrganisationPolicy(it.weight, it.tokensPerSecond?.toDouble(), it.concurrentRequests)
--- a/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/BatchingWriter.kt
@@ -5,6 +5,7 @@
 import io.greengageport.platform.LogError
 import io.greengageport.platform.LogService
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import org.tinylog.kotlin.Logger
@@ -13,7 +14,8 @@
  * Appends records to the log, many to one append, with one append outstanding.
  *
  * Records accumulate while an append is outstanding, while the rate is used up and during an
- * outage. Claims are bounded in number and fail with the append; outcomes and releases stay
+ * outage. The rate is this instance's part of the fleet's, so it falls with the number of
+ * instances. Claims are bounded in number and fail with the append; outcomes and releases stay
  * queued until the log has them. There are never more of these than claims that were won.
  */
 internal class BatchingWriter(
@@ -22,7 +24,8 @@
     private val clock: Clock,
     private val settings: LedgerSettings,
     private val backoff: Backoff,
-    private val readBack: ReadBack
+    private val readBack: ReadBack,
+    private val instances: () -> Int
 ) {
     /** Reads the stream to its end after a lost acknowledgement. */
     interface ReadBack {
@@ -86,8 +89,6 @@
 
     /** Appends until cancelled. */
     suspend fun run() {
-        val spacing =
-            (MILLIS_PER_SECOND + settings.appendsPerSecond - 1) / settings.appendsPerSecond
         while (true) {
             signal.receive()
             while (size > 0) {
@@ -95,11 +96,24 @@
                 val started = clock.monotonicMillis()
                 val batch = take()
                 if (batch.isNotEmpty()) append(batch)
-                delay((started + spacing - clock.monotonicMillis()).coerceAtLeast(0).milliseconds)
+                awaitSpacing(started)
             }
         }
     }
 
+    /** Waits for the next append of this instance, longer in a larger fleet. */
+    private suspend fun awaitSpacing(started: Long) {
+        while (true) {
+            val spacing = settings.appendSpacing(instances())
+            // Rounded up, since delays are whole milliseconds and the rate is a limit.
+            val due = started + (spacing + 1.milliseconds - 1.nanoseconds).inWholeMilliseconds
+            val left = due - clock.monotonicMillis()
+            if (left <= 0) return
+            // The number of instances may change during a long wait.
+            delay(minOf(left, MAX_WAIT_MILLIS).milliseconds)
+        }
+    }
+
     private suspend fun append(batch: List<Item>) {
         val r = log.append(stream, RecordCodec.join(batch.map { it.bytes }))
         r.mapBoth(
@@ -192,7 +206,7 @@
         RecordCodec.encode(OrderRecord.serializer(), record)
 
     private companion object {
-        const val MILLIS_PER_SECOND = 1_000
+        const val MAX_WAIT_MILLIS = 200L
         const val MAX_SPLIT = 1 shl 20
     }
 }
--- a/ledger/src/main/kotlin/io/greengageport/ledger/LedgerSettings.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/LedgerSettings.kt
@@ -18,8 +18,13 @@
     val skew: Duration = 30.seconds,
     /** Time from before the append of a claim within which its call may be sent. */
     val sendWindow: Duration = 2.seconds,
-    /** Appends per second of this instance; the log takes several hundred of the whole fleet. */
+    /** Appends per second of this instance. */
     val appendsPerSecond: Int = 30,
+    /**
+     * Appends per second of all instances together. The log takes several hundred of all streams;
+     * settings, snapshots and leases need few.
+     */
+    val fleetAppendsPerSecond: Int = 300,
     /** Claims that may wait for their append. */
     val maxQueuedClaims: Int = 4_096,
     val maxBatchBytes: Int = 256 * 1024,
@@ -29,6 +34,7 @@
     val maxBytes: Long = 32L * 1024 * 1024,
     /** Age of the last proof that the copy is current, beyond which no decision is taken. */
     val currencyBound: Duration = 5.seconds,
+    /** A copy is proven as of the start of a read, so two waits have to fit in [currencyBound]. */
     val readWait: Duration = 1.seconds,
     val readBackTimeout: Duration = 3.seconds,
     val minBackoff: Duration = 100.milliseconds,
@@ -41,7 +47,15 @@
 ) {
     init {
         require(appendsPerSecond > 0) { "appendsPerSecond must be positive" }
+        require(fleetAppendsPerSecond > 0) { "fleetAppendsPerSecond must be positive" }
         require(sendWindow.isPositive()) { "sendWindow must be positive" }
+        require(readWait * 2 < currencyBound) { "currencyBound must exceed twice readWait" }
         require(rememberFor > skew) { "rememberFor must exceed skew" }
     }
+
+    /** Time between the starts of two appends of one of [instances] instances. */
+    internal fun appendSpacing(instances: Int): Duration = maxOf(
+        1.seconds / appendsPerSecond,
+        1.seconds * instances / fleetAppendsPerSecond
+    )
 }
--- a/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
+++ b/ledger/src/main/kotlin/io/greengageport/ledger/OrderLedger.kt
@@ -26,6 +26,7 @@
  * A call is sent only by the instance whose claim comes first in the log. [run] must run for as
  * long as [begin] is used; it follows the stream and appends the records. The random numbers are
  * the claim ids, so they must differ between instances and between runs of one instance.
+ * `instances` tells how many share the log; a wrong number changes the rate of appends only.
  *
  * ```
  * when (val r = ledger.begin(call)) {
@@ -42,6 +43,7 @@
     handlers: PeerHandlers,
     private val clock: Clock,
     random: Random,
+    instances: () -> Int,
     private val settings: LedgerSettings = LedgerSettings()
 ) {
     private val random = LockedRandom(random)
@@ -50,7 +52,8 @@
     private val events = LogEvents()
     private val follower =
         LogFollower(log, STREAM, clock, settings.readWait, backoff(), events)
-    private val writer = BatchingWriter(log, STREAM, clock, settings, backoff(), events)
+    private val writer =
+        BatchingWriter(log, STREAM, clock, settings, backoff(), events, instances)
 
     @Volatile
     private var logTime = Long.MIN_VALUE
--- a/ledger/src/test/kotlin/io/greengageport/ledger/Measure.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/Measure.kt
@@ -6,6 +6,7 @@
 import io.greengageport.platform.LogError
 import io.greengageport.platform.LogService
 import io.greengageport.testkit.InMemoryLog
+import kotlin.math.ln
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.measureTime
@@ -17,20 +18,27 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 
-/** Prints the memory per remembered key, and the rate and latency of claims; for manual runs. */
-fun main() {
+/**
+ * Prints the memory per remembered key, and the rate and latency of claims; for manual runs. The
+ * argument `spacing` limits it to the latency by the size of the fleet, in virtual time.
+ */
+fun main(args: Array<String>) {
     println("ledger: seed ${Measure.SEED}, java ${System.getProperty("java.version")}")
+    if ("spacing" in args) return Measure.spacing()
     listOf(10_000, 100_000, 1_000_000).forEach { Measure.memory(it) }
     runBlocking {
         for (rate in listOf(10, 30)) {
             for (callers in listOf(10, 100, 1_000)) Measure.claims(rate, callers)
         }
     }
+    Measure.spacing()
 }
 
 private object Measure {
     const val SEED = 7
     private const val BODY_BYTES = 100
+    private const val ORDERS = 2_000
+    private const val CALL_MILLIS = 20L
     private val claimant = InstanceId("entry-1")
 
     fun memory(keys: Int) {
@@ -53,6 +61,56 @@
         return Runtime.getRuntime().run { totalMemory() - freeMemory() }
     }
 
+    fun spacing() {
+        for (instances in listOf(9, 36, 120, 360)) {
+            for (rate in listOf(0.036, 0.36, 1.8)) spacing(instances, rate)
+        }
+    }
+
+    /** Latency of the claims of one of [instances] instances, [rate] a second, in virtual time. */
+    fun spacing(instances: Int, rate: Double) {
+        val time = VirtualTime(Random(SEED))
+        val log = SimulatedLog(time, Random(SEED))
+        val one = SimulatedInstance(claimant, time, log, SimulatedPeers(), SEED) { instances }
+        one.start()
+        time.advance(1_000)
+        val random = Random(SEED)
+        val before = log.store.appends
+        val began = time.monotonicMillis()
+        var results = listOf<Pair<BeginResult, Long>>()
+        time.run(limit = Long.MAX_VALUE / 2) {
+            results = List(ORDERS) { i ->
+                delay((-ln(1 - random.nextDouble()) / rate * 1_000).toLong())
+                async { order(one.ledger, time, i) }
+            }.awaitAll()
+        }
+        val millis = results.filter { it.first is BeginResult.Won }.map { it.second }.sorted()
+        val seconds = (time.monotonicMillis() - began) / 1_000.0
+        println(
+            "ledger: $instances instances, $rate orders/s each: begin p50 " +
+                "${millis[millis.size / 2]} ms, p95 ${millis[millis.size * 95 / 100]} ms, " +
+                "max ${millis.last()} ms, ${results.size - millis.size} of $ORDERS not won, " +
+                "fleet %.0f appends/s".format((log.store.appends - before) / seconds * instances)
+        )
+    }
+
+    private suspend fun order(ledger: OrderLedger, time: VirtualTime, number: Int) = run {
+        val started = time.monotonicMillis()
+        val call = OrderCall(
+            OrderSimulation.key("$number"),
+            Digest(0, 0),
+            time.wallMillis(),
+            started + 5_000
+        )
+        val r = ledger.begin(call)
+        val latency = time.monotonicMillis() - started
+        if (r is BeginResult.Won && r.permit.startSending()) {
+            delay(CALL_MILLIS)
+            r.permit.complete(CallOutcome(201, emptyMap(), ByteArray(BODY_BYTES)))
+        }
+        r to latency
+    }
+
     /** [callers] concurrent callers, each of which makes one claim after the other. */
     suspend fun claims(rate: Int, callers: Int) {
         val store = InMemoryLog()
@@ -74,6 +132,7 @@
             peers.join(claimant, lane),
             SystemClock,
             Random(SEED),
+            { 1 },
             LedgerSettings(appendsPerSecond = rate)
         )
         runBlocking(Dispatchers.Default) {
--- a/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/OrderLedgerTest.kt
@@ -26,8 +26,12 @@
         time.advance(1_000)
     }
 
-    private fun start(id: String, settings: LedgerSettings = LedgerSettings()) =
-        SimulatedInstance(InstanceId(id), time, log, peers, id.hashCode(), settings).start()
+    private fun start(
+        id: String,
+        settings: LedgerSettings = LedgerSettings(),
+        instances: () -> Int = { 1 }
+    ) = SimulatedInstance(InstanceId(id), time, log, peers, id.hashCode(), settings, instances)
+        .start()
 
     private fun call(
         key: String = "k",
@@ -203,6 +207,54 @@
         }
     }
 
+    @Nested
+    inner class FleetRate {
+        /** Guards against a fleet whose instances each keep to their own rate only. */
+        @Test
+        fun `many busy instances stay within the appends of the fleet`() {
+            val bounds = LedgerSettings(fleetAppendsPerSecond = 50)
+            val fleet = List(FLEET) { start("busy-$it", bounds) { FLEET } }
+            time.advance(1_000)
+            val before = log.store.appends
+            val started = time.monotonicMillis()
+            time.run {
+                (fleet + fleet).mapIndexed { n, i ->
+                    async { orders(i, "$n", started + 5_000) }
+                }.awaitAll()
+            }.forEach { expectThat(it).isGreaterThan(4) }
+            val millis = time.monotonicMillis() - started
+            expectThat(log.store.appends - before).isLessThan(millis * 50 / 1_000 + FLEET + 1)
+        }
+
+        @Test
+        fun `a growing fleet slows the next append and a shrinking one frees it`() {
+            var size = FLEET
+            val one = start("one", LedgerSettings(fleetAppendsPerSecond = 8)) { size }
+            time.advance(1_000)
+            finish(win(one))
+            val waits = listOf(FLEET, 1).map {
+                size = it
+                val started = time.monotonicMillis()
+                finish(win(one, call(key = "after $it")))
+                time.monotonicMillis() - started
+            }
+            expectThat(waits.first()).isGreaterThan(1_000)
+            expectThat(waits.last()).isLessThan(300)
+        }
+
+        /** Makes one order after the other; the number of those that were won. */
+        private suspend fun orders(on: SimulatedInstance, caller: String, until: Long): Int {
+            var won = 0
+            while (time.monotonicMillis() < until) {
+                val key = "${on.id}-$caller-$won"
+                val permit = (on.ledger.begin(call(key = key)) as BeginResult.Won).permit
+                finish(permit)
+                won++
+            }
+            return won
+        }
+    }
+
     @Nested
     inner class Retention {
         @Test
@@ -243,6 +295,7 @@
 
     private companion object {
         const val SEED = 11
+        const val FLEET = 10
         const val ISSUED = ManualClock.START_WALL_MILLIS
     }
 }
--- a/ledger/src/test/kotlin/io/greengageport/ledger/SimulatedWorld.kt
+++ b/ledger/src/test/kotlin/io/greengageport/ledger/SimulatedWorld.kt
@@ -113,7 +113,8 @@
     val log: LogService,
     peers: SimulatedPeers,
     seed: Int,
-    settings: LedgerSettings = LedgerSettings()
+    settings: LedgerSettings = LedgerSettings(),
+    instances: () -> Int = { 1 }
 ) {
     val lane = Lane(time)
     val ledger = OrderLedger(
@@ -123,6 +124,7 @@
         peers.join(id, lane),
         time,
         Random(seed),
+        instances,
         settings
     )
 
