--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -79,7 +79,7 @@
     private val clients = HttpClients()
     private val selector = SelectorManager(Dispatchers.IO)
     private val decisions = DecisionLog(clock)
-    private val log = HttpLogService(clients.platform, clients.once, config.platform)
+    private val log = HttpLogService(clients.platform, config.platform)
     private val platform = HttpPlatform(clients.platform, config.platform)
     private val node = PeerNode(peerSettings(config), config.peerSecret.encodeToByteArray(), clock)
     private val metrics = EntryMetrics(node::stats)
--- a/entry/src/main/kotlin/io/greengageport/entry/Http.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/Http.kt
@@ -21,16 +21,11 @@
  * Probes have a client of their own, so that they do not share connections that went silent.
  */
 internal class HttpClients : AutoCloseable {
-    /**
-     * Keeps connections open between calls, since the polls of an idle instance otherwise spend
-     * most of their time on opening new ones. A call may fail because the platform has ended its
-     * connection, so only calls that may be repeated go through this client.
-     */
-    val platform: HttpClient = newClient(keepsAlive = true)
+    val platform: HttpClient = newClient()
     val backend: HttpClient = newClient()
     val probe: HttpClient = newClient()
 
-    /** Opens a connection for each call, so that no call is sent on one that has ended. */
+    /** Closes each connection after its call, so that no call is sent on one that has ended. */
     val once: HttpClient = newClient()
 
     /** Renews this instance's entry in the instance list. */
@@ -53,14 +48,10 @@
         const val REGISTER_TIMEOUT_MILLIS = 1_000L
         const val MAX_CONNECTIONS = 8_192
 
-        fun newClient(keepsAlive: Boolean = false): HttpClient = HttpClient(CIO) {
+        fun newClient(): HttpClient = HttpClient(CIO) {
             expectSuccess = false
             install(HttpTimeout)
             engine {
-                // Without pipelining the library opens a connection for each call.
-                pipelining = keepsAlive
-                // One call at a time on a connection, so that a long poll delays no other call.
-                endpoint.pipelineMaxSize = 1
                 maxConnectionsCount = MAX_CONNECTIONS
                 endpoint.maxConnectionsPerRoute = MAX_CONNECTIONS
                 requestTimeout = 0
