--- a/bench/src/main/kotlin/io/greengageport/bench/ProgramProcess.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ProgramProcess.kt
@@ -26,6 +26,7 @@
             "-Xss512k",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=${System.getProperty("greengageport.tier", "4")}",
+            "-XX:-UseDynamicNumberOfCompilerThreads",
             "-XX:+UseStringDeduplication"
         ) + processorOptions() + listOf("-jar", jar.toString()) + arguments
     ).redirectErrorStream(true).start()
