--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -8,6 +8,7 @@
 import io.greengageport.common.Clock
 import io.greengageport.common.OrganisationName
 import io.greengageport.common.SystemClock
+import io.greengageport.ledger.LedgerSettings
 import io.greengageport.ledger.OrderLedger
 import io.greengageport.limits.OrganisationLimits
 import io.greengageport.limits.OrganisationPolicy
@@ -95,7 +96,16 @@
         random
     )
     private val publisher = SettingsPublisher(log, { store.state }, clock, random = random)
-    private val ledger = OrderLedger(log, config.instance, node, node, clock, random)
+    private val ledger = OrderLedger(
+        log,
+        config.instance,
+        node,
+        node,
+        clock,
+        random,
+        ::fleetSize,
+        LedgerSettings(readWait = ORDERS_READ_WAIT)
+    )
     private val suspects = SuspectRequests(clock)
     private val suspectExchange =
         SuspectExchange(node, node, node, suspects, MarkedReservations(clock))
@@ -149,6 +159,9 @@
     @Volatile
     private var acceptsRequests = true
 
+    @Volatile
+    private var listedInstances = 1
+
     init {
         suspectExchange.start()
     }
@@ -308,6 +321,8 @@
         scope.every(config.times.listPollMillis) {
             platform.list().onSuccess { listing ->
                 backends.onListing(listing)
+                listedInstances = listing.instances.size
+
                 updateCapacity()
                 val others = listing.instances.filter { it.id != config.instance }
                 node.addSeeds(others.map { it.peerAddress })
@@ -373,6 +388,12 @@
         state = if (isDraining.get()) ListedState.LEAVING else ListedState.LIVE
     )
 
+    /**
+     * Instances that may append to the log. The list counts those too that this instance can't
+     * reach, since without the links between them all would otherwise append at the full rate.
+     */
+    private fun fleetSize(): Int = maxOf(node.live().size, listedInstances)
+
     private fun policyOf(name: OrganisationName): OrganisationPolicy? =
         store.view.value.organisation(name)?.settings?.let {
             OrganisationPolicy(it.weight, it.tokensPerSecond?.toDouble(), it.concurrentRequests)
@@ -409,6 +430,11 @@
         const val SWEEP_MILLIS = 1_000L
         const val DRAIN_POLL_MILLIS = 20L
         val FLUSH_LIMIT = 10.seconds
+
+        /** Each read costs CPU time; a record ends it at once, so a longer wait delays nothing. */
+        val ORDERS_READ_WAIT = 2.seconds
+        val RUNNER_STATES = listOf("live", "held", "leaving", "ejected")
+
         val RUNNER_STATES = listOf("live", "held", "standby", "leaving", "ejected")
 
         /** Retries per 10 s that are allowed even when few requests arrive. */
