Add a TCP relay with faults between chosen processes of a fleet

Cause: nothing stood between the processes of the tests, so silent connections, degraded links and partitions could not be induced. Change: a fleet file names processes that others reach through a TcpRelay of the bench tool. The address that an instance prints is the one it listens on. Ruled out: one relay for each pair of processes, since all read the same instance list; telling the sender from the bytes, since the peer protocol is sealed.

--- a/bench/src/main/kotlin/io/greengageport/bench/FleetFile.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/FleetFile.kt
@@ -15,7 +15,9 @@
     val settings: String,
     val instances: List<InstanceSpec>,
     val engines: List<EngineSpec> = emptyList(),
-    val plain: List<PlainSpec> = emptyList()
+    val plain: List<PlainSpec> = emptyList(),
+    /** Names of the processes that others reach through a [TcpRelay]. */
+    val relayed: List<String> = emptyList()
 ) {
     public companion object {
         /** Reads the file at [path]. */
@@ -62,7 +64,7 @@
     /** Model version that the engine holds at its start. */
     val version: String = ""
 ) {
-    internal fun arguments(platform: String): List<String> = buildList {
+    internal fun arguments(platform: String, advertised: String?): List<String> = buildList {
         add("engine")
         option("--id", id)
         option("--service", service)
@@ -76,6 +78,7 @@
         option("--load-ms", loadMillis.toString())
         option("--accelerator", accelerator)
         if (ignoresFencing) add("--ignores-fencing")
+        advertised?.let { option("--advertise", it) }
         crashMarker?.let { option("--crash-marker", it) }
         if (version.isNotEmpty()) option("--version-loaded", version)
     }
@@ -89,12 +92,13 @@
     @SerialName("data_centre") val dataCentre: String = "dc1",
     val deduplicates: Boolean = false
 ) {
-    internal fun arguments(platform: String): List<String> = buildList {
+    internal fun arguments(platform: String, advertised: String?): List<String> = buildList {
         add("plain")
         option("--id", id)
         option("--service", service)
         option("--data-centre", dataCentre)
         option("--platform", platform)
+        advertised?.let { option("--advertise", it) }
         if (deduplicates) add("--deduplicates")
     }
 }
--- a/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/LocalFleet.kt
@@ -37,6 +37,8 @@
         .connectTimeout(Duration.ofSeconds(2))
         .build()
     private val processes = ConcurrentHashMap<String, ProgramProcess>()
+    private val owners = SocketOwners { processes.mapValues { it.value.pid } }
+    private val relays = file.relayed.associateWith { TcpRelay(it, owners::owner) }
 
     /** The platform stand-in. */
     public val platform: ProgramProcess get() = process(PLATFORM)
@@ -52,6 +54,10 @@
     public fun process(name: String): ProgramProcess =
         requireNotNull(processes[name]) { "no process is named $name" }
 
+    /** The relay in front of the process [name], which the fleet file has to name. */
+    public fun relay(name: String): TcpRelay =
+        requireNotNull(relays[name]) { "the process $name is not relayed" }
+
     /** Address for callers of the entry instance [name]. */
     public fun callers(name: String): String = process(name).listeningWords[0]
 
@@ -88,18 +94,29 @@
             ),
             PLATFORM_HEAP_MEGABYTES
         ).address
+        relays[PLATFORM]?.target = platform.address
     }
 
     /** Starts the engine [name], anew if it ended. */
     public fun startEngine(name: String): ProgramProcess {
         val e = file.engines.first { it.id == name }
-        return start(name, standins, e.arguments(platformUrl()), ENGINE_HEAP_MEGABYTES)
+        return start(
+            name,
+            standins,
+            e.arguments(platformUrl(), relays[name]?.address),
+            ENGINE_HEAP_MEGABYTES
+        )
     }
 
     /** Starts the runner [name] of a plain service, anew if it ended. */
     public fun startPlain(name: String): ProgramProcess {
         val p = file.plain.first { it.id == name }
-        return start(name, standins, p.arguments(platformUrl()), ENGINE_HEAP_MEGABYTES)
+        return start(
+            name,
+            standins,
+            p.arguments(platformUrl(), relays[name]?.address),
+            ENGINE_HEAP_MEGABYTES
+        )
     }
 
     /** Starts the entry instance [name], anew if it ended. */
@@ -212,6 +229,7 @@
     /** Ends all processes at once. */
     override fun close() {
         processes.values.forEach { it.close() }
+        relays.values.forEach { it.close() }
         work.toFile().deleteRecursively()
     }
 
@@ -222,17 +240,24 @@
 
     private fun start(name: String, jar: Path, arguments: List<String>, heap: Int): ProgramProcess {
         processes[name]?.close()
-        return ProgramProcess(name, jar, arguments, heap) { onLine(name, it) }
-            .also { processes[name] = it }
+        return ProgramProcess(name, jar, arguments, heap) {
+            if (it.startsWith(LISTENING)) relays[name]?.target = relayTarget(it)
+            onLine(name, it)
+        }.also { processes[name] = it }
     }
 
-    private fun platformUrl() = "http://${platform.address}"
+    /** Address behind a relay: that for peers of an instance, the only one of a stand-in. */
+    private fun relayTarget(line: String): String = line.removePrefix(LISTENING).trim().split(' ')
+        .let { it.getOrElse(PEERS_WORD) { _ -> it.first() } }
+
+    private fun platformUrl() = "http://${relays[PLATFORM]?.address ?: platform.address}"
 
     private fun instanceFile(i: InstanceSpec): String = buildString {
         appendLine("instance: ${i.id}")
         appendLine("data_centre: ${i.dataCentre}")
         appendLine("listen:")
         for (port in listOf("callers", "admin", "peers")) appendLine("  $port: \"127.0.0.1:0\"")
+        relays[i.id]?.let { appendLine("  advertised_peers: \"${it.address}\"") }
         appendLine("platform: \"${platformUrl()}\"")
         appendLine("peer_secret: \"loopback test secret\"")
         section("policies", i.policies)
@@ -248,6 +273,8 @@
     public companion object {
         private const val PLATFORM = "platform"
         private const val ADMIN_WORD = 2
+        private const val PEERS_WORD = 4
+        private const val LISTENING = "listening "
         private const val OK = 200
         private const val CALL_SECONDS = 120L
         private const val CONTROL_SECONDS = 3L
--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -157,7 +157,9 @@
         launchTasks(HostPort.parse(peers))
         scope.launch { announceAdmin(adminAt) }
         Logger.info("entry: instance=${config.instance} serves callers at $callersAt")
-        return Ok(BoundAddresses(callersAt, adminAt, HostPort.parse(peers)))
+        return Ok(
+            BoundAddresses(callersAt, adminAt, HostPort.parse(checkNotNull(node.listenAddress)))
+        )
     }
 
     /**
@@ -371,11 +373,14 @@
 
         fun peerSettings(c: InstanceConfig): PeerSettings {
             val at = HostPort.parse(c.listen.peers)
+            val advertised = HostPort.parseOrNull(c.listen.advertisedPeers)
             return PeerSettings(
                 id = c.instance,
                 dataCentre = c.dataCentre,
                 listenHost = at.host,
                 listenPort = at.port,
+                advertisedHost = advertised?.host ?: at.host,
+                advertisedPort = advertised?.port,
                 seeds = c.seeds
             )
         }
--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -53,7 +53,9 @@
         }
 
         private fun check(c: InstanceConfig): Result<InstanceConfig, ConfigError> {
-            val listen = listOf(c.listen.callers, c.listen.admin, c.listen.peers)
+            val l = c.listen
+            val advertised = listOf(l.advertisedPeers).filter { it.isNotEmpty() }
+            val listen = listOf(l.callers, l.admin, l.peers) + advertised
             val bad = (listen + c.seeds).firstOrNull { HostPort.parseOrNull(it) == null }
             return when {
                 bad != null -> Err(ConfigError.Invalid("an address is host:port, not '$bad'"))
@@ -105,7 +107,13 @@
 
 /** Addresses on which an instance listens, each `host:port`; port 0 asks for a free port. */
 @Serializable
-public data class ListenConfig(val callers: String, val admin: String, val peers: String)
+public data class ListenConfig(
+    val callers: String,
+    val admin: String,
+    val peers: String,
+    /** Where other instances reach [peers] if addresses are translated; empty for the same. */
+    @SerialName("advertised_peers") val advertisedPeers: String = ""
+)
 
 /** Bounds on what callers may send. */
 @Serializable
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineCommand.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineCommand.kt
@@ -83,7 +83,7 @@
                 ListedRunner(
                     id = settings.id,
                     service = settings.service,
-                    address = address.toString(),
+                    address = runner.advertised ?: address.toString(),
                     dataCentre = settings.dataCentre,
                     state = if (engine.isLeaving) ListedState.LEAVING else ListedState.LIVE,
                     accelerator = settings.accelerator,
--- a/standins/src/main/kotlin/io/greengageport/standins/PlainCommand.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlainCommand.kt
@@ -32,7 +32,7 @@
                 ListedRunner(
                     id = RunnerId(runner.id),
                     service = ServiceName(runner.service),
-                    address = address.toString(),
+                    address = runner.advertised ?: address.toString(),
                     dataCentre = DataCentre(runner.dataCentre),
                     state = if (plain.isLeaving) ListedState.LEAVING else ListedState.LIVE
                 )
--- a/standins/src/main/kotlin/io/greengageport/standins/RunnerOptions.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/RunnerOptions.kt
@@ -18,4 +18,7 @@
 
     @Option(names = ["--platform"], description = ["Base URL of the platform."])
     var platform: String? = null
+
+    @Option(names = ["--advertise"], description = ["Address in the instance list."])
+    var advertised: String? = null
 }
