Try a slow link again after a pause, and single it out at once

Cause, by reading and by unit tests: a pair of runners whose hops deviate is avoided, so nothing observes it any more and its estimate stayed for good. Conclusion: proved in the module only.

--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -90,7 +90,7 @@
         node,
         Fleet(),
         LoadEstimator(),
-        LinkEstimator(),
+        LinkEstimator(clock),
         PrefixIndex(),
         OutlierDetector(clock),
         SuspectRequests(clock)
--- a/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelPathTest.kt
@@ -193,7 +193,7 @@
         NoGossip,
         Fleet(),
         LoadEstimator(),
-        LinkEstimator(),
+        LinkEstimator(SystemClock),
         PrefixIndex(),
         outliers,
         SuspectRequests(SystemClock)
--- a/entry/src/test/kotlin/io/greengageport/entry/RunnerHoldTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/RunnerHoldTest.kt
@@ -23,7 +23,7 @@
             bus,
             Fleet(),
             LoadEstimator(),
-            LinkEstimator(),
+            LinkEstimator(clock),
             PrefixIndex(),
             OutlierDetector(clock),
             SuspectRequests(clock)
--- a/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
@@ -74,7 +74,8 @@
 
     @Nested
     inner class Link {
-        private val links = LinkEstimator(maxPairs = 2)
+        private val clock = ManualClock()
+        private val links = LinkEstimator(clock, maxPairs = 2)
         private val x = runner("x")
         private val y = runner("y")
         private val z = runner("z")
@@ -90,6 +91,38 @@
             expectThat(links.hopMillis(y, x)).isLessThan(12.0)
         }
 
+        /** Guards against a link that is avoided for good, since nothing observes it any more. */
+        @Test
+        fun `tries a slow pair again after a pause that grows while it stays slow`() {
+            fun slow() = links.hopMillis(x, z) > 5.0
+
+            fun observe(millis: Double): Boolean {
+                links.observe(x, z, millis)
+                repeat(50) { links.observe(centres[0], centres[0], 1.0) }
+                return slow()
+            }
+
+            fun after(millis: Long) = clock.advance(millis).let { slow() }
+            repeat(50) { links.observe(centres[0], centres[0], 1.0) }
+            val r = LinkEstimator.RETRY_MILLIS
+            expectThat(
+                listOf(observe(20.0), after(r - 1), after(1)) +
+                    listOf(observe(20.0), after(r), after(r), observe(1.0))
+            ).isEqualTo(listOf(true, true, false, true, true, false, false))
+        }
+
+        /** Guards against a link that hides its slowness in the average of its data centres. */
+        @Test
+        fun `singles out a known pair that turns slow although half of the hops use it`() {
+            repeat(10) { listOf(y, z).forEach { links.observe(x, it, 1.0) } }
+            val slow = (1..10).map {
+                links.observe(x, z, 20.0)
+                links.observe(x, y, 1.0)
+                links.hopMillis(x, z) > 2 * links.hopMillis(x, y)
+            }
+            expectThat(slow.distinct()).isEqualTo(listOf(true))
+        }
+
         @Test
         fun `forgets the pair observed longest ago`() {
             repeat(2) { links.observe(centres[0], centres[0], 1.0) }
--- a/routing/src/test/kotlin/io/greengageport/routing/Fixtures.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/Fixtures.kt
@@ -50,7 +50,7 @@
 internal class World(
     val clock: ManualClock = ManualClock(),
     val loads: LoadEstimator = LoadEstimator(),
-    val links: LinkEstimator = LinkEstimator(),
+    val links: LinkEstimator = LinkEstimator(clock),
     val prefixes: PrefixIndex = PrefixIndex()
 ) {
     val costs = CostModel(loads, links, prefixes, clock)
