--- a/entry/src/test/kotlin/io/greengageport/entry/RunnerHoldTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/RunnerHoldTest.kt
@@ -21,7 +21,7 @@
             bus,
             Fleet(),
             LoadEstimator(),
-            LinkEstimator(),
+            LinkEstimator(clock),
             PrefixIndex(),
             OutlierDetector(clock),
             SuspectRequests(clock)
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -36,7 +36,9 @@
     spare: List<String> = emptyList(),
     settings: String = "settings.yaml",
     times: Map<String, Long> = emptyMap(),
-    snapshots: Map<String, Long> = emptyMap()
+    snapshots: Map<String, Long> = emptyMap(),
+    relayed: List<String> = emptyList(),
+    dataCentreOf: (instance: Int) -> String = { "dc1" }
 ) : AutoCloseable {
     val local: LocalFleet = LocalFleet(
         Path.of(System.getProperty("greengageport.root")),
@@ -44,10 +46,11 @@
             platform = platform,
             settings = settings,
             instances = (1..instances).map {
-                InstanceSpec("entry-$it", times = times, snapshots = snapshots)
+                InstanceSpec("entry-$it", dataCentreOf(it), times = times, snapshots = snapshots)
             } + spare.map { InstanceSpec(it, startsLater = true, snapshots = snapshots) },
             engines = engines,
-            plain = plain
+            plain = plain,
+            relayed = relayed
         ),
         Path.of(TestFleet::class.java.getResource("/$settings")!!.toURI()).parent
     )
@@ -84,6 +87,16 @@
         ).joinToString("\r\n").encodeToByteArray()
     }
 
+    /** The state of the runner [runner] as [instance] sees it, or an empty text. */
+    fun stateOf(runner: String, instance: String): String =
+        local.statusOrNull(instance)?.runners?.find { it.id.value == runner }?.state.orEmpty()
+
+    /** The sum of the metrics of [instance] whose line starts with [prefix]. */
+    fun metric(instance: String, prefix: String): Double =
+        local.get("http://${local.admin(instance)}/metrics").body().lines()
+            .filter { it.startsWith(prefix) }
+            .sumOf { it.substringAfterLast(' ').toDouble() }
+
     /** Sends a completion that is answered as a whole. */
     fun complete(instance: String, prompt: String, tokens: Int): HttpResponse<String> = local.post(
         "http://${local.callers(instance)}/v1/completions",
@@ -97,13 +110,15 @@
         instance: String,
         key: String,
         issuedAt: Instant = Instant.now(),
-        body: String = ORDER
+        body: String = ORDER,
+        deadlineMillis: Long = 60_000
     ): CallEnd = CallEnd.of {
         local.post(
             "http://${local.callers(instance)}/services/parts/orders/marble",
             body,
             "Authorization" to "Bearer $BUILDERS",
             "Greengage-Rank" to "urgent",
+            "Greengage-Deadline-Ms" to deadlineMillis.toString(),
             "Idempotency-Key" to key,
             "Greengage-Issued-At" to issuedAt.toString()
         )
@@ -113,9 +128,12 @@
     fun startOrder(
         instance: String,
         key: String,
-        issuedAt: Instant = Instant.now()
-    ): CompletableFuture<CallEnd> =
-        CompletableFuture.supplyAsync({ order(instance, key, issuedAt) }, callers)
+        issuedAt: Instant = Instant.now(),
+        deadlineMillis: Long = 60_000
+    ): CompletableFuture<CallEnd> = CompletableFuture.supplyAsync(
+        { order(instance, key, issuedAt, deadlineMillis = deadlineMillis) },
+        callers
+    )
 
     /** Calls that the runner [name] of a plain service received so far. */
     fun received(name: String): Long = counter(name, "received")
@@ -282,10 +300,12 @@
             until: Int,
             stepMillis: Long = 15,
             crashMarker: String? = null,
-            ignoresFencing: Boolean = false
+            ignoresFencing: Boolean = false,
+            dataCentre: String = "dc1"
         ): EngineSpec = EngineSpec(
             id = id,
             service = "guide",
+            dataCentre = dataCentre,
             from = from,
             until = until,
             stepMillis = stepMillis,
