--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -435,8 +435,6 @@
 
         /** Each read costs CPU time; a record ends it at once, so a longer wait delays nothing. */
         val ORDERS_READ_WAIT = 2.seconds
-        val RUNNER_STATES = listOf("live", "held", "leaving", "ejected")
-
         val RUNNER_STATES = listOf("live", "held", "standby", "leaving", "ejected")
 
         /** Retries per 10 s that are allowed even when few requests arrive. */
