--- a/entry/src/test/kotlin/io/greengageport/entry/RunnerLeavingTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/RunnerLeavingTest.kt
@@ -27,7 +27,7 @@
             bus,
             Fleet(),
             LoadEstimator(),
-            LinkEstimator(),
+            LinkEstimator(clock),
             PrefixIndex(),
             OutlierDetector(clock),
             SuspectRequests(clock)
