Let engine stand-ins keep to their stated rate and report open work

The scheduler ran a step without items whenever an old wake-up was left, charged a whole step for a part of the layer range, added up the lateness of its timers, and reported the items at the moment as queued tokens, where load reports state the work not yet done; a queue weighed little against the link times of all tokens.

--- a/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineServer.kt
@@ -32,6 +32,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.math.roundToLong
 import kotlin.random.Random
 import kotlin.system.exitProcess
 import kotlinx.coroutines.CoroutineScope
@@ -43,6 +44,7 @@
 internal class EngineServer(private val settings: EngineSettings, private val client: HttpClient) {
     private val bootId = Random.nextLong().toULong().toString(HEX)
     private val scheduler = StepScheduler(settings.stepMillis, settings.batch)
+    private val work = OpenWork()
     private val cache = PrefixCache(settings.cacheTokens)
     private val kvCache = ConcurrentHashMap<RequestId, Int>()
     private val cancelled = ConcurrentHashMap.newKeySet<RequestId>()
@@ -82,7 +84,7 @@
         bootId = bootId,
         reportedAtMillis = System.currentTimeMillis(),
         running = running.get(),
-        queuedTokens = scheduler.queued.toLong(),
+        queuedTokens = work.tokens().roundToLong(),
         tokensPerSecond = scheduler.itemsPerSecond,
         layers = layers,
         version = version,
@@ -146,7 +148,9 @@
                         cancelled = cancels.get(),
                         fencing = fencing.get(),
                         ordersAccepted = orders.get(),
-                        version = version
+                        version = version,
+                        batches = scheduler.batches,
+                        busyMillis = scheduler.busyMillis
                     )
                 )
             )
@@ -208,7 +212,8 @@
                 promptTokens = prefill,
                 priority = g.priority,
                 route = g.route,
-                position = 0
+                position = 0,
+                maxTokens = g.maxTokens
             )
         ) ?: return null
         return TokenFrame(
@@ -233,7 +238,10 @@
             s.promptTokens <= 0 || kvCache.containsKey(s.request) -> 0
             else -> (s.promptTokens - 1) / settings.prefillTokensPerStep
         }
-        scheduler.run(s.priority, items = 1 + prefillSteps)
+        val part = (hop.until - hop.from).toDouble() / layers.size
+        work.note(s.request, part * maxOf(1, s.maxTokens - s.index))
+        scheduler.run(s.priority, items = 1 + prefillSteps, part)
+        work.note(s.request, part * (s.maxTokens - s.index - 1))
         kvCache[s.request] = s.index + 1
         val trace = StageTrace(settings.id, hop.from, hop.until)
         val activation = ModelFunction.run(s.activation, hop.from, hop.until)
--- a/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/EngineSettings.kt
@@ -75,7 +75,7 @@
 
 /** What an engine stand-in did so far. */
 @Serializable
-internal data class EngineCounters(
+public data class EngineCounters(
     val generates: Long,
     val steps: Long,
     val running: Int,
@@ -83,5 +83,8 @@
     @SerialName("tokens_after_cancel") val tokensAfterCancel: Long = 0,
     val fencing: Long,
     @SerialName("orders_accepted") val ordersAccepted: Long,
-    val version: String
+    val version: String,
+    /** Batches that were run, and the time that this took. */
+    val batches: Long = 0,
+    @SerialName("busy_ms") val busyMillis: Long = 0
 )
