--- a/bench/src/main/kotlin/io/greengageport/bench/Arrivals.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Arrivals.kt
@@ -42,7 +42,8 @@
         return out
     }
 
-    private fun rate(g: CallerGroup, at: Double): Double =
+    /** Requests per second of [g] at a time. */
+    fun rate(g: CallerGroup, at: Double): Double =
         g.surges.firstOrNull { at >= it.fromSeconds && at < it.untilSeconds }?.rate ?: g.rate
 
     private fun exponential(random: Random, rate: Double) = -ln(1 - random.nextDouble()) / rate
--- a/bench/src/main/kotlin/io/greengageport/bench/ExperimentResult.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ExperimentResult.kt
@@ -8,7 +8,9 @@
 internal data class Machine(
     val cores: Int,
     @SerialName("load_before") val loadBefore: Double,
-    @SerialName("load_after") val loadAfter: Double
+    @SerialName("load_after") val loadAfter: Double,
+    /** Mean share of all cores that was in use, 0 to 1. */
+    @SerialName("cpu_share") val cpuShare: Double = 0.0
 )
 
 /** All figures of one experiment. */
@@ -45,12 +47,19 @@
     val orders: OrderCheck,
     val recoveries: List<RecoveryTime>,
     val seconds: List<SecondRow>,
+    /** Absent if the callers never asked for more than the bound. */
+    val overloaded: OverloadedPart? = null,
+    val engines: List<EngineUse> = emptyList(),
     @SerialName("engines_lost") val enginesLost: Int = 0,
     val problems: List<String> = emptyList()
 ) {
     val boundShare: Double
         get() = if (boundTokensPerSecond > 0) tokensPerSecond / boundTokensPerSecond else 0.0
 
+    /** Share of the bound in the seconds in which more than the bound was asked for. */
+    val overloadedShare: Double?
+        get() = overloaded?.let { it.tokensPerSecond / boundTokensPerSecond }
+
     val tokensWasted: Long get() = maxOf(0, tokensComputed - tokensReceived)
 }
 
--- a/bench/src/main/kotlin/io/greengageport/bench/ExperimentRunner.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/ExperimentRunner.kt
@@ -4,6 +4,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.time.Instant
+import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -84,28 +85,36 @@
         val watch = FleetWatch(fleet, file, service)
         watch.poll()
         val before = watch.tokensComputed
+        val usedBefore = watch.engines()
         val loadBefore = loadAverage()
         val generator = LoadGenerator(addresses, System.nanoTime())
         val events = EventRunner(fleet, file, experiment, generator::now)
-        val results = coroutineScope {
+        val (results, used) = coroutineScope {
             val polling = watch.start(this)
             val running = events.start(this)
+            // Without the time in which the last answers end.
+            val sample = async {
+                delay(experiment.durationSeconds * MILLIS_PER_SECOND)
+                watch.engines()
+            }
             val r = generator.run(arrivals, LIMIT_MILLIS)
             polling.cancel()
             running.cancel()
-            r
+            r to sample.await()
         }
         // The engines end what was cancelled before their counters are read.
         delay(SETTLE_MILLIS)
         watch.poll()
         val s = Statistics(results, experiment.durationSeconds)
+        val above = Demand(experiment.groups, experiment.durationSeconds).secondsAbove(watch.bound)
         return VariantResult(
             name = name,
             policies = policies,
             machine = Machine(
                 Runtime.getRuntime().availableProcessors(),
                 loadBefore,
-                loadAverage()
+                loadAverage(),
+                watch.cpuShare
             ),
             rows = s.rows(),
             boundTokensPerSecond = watch.bound,
@@ -117,6 +126,9 @@
             orders = OrderCheck.of(results, effects(fleet, file)),
             recoveries = recoveries(s),
             seconds = s.seconds(),
+            overloaded = above.takeIf { it.isNotEmpty() }
+                ?.let { OverloadedPart(it.size, s.tokensPerSecond(it)) },
+            engines = EngineUse.between(usedBefore, used, file.engines),
             enginesLost = events.enginesLost,
             problems = events.problems.toList() + internalErrors(fleet)
         )
@@ -157,6 +169,7 @@
     private companion object {
         /** An answer that takes longer than this counts as a hang. */
         const val LIMIT_MILLIS = 60_000L
+        const val MILLIS_PER_SECOND = 1_000L
         const val SETTLE_MILLIS = 500L
         const val MAX_LINES = 5
     }
--- a/bench/src/main/kotlin/io/greengageport/bench/FleetWatch.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/FleetWatch.kt
@@ -1,5 +1,8 @@
 package io.greengageport.bench
 
+import com.sun.management.OperatingSystemMXBean
+import io.greengageport.standins.EngineCounters
+import java.lang.management.ManagementFactory
 import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
@@ -9,9 +12,6 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.jsonObject
-import kotlinx.serialization.json.jsonPrimitive
-import kotlinx.serialization.json.long
 
 /**
  * Polls counters of engines and the fleet's bound while an experiment runs.
@@ -24,15 +24,22 @@
     private val file: FleetFile,
     private val service: String
 ) {
-    private val steps = ConcurrentHashMap<Pair<String, Long>, Long>()
+    private val counters = ConcurrentHashMap<Pair<String, Long>, EngineCounters>()
+    private val cpuShares = java.util.concurrent.ConcurrentLinkedQueue<Double>()
+    private val machine = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean::class.java)
     private val bounds = java.util.concurrent.ConcurrentLinkedQueue<Double>()
     private val layers = file.engines.filter { it.service == service }.maxOfOrNull { it.until } ?: 0
 
     /** Only these engines run the last layer, so their steps are the tokens computed. */
-    private val lastStages = file.engines.filter { it.service == service && it.until == layers }
+    private val lastStages =
+        file.engines.filter { it.service == service && it.until == layers }.map { it.id }
 
     /** Tokens that left a last stage so far. */
-    val tokensComputed: Long get() = steps.values.sum()
+    val tokensComputed: Long
+        get() = counters.filterKeys { it.first in lastStages }.values.sumOf { it.steps }
+
+    /** Mean share of the machine's processors that was in use, 0 to 1. */
+    val cpuShare: Double get() = if (cpuShares.isEmpty()) 0.0 else cpuShares.average()
 
     /** Mean bound in tokens per second. */
     val bound: Double get() = if (bounds.isEmpty()) 0.0 else bounds.average()
@@ -47,25 +54,30 @@
 
     /** Reads all counters and the bound once. */
     fun poll() {
-        for (e in lastStages) readSteps(e.id)
+        machine.cpuLoad.takeIf { it > 0 }?.let { cpuShares += it }
+        for (e in file.engines) if (e.service == service) readCounters(e.id)
         val instance = fleet.instances.firstOrNull { fleet.process(it).isAlive } ?: return
         fleet.statusOrNull(instance)?.services?.firstOrNull { it.name.value == service }
             ?.let { bounds += it.boundTokensPerSecond }
     }
 
-    private fun readSteps(engine: String) {
+    /** Counters of each engine and process at the last poll, with the time of this call. */
+    fun engines(): EngineSample = EngineSample(System.nanoTime(), counters.toMap())
+
+    private fun readCounters(engine: String) {
         val p = fleet.process(engine)
         if (!p.isAlive) return
         val n = try {
             val body = fleet.get("http://${p.address}/counters", LIMIT).body()
-            Json.parseToJsonElement(body).jsonObject["steps"]?.jsonPrimitive?.long ?: return
+            json.decodeFromString<EngineCounters>(body)
         } catch (e: java.io.IOException) {
             return
         }
-        steps.merge(engine to p.pid, n, ::maxOf)
+        counters[engine to p.pid] = n
     }
 
     private companion object {
+        val json = Json { ignoreUnknownKeys = true }
         const val POLL_MILLIS = 500L
 
         /** A frozen engine does not hold up the polls of the others for longer. */
--- a/bench/src/main/kotlin/io/greengageport/bench/MarkdownReport.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/MarkdownReport.kt
@@ -76,6 +76,20 @@
         line(r, "bound, tokens/s") { one(it.boundTokensPerSecond) }
         line(r, "answered tokens/s") { one(it.tokensPerSecond) }
         line(r, "share of the bound") { "${one(it.boundShare * PERCENT)}%" }
+        if (r.variants.any { it.overloaded != null }) {
+            line(r, "share of the bound while demand exceeded it") { v ->
+                val share = v.overloadedShare ?: return@line "none"
+                "${one(share * PERCENT)}% in ${v.overloaded?.seconds} s"
+            }
+        }
+        line(r, "engines: time busy / batches full / step over nominal") { v ->
+            val used = v.engines.filter { it.batches > 0 }
+            listOf<(EngineUse) -> Double>({ it.busyShare }, { it.fill }, { it.stepRatio })
+                .joinToString(" / ") { f ->
+                    "${one(if (used.isEmpty()) 0.0 else used.map(f).average() * PERCENT)}%"
+                }
+        }
+        line(r, "machine's processors in use") { "${one(it.machine.cpuShare * PERCENT)}%" }
         line(r, "tokens computed") { it.tokensComputed.toString() }
         line(r, "tokens wasted") { it.tokensWasted.toString() }
         line(r, "wrong, mixed, truncated or duplicated answers") { v ->
--- a/bench/src/main/kotlin/io/greengageport/bench/Statistics.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Statistics.kt
@@ -109,6 +109,16 @@
             )
         }
 
+    /** Tokens per second of answered requests that arrived in the given [seconds] of the run. */
+    fun tokensPerSecond(seconds: Collection<Int>): Double {
+        val counted = seconds.toSet()
+        if (counted.isEmpty()) return 0.0
+        val tokens = results.filter { it.isAnswered }.sumOf { r ->
+            r.last.tokenTimes.count { (it / NANOS_PER_SECOND).toInt() in counted }
+        }
+        return tokens.toDouble() / counted.size
+    }
+
     private fun buckets(rank: String, from: Double, until: Double): List<Bucket> {
         val count = maxOf(0, (until - from).toInt())
         val start = (from * NANOS_PER_SECOND).toLong()
