Warn of the weight of a rank, which has no effect

Cause: the setting is documented as the value of a request relative to other ranks, and nothing reads it. Operators decide between ranks by priority and floorShare, which the queue, shedding and the engines follow; a third quantity would contradict "urgent first" or repeat the floor. So it is left without an effect, since stored settings carry it, the page says so, and the check warns of a value other than 1.

--- a/cli/src/main/kotlin/io/greengageport/cli/CheckCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/CheckCommand.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.fold
 import io.greengageport.settings.KeyHash
+import io.greengageport.settings.RankSettings
+import io.greengageport.settings.SettingsDocument
 import io.greengageport.settings.SettingsFile
 import io.greengageport.settings.SettingsPath
 import java.io.IOException
@@ -41,6 +43,7 @@
         }
         return SettingsFile.parse(text, SettingsPath(path.trim('/'))).fold(
             success = {
+                withoutEffect(it).forEach { w -> System.err.println("$file: warning: $w") }
                 if (json) println("[]") else println("$file: ${it.size} documents, no errors")
                 ExitCodes.OK
             },
@@ -50,6 +53,17 @@
             }
         )
     }
+
+    private fun withoutEffect(documents: Map<SettingsPath, SettingsDocument>): List<String> =
+        documents.mapNotNull { (at, d) ->
+            (d as? RankSettings)?.takeIf { it.weight != RANK_WEIGHT }?.let {
+                "$at weight: has no effect; priority and floorShare decide between ranks"
+            }
+        }
+
+    private companion object {
+        const val RANK_WEIGHT = 1.0
+    }
 }
 
 /** Prints the hash of a key read from standard input, for `keyHashes` in settings. */
--- a/cli/src/test/kotlin/io/greengageport/cli/CommandLineTest.kt
+++ b/cli/src/test/kotlin/io/greengageport/cli/CommandLineTest.kt
@@ -5,6 +5,7 @@
 import java.io.PrintStream
 import java.net.InetSocketAddress
 import java.nio.file.Path
+import kotlin.io.path.writeText
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -126,6 +127,20 @@
         }
     }
 
+    /** Guards against operators who set a value of a rank and wait for its effect. */
+    @Test
+    fun `the check warns of a rank's weight, which has no effect`() {
+        val f = directory.resolve("s.yaml")
+        val rank = "firstTokenMillis: 340, betweenTokensMillis: 57, deadlineMillis: 10000"
+        f.writeText(
+            "ranks:\n  urgent: { priority: 0, $rank, weight: 100 }\n  low: { priority: 1, $rank }\n"
+        )
+        expectThat(run("check", "$f")).isEqualTo(
+            "0 $f: warning: ranks/urgent weight: has no effect; priority and floorShare decide " +
+                "between ranks\n$f: 2 documents, no errors"
+        )
+    }
+
     /** Guards against options and parameters that `--help` leaves unexplained. */
     @Test
     fun `each command, option and parameter has a help text`() {
--- a/settings/src/main/kotlin/io/greengageport/settings/SettingsDocument.kt
+++ b/settings/src/main/kotlin/io/greengageport/settings/SettingsDocument.kt
@@ -21,9 +21,9 @@
  *
  * [priority] 0 is the most urgent. [firstTokenMillis] and [betweenTokensMillis] are targets for 95
  * in 100 requests and gaps. [floorShare] is the share of capacity (0 to 1) that the rank keeps
- * under overload; [deadlineMillis] applies to requests that name none; [weight] is the value of a
- * request of the rank relative to those of other ranks. [retryReserveShare] is the share (0 to 1)
- * of the retry budget that only this rank may use.
+ * under overload; [deadlineMillis] applies to requests that name none; [weight] has no effect,
+ * since the priority and the floor already decide between ranks. [retryReserveShare] is the share
+ * (0 to 1) of the retry budget that only this rank may use.
  */
 @Serializable
 @SerialName("rank")
