Count the progress of answers, and keep slow streams of lower ranks alive

Cause: the whole work of an answer was taken off a runner's estimate when it ended, also the part that a load report had left out as done; so a runner that had just ended a long answer looked empty.

Change: every eight tokens are taken off as they come. A stream counts as silent after eight of its rank's targets between tokens (2 s for 250 ms), at least the configured silence, so nothing changes at 57 ms. The first frame waits at most the rank's first-token target longer for open work, as engines batch.

--- a/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
@@ -15,6 +15,7 @@
 import io.greengageport.routing.AnswerFrame
 import io.greengageport.routing.CostModel
 import io.greengageport.routing.FrameOutcome
+import io.greengageport.routing.PlannedStage
 import io.greengageport.routing.PrefixIndex
 import io.greengageport.routing.RetryDecision
 import io.greengageport.routing.RoutingDecision
@@ -183,8 +184,11 @@
         val wait = d.stages.sumOf { it.waitMillis }.toLong()
         return StreamTimes(
             connectMillis = t.connectMillis.toLong(),
-            firstFrameMillis = 2 * silence + minOf(wait, MAX_EXPECTED_WAIT_MILLIS),
-            frameMillis = silence
+            // Engines batch, so the first token does not wait for all the work that is open.
+            firstFrameMillis = 2 * silence +
+                minOf(wait, context.rank.settings.firstTokenMillis.toLong()),
+            // An engine that serves more urgent requests first delays the others, which are alive.
+            frameMillis = maxOf(silence, SILENT_GAPS * context.rank.settings.betweenTokensMillis)
         )
     }
 
@@ -203,6 +207,8 @@
             is FrameOutcome.Token -> {
                 execution = Execution.RAN
                 a.observer.onFrame(f)
+                a.progress++
+                if (a.progress - a.reported >= PROGRESS_TOKENS) reportProgress(a)
                 if (isMarked) isMarked = !suspects.progressed(context.id, assembler.size)
                 sink.token(outcome.text, outcome.last)
                 when {
@@ -229,7 +235,9 @@
         current = null
         assembler.endAttempt()
         val now = parts.clock.wallMillis()
-        for (s in a.decision.stages) parts.backends.loads.finished(s.id, s.workTokens, now)
+        for (s in a.decision.stages) {
+            parts.backends.loads.finished(s.id, s.workTokens - a.reported * s.tokenWork(), now)
+        }
         if (!a.observer.isEmpty) parts.backends.answered(a.decision.stages.map { it.id })
         a.observer.report(parts.backends.outliers, parts.backends.links)
         a.observer.gapMillis?.let { admission.observeGap(it) }
@@ -239,6 +247,16 @@
         parts.metrics.attempts.labelValues(context.service.name.value, how).inc()
     }
 
+    /** Work that later load reports leave out must not be taken off again at the end. */
+    private fun reportProgress(a: Attempt) {
+        val now = parts.clock.wallMillis()
+        val tokens = a.progress - a.reported
+        for (s in a.decision.stages) {
+            parts.backends.loads.finished(s.id, tokens * s.tokenWork(), now)
+        }
+        a.reported = a.progress
+    }
+
     /** Finds out which stages failed, so that the next attempt avoids them. */
     private suspend fun diagnose(d: RoutingDecision, end: StreamEnd) {
         val head = d.stages.first()
@@ -341,12 +359,27 @@
         val observer: AttemptObserver
     ) {
         val address: String = route.first().address
+
+        /** Tokens of the attempt. */
+        var progress = 0
+
+        /** Tokens that the load estimator counts as finished. */
+        var reported = 0
     }
 
     private companion object {
         const val RETRY_MILLIS = 1_000L
         const val MARKED_WAIT_MILLIS = 20L
-        const val MAX_EXPECTED_WAIT_MILLIS = 10_000L
+
+        /** Bounds the cost of counting; a few tokens are little against a queue. */
+        const val PROGRESS_TOKENS = 8
+
+        /** Work of one token at a stage, in tokens of its whole layer range. */
+        fun PlannedStage.tokenWork(): Double =
+            (layers?.size ?: 1).toDouble() / (runner.layers?.size ?: 1)
+
+        /** Targets between tokens that pass before a stream counts as silent. */
+        const val SILENT_GAPS = 8L
 
         /** An interrupted answer goes on within 1 s, so its backoff is bounded. */
         const val MAX_RESUME_DELAY_MILLIS = 200L
