Size slots by the gap between tokens that each rank allows

Cause: slots were the bound times the 57 ms of the most urgent rank, while tokens of this fleet take 64 to 91 ms. By Little's law that many streams cannot keep the engines busy; their batches were 69% full. Ruled out: lateness of the engines' timers (102%), idle instances (all slots were used).

Change: a rank's slots are the bound times its own gap, between 1.25 and 3 times the urgent one; a rank fills its part together with the more urgent ranks. Running requests of lower ranks do not count for a more urgent one, since engines serve it first; this replaces the quarter of extra urgent slots. The naive queue keeps to the smallest part, as before. The service rate is measured while requests wait, also below the last slot.

--- a/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ServiceAdmission.kt
@@ -131,14 +131,14 @@
 
     /** Applies the load reports to the capacity of all services. */
     fun onLoads(view: SettingsView, liveInstances: Int) {
-        val target = view.ranks.firstOrNull()?.settings?.betweenTokensMillis ?: DEFAULT_GAP_MILLIS
+        val gap = RankSlots(view.ranks.map { it.settings }).largestGapMillis
         for (s in view.services) {
             val a = of(s, view)
             a.sample()
             val reports = backends.reports(s.name)
             val newest = reports.maxOfOrNull { it.reportedAtMillis } ?: 0
             val age = maxOf(0, clock.wallMillis() - newest)
-            a.updateCapacity(fleetLoad(s, reports.sumOf { it.running }, target), age, liveInstances)
+            a.updateCapacity(fleetLoad(s, reports.sumOf { it.running }, gap), age, liveInstances)
         }
     }
 
@@ -148,7 +148,7 @@
         services.values.forEach { it.stopAdmitting() }
     }
 
-    private fun fleetLoad(s: Service, running: Int, gapMillis: Int): FleetLoad {
+    private fun fleetLoad(s: Service, running: Int, gapMillis: Double): FleetLoad {
         val fleet = backends.fleet.service(s.name)
         if (s.settings.plain != null) {
             val live = fleet.runners.count { !it.leaving }
@@ -167,8 +167,7 @@
             queue = if (policies.queue == QueuePolicy.FIFO) FifoQueue(q) else FairQueue(q),
             limits = limits,
             capacity = Capacity(INITIAL_SLOTS),
-            observer = ::observe,
-            urgentExtraShare = URGENT_EXTRA_SHARE
+            observer = ::observe
         )
         val a = ServiceAdmission(clock, controller, work)
         scope.launch { a.run() }
@@ -189,24 +188,22 @@
     }
 
     companion object {
-        private const val DEFAULT_GAP_MILLIS = 57
         private const val MILLIS_PER_SECOND = 1_000.0
         private const val PLAIN_SLOTS_PER_RUNNER = 64.0
 
-        /** Engines serve urgent requests first, so that some more of them than slots do no harm. */
-        private const val URGENT_EXTRA_SHARE = 0.25
-
         /** Requests at a time before the first load reports arrive. */
         private const val INITIAL_SLOTS = 16
 
         /** The queue settings of a settings version. */
         fun queueSettings(view: SettingsView): QueueSettings {
+            val slots = RankSlots(view.ranks.map { it.settings })
             val ranks = view.ranks.map {
                 RankPolicy(
                     name = it.name,
                     priority = it.settings.priority,
                     floorShare = it.settings.floorShare,
-                    firstTokenTargetMillis = it.settings.firstTokenMillis.toLong()
+                    firstTokenTargetMillis = it.settings.firstTokenMillis.toLong(),
+                    slotShare = slots.shareOf(it.settings)
                 )
             }
             return QueueSettings(
--- a/limits/src/main/kotlin/io/greengageport/limits/AdmissionController.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/AdmissionController.kt
@@ -9,7 +9,6 @@
 import io.greengageport.common.RequestId
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
-import kotlin.math.ceil
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
@@ -38,9 +37,7 @@
     capacity: Capacity,
     private val adaptive: AimdLimit? = null,
     private val firstTokenTargetMillis: (QueuedRequest) -> Long = { Long.MAX_VALUE },
-    private val observer: AdmissionObserver = AdmissionObserver { },
-    /** Slots for the most urgent rank beyond those of the capacity, as a share of them. */
-    private val urgentExtraShare: Double = 0.0
+    private val observer: AdmissionObserver = AdmissionObserver { }
 ) {
     private val lock = ReentrantLock()
     private val waiters = HashMap<RequestId, Waiter>()
@@ -196,7 +193,7 @@
 
     private fun dispatch(nowMillis: Long) {
         while (hasTokens(nowMillis)) {
-            val request = next() ?: return
+            val request = queue.poll(slots()) ?: return
             val waiter = checkNotNull(waiters.remove(request.id)) { "no caller of ${request.id}" }
             if (inFlight + 1 == slots()) meter.record(0, wasSaturated = false, nowMillis)
             inFlight++
@@ -211,19 +208,6 @@
         takenTokens += tokens
     }
 
-    /**
-     * A running request keeps its slot to its end, so the most urgent rank may have some slots
-     * more; the engines serve it before what runs in the others.
-     */
-    private fun next(): QueuedRequest? {
-        val slots = slots()
-        return when {
-            inFlight < slots -> queue.poll()
-            inFlight < slots + ceil(slots * urgentExtraShare).toInt() -> queue.pollUrgent()
-            else -> null
-        }
-    }
-
     private fun permitFor(waiter: Waiter, nowMillis: Long): Permit = Permit(
         id = waiter.request.id,
         waitedMillis = nowMillis - waiter.arrivedAt,
@@ -241,7 +225,7 @@
         val now = clock.monotonicMillis()
         limits.release(request.organisation, request.estimatedTokens, actualTokens, now)
         answer {
-            meter.record(actualTokens, wasSaturated = inFlight >= slots(), now)
+            meter.record(actualTokens, wasSaturated = isSaturated(), now)
             updateServiceRate()
             inFlight--
             take(actualTokens - request.estimatedTokens)
@@ -289,6 +273,9 @@
         observer.onDecision(AdmissionDecision(waiter.request, outcome, waited, retryAfterMillis))
     }
 
+    /** Whether a request waits for a slot, or the last slot is taken. */
+    private fun isSaturated() = queue.size > 0 || inFlight >= slots()
+
     private fun slots(): Int = minOf(capacity.slots, adaptive?.limit ?: Int.MAX_VALUE)
 
     private fun hasTokens(nowMillis: Long): Boolean =
--- a/limits/src/main/kotlin/io/greengageport/limits/FairQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/FairQueue.kt
@@ -15,6 +15,10 @@
  * requests is free. With up to two floors, a rank that stays backlogged from a credit of 0 is never
  * more than one request's work behind its floor.
  *
+ * *Slots.* A rank may fill its part of the slots together with the more urgent ranks. Requests of
+ * lower ranks that run do not count, since the engines serve more urgent requests first; so a rank
+ * with a larger part fills the time that more urgent ones leave to the engines.
+ *
  * *Bounds.* When the queue exceeds its length or work bound, it sheds from the lowest rank whose
  * part of the bound is above its floor, the organisation with the most queued work, its latest
  * deadline. The request being offered takes part, so it may be the one that is refused.
@@ -47,25 +51,27 @@
         return Offer.Refused(RefusalReason.FULL, retry, shed - request)
     }
 
-    override fun poll(): QueuedRequest? {
-        val owed = ranks.filter { !it.isEmpty() && it.credit > 0 }.maxByOrNull { it.credit }
-        val rank = owed ?: ranks.firstOrNull { !it.isEmpty() } ?: return null
-        return start(rank, isCharged = owed != null)
-    }
-
-    override fun pollUrgent(): QueuedRequest? {
-        val rank = ranks.firstOrNull()?.takeUnless { it.isEmpty() } ?: return null
-        return start(rank, isCharged = false)
-    }
-
-    private fun start(rank: RankQueue, isCharged: Boolean): QueuedRequest {
+    override fun poll(slots: Int): QueuedRequest? {
+        val open = openRanks(slots)
+        val owed = open.filter { it.credit > 0 }.maxByOrNull { it.credit }
+        val rank = owed ?: open.firstOrNull() ?: return null
         val entry = rank.poll()
         forget(entry)
-        running[entry.request.id] = Running(entry.request, rank, isCharged)
-        account(rank, entry.tokens, isCharged)
+        rank.running++
+        running[entry.request.id] = Running(entry.request, rank, owed != null)
+        account(rank, entry.tokens, owed != null)
         return entry.request
     }
 
+    /** Ranks with queued requests and a free slot, the most urgent first. */
+    private fun openRanks(slots: Int): List<RankQueue> = buildList {
+        var inFlight = 0
+        for (r in ranks) {
+            inFlight += r.running
+            if (!r.isEmpty() && inFlight < ceil(slots * r.policy.slotShare)) add(r)
+        }
+    }
+
     override fun expire(nowMillis: Long): List<QueuedRequest> = buildList {
         while (byDeadline.isNotEmpty() && byDeadline.first().deadline < nowMillis) {
             add(take(byDeadline.first()))
@@ -77,6 +83,7 @@
     override fun complete(id: RequestId, actualTokens: Long) {
         require(actualTokens >= 0) { "the work of a request is not negative: $actualTokens" }
         val run = running.remove(id) ?: return
+        run.rank.running--
         val correction = actualTokens - run.request.estimatedTokens
         run.rank.complete(run.request.organisation, correction)
         account(run.rank, correction, run.isCharged)
--- a/limits/src/main/kotlin/io/greengageport/limits/FifoQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/FifoQueue.kt
@@ -12,6 +12,7 @@
  */
 public class FifoQueue(private var settings: QueueSettings) : RequestQueue {
     private val requests = LinkedHashMap<RequestId, QueuedRequest>()
+    private val running = HashSet<RequestId>()
     private var rate = 0.0
 
     override val size: Int get() = requests.size
@@ -33,7 +34,11 @@
         return Offer.Queued(emptyList())
     }
 
-    override fun poll(): QueuedRequest? = requests.keys.firstOrNull()?.let(::remove)
+    /** Without an order of ranks, all have to keep to the smallest part of the slots. */
+    override fun poll(slots: Int): QueuedRequest? {
+        if (running.size >= ceil(slots * settings.ranks.minOf { it.slotShare })) return null
+        return requests.keys.firstOrNull()?.let(::remove)?.also { running += it.id }
+    }
 
     override fun expire(nowMillis: Long): List<QueuedRequest> =
         requests.values.filter { it.deadlineMillis < nowMillis }.onEach { remove(it.id) }
@@ -41,7 +46,9 @@
     override fun remove(id: RequestId): QueuedRequest? =
         requests.remove(id)?.also { queuedTokens -= it.estimatedTokens }
 
-    override fun complete(id: RequestId, actualTokens: Long): Unit = Unit
+    override fun complete(id: RequestId, actualTokens: Long) {
+        running -= id
+    }
 
     override fun nextDeadlineMillis(): Long? = requests.values.minOfOrNull { it.deadlineMillis }
 
--- a/limits/src/main/kotlin/io/greengageport/limits/Policies.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/Policies.kt
@@ -19,10 +19,13 @@
     /** Share of capacity, from 0 to 1, that the rank gets while it has queued requests. */
     val floorShare: Double = 0.0,
     /** Time from dispatch to the first token that 95 in 100 requests should meet. */
-    val firstTokenTargetMillis: Long = 340
+    val firstTokenTargetMillis: Long = 340,
+    /** Part of the slots, from 0 to 1, that the rank and the more urgent ones may fill together. */
+    val slotShare: Double = 1.0
 ) {
     init {
         require(floorShare in 0.0..1.0) { "a floor is a share from 0 to 1, not $floorShare" }
+        require(slotShare > 0 && slotShare <= 1) { "a part of the slots is not $slotShare" }
         require(firstTokenTargetMillis > 0) { "the first-token target of '$name' is positive" }
     }
 }
--- a/limits/src/main/kotlin/io/greengageport/limits/RankQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/RankQueue.kt
@@ -29,6 +29,9 @@
     /** Tokens of service that the floor owes to this rank; negative when it is ahead. */
     var credit: Double = 0.0
 
+    /** Polled requests that have not ended. */
+    var running: Int = 0
+
     var size: Int = 0
         private set
 
--- a/limits/src/main/kotlin/io/greengageport/limits/RequestQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/RequestQueue.kt
@@ -28,11 +28,11 @@
     /** Adds [request] unless it has to be refused; may shed queued requests to make room. */
     public fun offer(request: QueuedRequest, nowMillis: Long): Offer
 
-    /** Takes the request to run next; call [expire] first. */
-    public fun poll(): QueuedRequest?
-
-    /** Takes the next request of the most urgent rank, or null; the floors do not apply. */
-    public fun pollUrgent(): QueuedRequest? = null
+    /**
+     * Takes the request to run next, of a rank whose part of [slots] is not filled by the polled
+     * requests that have not ended; call [expire] first.
+     */
+    public fun poll(slots: Int = Int.MAX_VALUE): QueuedRequest?
 
     /** Takes the requests whose deadline passed before [nowMillis]. */
     public fun expire(nowMillis: Long): List<QueuedRequest>
--- a/limits/src/test/kotlin/io/greengageport/limits/FairQueueTest.kt
+++ b/limits/src/test/kotlin/io/greengageport/limits/FairQueueTest.kt
@@ -17,12 +17,15 @@
 class FairQueueTest {
     private val all = listOf(URGENT, MIDDLE, LOWEST)
 
+    private fun sharingSlots(ranks: List<RankPolicy>) =
+        ranks.zip(listOf(0.5, 0.8, 1.0)) { rank, share -> rank.copy(slotShare = share) }
+
     /** Guards against errors in the incremental trees, sums and tags of the queue. */
     @Property(tries = 300, seed = SEED)
     fun `decides as the naive queue does`(@ForAll seed: Long) {
         val random = Random(seed)
         val bounds = QueueSettings(
-            ranks(),
+            sharingSlots(ranks()),
             maxLength = 25,
             maxQueuedTokens = 4_000,
             weights = mapOf(org(0) to 4.0, org(1) to 2.0)
@@ -36,14 +39,15 @@
             val id = RequestId("${random.nextInt(step + 1)}")
             val done = polled.randomOrNull(random)?.also(polled::remove) ?: id
             val next = bounds.copy(
-                ranks = ranks(random.nextInt(5) / 10.0, random.nextInt(5) / 10.0)
+                ranks = sharingSlots(ranks(random.nextInt(5) / 10.0, random.nextInt(5) / 10.0))
             )
             val choice = random.nextInt(12)
+            val slots = random.nextInt(40)
             val (fast, naive) = queues.map { q ->
                 val result: Any? = when (choice) {
                     in 0..5 -> q.offer(r, now)
 
-                    in 6..7 -> q.poll()?.also { polled += it.id }
+                    in 6..7 -> q.poll(slots).also { r -> r?.let { polled += it.id } }
 
                     8 -> q.remove(id)
 
--- a/limits/src/test/kotlin/io/greengageport/limits/NaiveFairQueue.kt
+++ b/limits/src/test/kotlin/io/greengageport/limits/NaiveFairQueue.kt
@@ -36,8 +36,12 @@
         return Offer.Refused(RefusalReason.FULL, retry, shed - request)
     }
 
-    override fun poll(): QueuedRequest? {
-        val backlogged = byPriority().filter { p -> queue.any { it.rank == p.name } }
+    override fun poll(slots: Int): QueuedRequest? {
+        val backlogged = byPriority().filter { p ->
+            val asUrgent = settings.ranks.filter { it.priority <= p.priority }.map { it.name }
+            queue.any { it.rank == p.name } &&
+                running.values.count { it.first.rank in asUrgent } < ceil(slots * p.slotShare)
+        }
         val owed = backlogged.filter { credit(it.name) > 0 }.maxByOrNull { credit(it.name) }
         val rank = (owed ?: backlogged.firstOrNull() ?: return null).name
         val key = keys(rank).minWith(compareBy({ tag(it) }, { activated[it] }))
