--- a/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RequestContext.kt
@@ -27,14 +27,13 @@
 
     /**
      * Latest useful time to start, if serving takes [serveMillis]. Without a deadline of the
-     * caller the first token of an urgent request is due at the rank's target, of which a fifth is
-     * left to the engines; a request that starts later takes capacity from one that can still be
-     * in time. Lower ranks wait until their deadline: in floods of others they would be refused.
+     * caller the first token is due at the rank's target, of which a fifth is left to the engines;
+     * a request that starts later takes capacity from one that can still be in time.
      */
     fun latestStart(serveMillis: Long): Long {
         val byDeadline = deadlineAt - minOf(serveMillis, deadlineAt - arrivedAt - 1)
         val byTarget = arrivedAt + (rank.settings.firstTokenMillis * QUEUE_SHARE).toLong()
-        return if (hasOwnDeadline || !isUrgent) byDeadline else minOf(byDeadline, byTarget)
+        return if (hasOwnDeadline) byDeadline else minOf(byDeadline, byTarget)
     }
 
     /** Label of the organisation in metrics; names of organisations would be too many series. */
