--- a/bench/src/test/kotlin/io/greengageport/bench/DemandTest.kt
+++ b/bench/src/test/kotlin/io/greengageport/bench/DemandTest.kt
@@ -29,7 +29,8 @@
             mapOf(("e" to 7L) to EngineCounters(0, steps, 0, 0, 0, 0, 0, "", batches, busy))
         )
         val engine = EngineSpec("e", service = "s", stepMillis = 10, batch = 2)
-        val use = EngineUse.between(sample(1, 5, 5, 100), sample(3, 155, 105, 1_100), listOf(engine))
+        val before = sample(1, 5, 5, 100)
+        val use = EngineUse.between(before, sample(3, 155, 105, 1_100), listOf(engine))
         expectThat(use).isEqualTo(listOf(EngineUse("e", 150, 100, 0.5, 0.75, 1.0)))
     }
 }
--- a/entry/src/main/kotlin/io/greengageport/entry/RankSlots.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RankSlots.kt
@@ -5,9 +5,9 @@
 /**
  * Sizes the slots of a service by the time between tokens that its ranks allow.
  *
- * By Little's law, `bound * gap` streams keep the fleet busy while tokens arrive with that gap. Sized
- * for the gap of the most urgent rank alone, the slots leave engines idle whenever the streams are
- * not spread evenly. A lower rank allows a longer gap, so its requests may fill more slots; engines
+ * By Little's law, `bound * gap` streams keep the fleet busy while tokens arrive with that gap.
+ * Sized for the gap of the most urgent rank alone, the slots leave engines idle whenever the
+ * streams are not spread evenly. A lower rank allows a longer gap, so its requests may fill more slots; engines
  * serve the more urgent streams first.
  */
 internal class RankSlots(private val ranks: List<RankSettings>) {
--- a/standins/src/main/kotlin/io/greengageport/standins/StepScheduler.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/StepScheduler.kt
@@ -15,8 +15,8 @@
  * Continuous batching: each step runs up to [batch] of the most urgent items.
  *
  * A step over the whole layer range takes [stepMillis]; one over a part of it takes the part of the
- * item with the most layers. While items wait, a step starts when the one before was due to end: with
- * the lateness of each timer added up, the engine would stay behind the rate that it reports.
+ * item with the most layers. While items wait, a step starts when the one before was due to end:
+ * with the lateness of each timer added up, the engine would stay behind the rate that it reports.
  *
  * A stage with `stepMillis = 0` runs each item at once.
  */
