--- a/entry/src/main/kotlin/io/greengageport/entry/RankSlots.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RankSlots.kt
@@ -7,8 +7,8 @@
  *
  * By Little's law, `bound * gap` streams keep the fleet busy while tokens arrive with that gap.
  * Sized for the gap of the most urgent rank alone, the slots leave engines idle whenever the
- * streams are not spread evenly. A lower rank allows a longer gap, so its requests may fill more slots; engines
- * serve the more urgent streams first.
+ * streams are not spread evenly. A lower rank allows a longer gap, so its requests may fill more
+ * slots; engines serve the more urgent streams first.
  */
 internal class RankSlots(private val ranks: List<RankSettings>) {
     private val urgentGap =
