--- a/bench/src/main/kotlin/io/greengageport/bench/Demand.kt
+++ b/bench/src/main/kotlin/io/greengageport/bench/Demand.kt
@@ -18,9 +18,8 @@
 /** Answer tokens per second that the groups of an experiment ask for, by their stated rates. */
 internal class Demand(private val groups: List<CallerGroup>, private val seconds: Int) {
     /** Tokens per second that are asked for at the start of [second]. */
-    fun tokensPerSecond(second: Int): Double =
-        groups.filter { it.kind == CallKind.COMPLETION }
-            .sumOf { Arrivals.rate(it, second.toDouble()) * it.tokens }
+    fun tokensPerSecond(second: Int): Double = groups.filter { it.kind == CallKind.COMPLETION }
+        .sumOf { Arrivals.rate(it, second.toDouble()) * it.tokens }
 
     /** Seconds with more demand than [bound], each period without its first [FILL_SECONDS]. */
     fun secondsAbove(bound: Double): List<Int> {
