--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/DataCentreLossTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/DataCentreLossTest.kt
@@ -5,7 +5,6 @@
 import io.greengageport.systemtest.TestFleet.Companion.LAYERS
 import io.greengageport.systemtest.TestFleet.Companion.engine
 import org.junit.jupiter.api.AfterAll
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import strikt.api.expectThat
@@ -35,7 +34,6 @@
 
     /** Guards against answers that are cut or blocked because both of their stages were lost. */
     @Test
-    @Tag("known-red")
     fun `streams elsewhere end whole and urgent requests are served`() {
         // The third data centre has no engines, so its streams cross to both others.
         val prompts = (1..STREAMS).associateBy { "centre $it" }
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/PoisonTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/PoisonTest.kt
@@ -7,7 +7,6 @@
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.api.TestMethodOrder
@@ -39,7 +38,6 @@
     /** Guards against innocent requests that are blocked for having shared a runner with it. */
     @Test
     @Order(2)
-    @Tag("known-red")
     fun `innocent concurrent requests at all instances complete`() {
         val before = deadRunners()
         val prompts = (1..INNOCENT).map { "innocent $it" }
