--- a/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/RunnerProbe.kt
@@ -41,7 +41,7 @@
     }
 
     /**
-     * Probes all runners of [route] after a stream broke, and those that gave no answer again, up to
+     * Probes all runners of [route] after a stream broke, and those without an answer again, up to
      * [REPEATS] times: a process that crashes closes its streams some time before its port refuses
      * connections, and only the refusal shows the crash.
      */
--- a/entry/src/main/kotlin/io/greengageport/entry/SuspectExchange.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/SuspectExchange.kt
@@ -108,7 +108,7 @@
         const val RESERVE_CHANNEL = "suspect-reserve"
         const val RELEASE_CHANNEL = "suspect-release"
 
-        /** Well above a call between data centres; an instance that is cut off delays an answer so long. */
+        /** Well above a call between data centres; one that is cut off delays an answer by it. */
         val TIMEOUT = 250.milliseconds
         val cbor = Cbor { ignoreUnknownKeys = true }
     }
--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -11,7 +11,7 @@
  * reports a new boot id; a runner that announced that it leaves has not. The requests in flight on
  * it are suspects. Those with a mark get one more, and only if there are none, all get their first,
  * so a request that shares a runner with a marked one is not blamed for it. A request gets at most
- * one mark in an attempt: the stages after the one that it crashes don't run it, so that the loss of
+ * one mark in an attempt: the stages after the one that it crashes don't run it, so the loss of
  * several stages of its chain has another cause.
  *
  * A marked request runs alone among marked ones until its answer has passed the token at which the
