--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -279,7 +279,7 @@
     ) {
         fun isSame(other: LeavingProcess) = address == other.address && bootId == other.bootId
 
-        /** Both are times of the runner's clock, so a late report of an old process is told apart. */
+        /** Both are times of the runner's clock, so a late report of an old process shows. */
         fun isReplacedBy(l: LoadReport) = bootId.isNotEmpty() && l.bootId.isNotEmpty() &&
             l.bootId != bootId && l.reportedAtMillis > reportedAtMillis
     }
