Move the diagnosis of failed attempts out of ModelRun

FailureDiagnosis asks the stages of a failed attempt and tells the outlier detector and the record of suspects; a refused attempt now has its decision line too.

--- a/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRun.kt
@@ -22,7 +22,6 @@
 import io.greengageport.routing.RoutingDecision
 import io.greengageport.routing.RoutingFailure
 import io.greengageport.routing.RoutingRequest
-import io.greengageport.routing.SuspectState
 import io.greengageport.routing.SuspectVerdict
 import io.greengageport.routing.TracedStage
 import kotlinx.coroutines.delay
@@ -39,6 +38,7 @@
     private val assembler = AnswerAssembler(context.id, model.layers)
     private val excluded = mutableSetOf<RunnerId>()
     private val suspects = parts.backends.suspects
+    private val diagnosis = FailureDiagnosis(parts, context)
     private var current: Attempt? = null
     private var execution = Execution.NOT_RUN
 
@@ -67,7 +67,12 @@
                 return Ok(assembler.size)
             }
             if (isLate()) return Err(RequestError.DeadlineExceeded(execution, RETRY_MILLIS))
-            diagnose(decision, failure)
+            excluded += diagnosis.of(decision, failure)
+            parts.decisions.record(
+                context.id,
+                "routing",
+                "attempt=${assembler.attempt} ended: $failure, excluded=${excluded.sorted()}"
+            )
             // Not before the crash is known: until then the same request would pass for harmless.
             release()
             retry(failure)?.let { return Err(it) }
@@ -300,67 +305,6 @@
         a.reported = a.progress
     }
 
-    /** Finds out which stages failed, so that the next attempt avoids them. */
-    private suspend fun diagnose(d: RoutingDecision, end: StreamEnd) {
-        val head = d.stages.first()
-        if (end is StreamEnd.Refused) {
-            if (end.leaving) parts.backends.markLeaving(head.id, head.runner.address)
-            excluded += head.id
-            suspects.ended(context.id)
-            return
-        }
-        // A request that reached no runner can't have crashed one.
-        if (end is StreamEnd.Unreachable) suspects.ended(context.id)
-        val hops = d.stages.map { RouteHop(it.id, it.runner.address, 0, 1) }
-        val isBroken = end is StreamEnd.Broken
-        val results = if (isBroken) parts.probe.probeBroken(hops) else parts.probe.probe(hops)
-        val refused = results.filterValues { it == ProbeResult.Refused }.keys.map { it.runner }
-        if (refused.size > 1) suspects.machinesFailed(refused)
-        var found = false
-        for ((hop, result) in results) found = judge(hop, result) || found
-        suspects.ended(context.id)
-        // With all stages alive the fault lies between them, so the first one is replaced too.
-        if (!found) excluded += head.id
-        parts.decisions.record(
-            context.id,
-            "routing",
-            "attempt=${assembler.attempt} ended: $end, excluded=${excluded.sorted()}"
-        )
-    }
-
-    private suspend fun publish(state: SuspectState) {
-        parts.backends.publish(state)
-        val now = parts.clock.wallMillis()
-        if (state.verdict(now) == SuspectVerdict.BLOCKED) parts.suspects.announceBlock(state)
-    }
-
-    private suspend fun judge(hop: RouteHop, result: ProbeResult): Boolean = when (result) {
-        ProbeResult.Refused -> {
-            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
-            suspects.connectionRefused(hop.runner).forEach { publish(it) }
-            parts.backends.silent(hop.runner, context.service.name)
-            excluded += hop.runner
-            true
-        }
-
-        ProbeResult.Silent -> {
-            // A process that is just ending may still take connections.
-            if (parts.backends.isNewLoss(hop)) suspects.connectionLost(hop.runner)
-            parts.backends.silent(hop.runner, context.service.name)
-            excluded += hop.runner
-            true
-        }
-
-        is ProbeResult.Answered -> {
-            result.report?.let { r ->
-                suspects.bootId(hop.runner, r.bootId, r.reportedAtMillis)
-                    .forEach { publish(it) }
-                if (r.leaving) parts.backends.markLeaving(hop.runner, hop.address)
-            }
-            false
-        }
-    }
-
     /** Waits before the next attempt; an error if there is to be none. */
     private suspend fun retry(end: StreamEnd): RequestError? {
         if (parts.retryPolicy == RetryPolicy.ALWAYS) return null
