Mark no request for a later stage that may have ended before the attempt

An instance that had not yet seen the end of a runner in the lagging list sent a request over it as a later stage; the refused connection counted as a crash by this request, which had never reached the runner. A second runner, killed by the test, then blocked the request. Ruled out: two marks in one attempt (the attempts differ), a leaked entry in the record (the request was in flight once). Change: a runner that crashed as a later stage marks a request only if the attempt had a token, or if the runner had sent a load report within 2 s before the attempt. The first stage accepted the request, so nothing changes there.

--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -33,12 +33,23 @@
         val startedAtMillis: Long,
         val tokens: () -> Int
     ) {
+        /** Tokens that the answer had before the attempt. */
+        val tokensBefore = tokens()
+
         /** Whether the attempt has brought its request a mark. */
         var isCharged = false
     }
 
     /** An attempt that was on a runner when the connection to it was lost, with its tokens. */
-    private class Suspect(val flight: Flight, val tokens: Int)
+    private class Suspect(val flight: Flight, val tokens: Int) {
+        /**
+         * Whether the request may have run on [runner], which gave its last sign of life at
+         * [aliveAtMillis]. A first stage accepted it; a later one may have ended long before.
+         */
+        fun mayHaveRunOn(runner: RunnerId, aliveAtMillis: Long?): Boolean =
+            runner == flight.runners.first() || tokens > flight.tokensBefore ||
+                aliveAtMillis == null || flight.startedAtMillis - aliveAtMillis <= ALIVE_MILLIS
+    }
 
     private class Lost(val suspects: List<Suspect>, val atMillis: Long)
 
@@ -47,6 +58,9 @@
     private val lost = HashMap<RunnerId, Lost>()
     private val boots = HashMap<RunnerId, String>()
     private val crashedBoots = HashMap<RunnerId, String>()
+
+    /** Times of the newest load reports, by the wall clock. */
+    private val aliveAt = HashMap<RunnerId, Long>()
     private val leaving = HashSet<RunnerId>()
 
     /** Marked fingerprints whose answer has passed the token of the crash. */
@@ -136,7 +150,7 @@
         val boot = boots[runner].orEmpty()
         // A process crashes once; requests sent to it before its end was known aren't suspect.
         if (boot.isNotEmpty() && crashedBoots.put(runner, boot) == boot) return emptyList()
-        return crashed(runner, boot, record.suspects, now)
+        return crashed(runner, boot, record.suspects, aliveAt[runner])
     }
 
     /**
@@ -163,6 +177,8 @@
     public fun bootId(runner: RunnerId, bootId: String, atMillis: Long): List<SuspectState> {
         if (bootId.isEmpty()) return emptyList()
         val previous = boots.put(runner, bootId)
+        val aliveBefore = aliveAt[runner]
+        aliveAt[runner] = maxOf(atMillis, aliveBefore ?: atMillis)
         if (previous == bootId) {
             // The process survived the lost connection.
             lost[runner]?.takeIf { atMillis > it.atMillis }?.let { lost.remove(runner) }
@@ -175,7 +191,7 @@
         }
         val recent = record?.takeIf { clock.wallMillis() - it.atMillis < EVIDENCE_MILLIS }
         val suspects = recent?.suspects ?: inFlight(runner, atMillis)
-        return crashed(runner, previous, suspects, clock.wallMillis())
+        return crashed(runner, previous, suspects, aliveBefore)
     }
 
     /** Takes in a state from gossip; returns the state to publish if this instance knows more. */
@@ -199,6 +215,7 @@
     public fun forget(runner: RunnerId) {
         lost.remove(runner)
         boots.remove(runner)
+        aliveAt.remove(runner)
         crashedBoots.remove(runner)
         leaving.remove(runner)
     }
@@ -211,9 +228,12 @@
         runner: RunnerId,
         bootId: String,
         suspects: List<Suspect>,
-        now: Long
+        aliveAtMillis: Long?
     ): List<SuspectState> {
-        val uncharged = suspects.filter { !it.flight.isCharged }.groupBy { it.flight.fingerprint }
+        val now = clock.wallMillis()
+        val uncharged = suspects
+            .filter { !it.flight.isCharged && it.mayHaveRunOn(runner, aliveAtMillis) }
+            .groupBy { it.flight.fingerprint }
         return blamed(uncharged.keys).sorted().map { fingerprint ->
             val attempts = uncharged.getValue(fingerprint)
             attempts.forEach { it.flight.isCharged = true }
@@ -253,6 +273,12 @@
         /** Time after a lost connection in which a refused one or a new boot id shows a crash. */
         public const val EVIDENCE_MILLIS: Long = 30_000
 
+        /**
+         * Age of a load report, at the start of an attempt, up to which its runner was surely alive.
+         * Reports come each 0.5 s, with a lag, and are read each 0.5 s.
+         */
+        public const val ALIVE_MILLIS: Long = 2_000
+
         /** Tokens after the one of the crash that show that the request runs on another runner. */
         public const val PASSING_TOKENS: Int = 2
     }
--- a/routing/src/test/kotlin/io/greengageport/routing/SuspectRequestsTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/SuspectRequestsTest.kt
@@ -94,6 +94,20 @@
             expectThat(verdicts()).isEqualTo(List(2) { SuspectVerdict.MARKED })
         }
 
+        /** Guards against a block of innocent requests that met two runners that had ended before. */
+        @Test
+        fun `a later stage that gave no sign of life before the attempt marks no request`() {
+            suspects.bootId(b, "x", clock.wallMillis())
+            clock.advance(SuspectRequests.ALIVE_MILLIS + 1)
+            start("1", bad, a, next = b)
+            val stale = crash(b)
+            suspects.ended(RequestId("1"))
+            suspects.bootId(c, "x", clock.wallMillis())
+            clock.advance(SuspectRequests.ALIVE_MILLIS)
+            start("2", bad, a, next = c)
+            expectThat(listOf(stale, crash(c))).isEqualTo(listOf(emptyList(), listOf(bad)))
+        }
+
         /** Guards against marks for all requests on the machines of a rack that is lost. */
         @Test
         fun `stages that are lost together mark no request`() {
