--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -274,7 +274,7 @@
         public const val EVIDENCE_MILLIS: Long = 30_000
 
         /**
-         * Age of a load report, at the start of an attempt, up to which its runner was surely alive.
+         * Age of a load report at the start of an attempt up to which its runner was surely alive.
          * Reports come each 0.5 s, with a lag, and are read each 0.5 s.
          */
         public const val ALIVE_MILLIS: Long = 2_000
