Test a claim that lands late and a stop whose outcomes are not appended

Cause: with a lost acknowledgement alone, the instance reads its claim back before the reply, so the test stayed green with an uncertain append taken for 'not appended'. The platform stand-in can now answer an append as uncertain and store it 1 s later. The replaced instance's first append of outcomes is dropped besides, since an acknowledgement alone loses no outcome.

--- a/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
+++ b/standins/src/main/kotlin/io/greengageport/standins/PlatformServer.kt
@@ -56,6 +56,8 @@
     @SerialName("lose_acknowledgements_of") val loseAcknowledgementsOf: String? = null,
     /** Drops the next append to this stream and answers as if its fate were unknown. */
     @SerialName("drop_append_of") val dropAppendOf: String? = null,
+    /** Answers the next append to this stream as [dropAppendOf] does, and stores it later. */
+    @SerialName("late_append_of") val lateAppendOf: String? = null,
     @SerialName("list_down") val listDown: Boolean? = null,
     @SerialName("truncate_stream") val truncateStream: String? = null,
     @SerialName("truncate_before") val truncateBefore: Long = 0
@@ -70,6 +72,8 @@
     val arrived: Map<String, Long> = emptyMap(),
     /** Appends whose fate was kept from the appender, those dropped included. */
     @SerialName("lost_acknowledgements") val lostAcknowledgements: Long = 0,
+    /** Appends that were stored after their answer. */
+    @SerialName("late_appends") val lateAppends: Long = 0,
     /** Calls of entry instances by kind; those to the log are of the kind `append STREAM`. */
     val calls: Map<String, CallCount> = emptyMap()
 )
@@ -97,10 +101,15 @@
     private val lost = LongAdder()
     private val losing = AtomicReference<String?>()
     private val dropping = AtomicReference<String?>()
+    private val delaying = AtomicReference<String?>()
+    private val late = LongAdder()
 
     @Volatile
     private var losingAll = ""
 
+    @Volatile
+    private var scope: CoroutineScope? = null
+
     @Volatile
     private var listing = TaggedPage.of(json.encodeToString(InstanceListing()))
 
@@ -118,6 +127,7 @@
 
     /** Publishes the list and the load reports with their lags until [scope] ends. */
     public fun start(scope: CoroutineScope) {
+        this.scope = scope
         scope.launch {
             while (isActive) {
                 val now = nowMillis()
@@ -185,6 +195,7 @@
                 reads.sum(),
                 arrived,
                 lost.sum(),
+                late.sum(),
                 calls.snapshot()
             )
             call.json(json.encodeToString(c))
@@ -201,6 +212,16 @@
             call.logError(LogError.Uncertain("append dropped"))
             return
         }
+        if (!log.down && delaying.takes(stream)) {
+            scope?.launch {
+                delay(LATE_APPEND_MILLIS)
+                log.append(stream, payload)
+                late.increment()
+            }
+            lost.increment()
+            call.logError(LogError.Uncertain("append under way"))
+            return
+        }
         val result = log.append(stream, payload)
         if (result.isOk && (stream == losingAll || losing.takes(stream))) {
             lost.increment()
@@ -240,6 +261,7 @@
         c.loseAcknowledgementOf?.let { losing.set(it) }
         c.loseAcknowledgementsOf?.let { losingAll = it }
         c.dropAppendOf?.let { dropping.set(it) }
+        c.lateAppendOf?.let { delaying.set(it) }
         c.truncateStream?.let { log.truncate(it, c.truncateBefore) }
         call.json("{}")
     }
@@ -269,6 +291,7 @@
         const val PAGE = 1_000
         const val MAX_WAIT_MILLIS = 30_000L
         const val RETENTION_PERIOD_MILLIS = 500L
+        const val LATE_APPEND_MILLIS = 1_000L
         const val NANOS_PER_MILLI = 1_000_000L
     }
 }
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/NonIdempotentCallsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/NonIdempotentCallsTest.kt
@@ -252,6 +252,18 @@
             expectThat(effects(key)).isEqualTo(1)
         }
 
+        /** Guards against a claim that binds its key for good though its call is "not run". */
+        @Test
+        fun `of a claim that lands after its caller was told the call is not run`() {
+            val key = key()
+            val now = Instant.now()
+            val first = fleet.delayingAppend("orders") { fleet.order("entry-1", key, now) }
+            expectThat(first.isNotRun).isTrue()
+            LocalFleet.await("the call runs") { fleet.order("entry-2", key, now).status == 201 }
+            retryQuickly(key, now, INSTANCES) { it.status == 201 && it.isReplayed }
+            expectThat(effects(key)).isEqualTo(1)
+        }
+
         /** Guards against an outcome that is lost because its append seemed to fail. */
         @Test
         fun `of the outcome`() {
@@ -311,7 +323,7 @@
 
         /** Guards against a stop that loses outcomes, or never ends, without acknowledgements. */
         @Test
-        fun `an instance is replaced while the log loses acknowledgements`() {
+        fun `an instance is replaced while the log loses an append and all acknowledgements`() {
             val keys = List(ORDERS) { key() }
             val now = Instant.now()
             fleet.fault(SHOP, "\"delay_ms\":400")
@@ -321,7 +333,8 @@
             val ends = fleet.losingAllAcknowledgements("orders") {
                 val process = fleet.process("entry-3")
                 process.terminate()
-                val ends = orders.map { it.join() }
+                // Of the outcomes, the first append does not even reach the log.
+                val ends = fleet.droppingAppend("orders") { orders.map { it.join() } }
                 expectThat(process.awaitExit(EXIT_SECONDS)).isEqualTo(SIGTERM_STATUS)
                 fleet.startInstance("entry-3")
                 ends
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/TestFleet.kt
@@ -146,6 +146,16 @@
     fun <T> droppingAppend(stream: String, action: () -> T): T =
         withUncertainAppend("drop_append_of", stream, action)
 
+    /** Lets the next append to [stream] land after its answer; [action] has to make one. */
+    fun <T> delayingAppend(stream: String, action: () -> T): T {
+        val before = platformCount("late_appends")
+        val result = withUncertainAppend("late_append_of", stream, action)
+        LocalFleet.await("a late append to $stream") {
+            platformCount("late_appends") > before
+        }
+        return result
+    }
+
     /** Loses the acknowledgement of each append to [stream] while [action] runs. */
     fun <T> losingAllAcknowledgements(stream: String, action: () -> T): T {
         fault("platform", "\"lose_acknowledgements_of\":\"$stream\"")
@@ -164,8 +174,11 @@
         return result
     }
 
-    private fun lostAcknowledgements(): Long =
-        counters("platform")["lost_acknowledgements"]?.jsonPrimitive?.long ?: 0
+    private fun lostAcknowledgements(): Long = platformCount("lost_acknowledgements")
+
+    /** A counter that the platform leaves out while it is 0. */
+    private fun platformCount(name: String): Long =
+        counters("platform")[name]?.jsonPrimitive?.long ?: 0
 
     /** Waits until [instance] has no outcome or release that isn't in the log. */
     fun awaitRecorded(instance: String): Unit =
