--- a/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/BackendFleet.kt
@@ -275,7 +275,7 @@
     ) {
         fun isSame(other: LeavingProcess) = address == other.address && bootId == other.bootId
 
-        /** Both times are of the runner's clock, so that a late report of an old process is told. */
+        /** Both times are of the runner's clock, so an old process's late report ends nothing. */
         fun isReplacedBy(l: LoadReport) = bootId.isNotEmpty() && l.bootId.isNotEmpty() &&
             l.bootId != bootId && l.reportedAtMillis > reportedAtMillis
     }
