Give each data centre copies of its own, of all its engines

Cause: four to five copies left room for 30 requests each, and chains crossed data centres (112 GB moved), so steps queued behind the pipe and memory ran out after 10 s. Change: CopyPlacement builds as few copies a data centre as its engines allow and gives each card the same room; neighbours take the layers of a lost engine.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -65,7 +65,7 @@
         val servers = directory.usable(service.name)
         val holders = servers.mapNotNull { holder(it, engine) }
         if (!isSettled(holders)) return
-        val room = REQUESTS_PER_STAGE * (engine.usualPromptTokens + engine.usualAnswerTokens)
+        val room = MIN_REQUESTS * (engine.usualPromptTokens + engine.usualAnswerTokens)
         val out = ejected()
         // An ejected engine that holds layers may be dead; others should take its place in time.
         val usable = holders.filter { it.id !in out }
@@ -176,8 +176,8 @@
         const val PENDING_MILLIS = 6_000L
         const val CALL_MILLIS = 1_000L
 
-        /** Requests for which each stage keeps memory: what a copy has in flight when busy. */
-        const val REQUESTS_PER_STAGE = 30
+        /** Requests for which a copy has to have memory to be worth its weights. */
+        const val MIN_REQUESTS = 30
         const val ACCEPTED = 202
         const val HOLDS = 200
         const val OTHER_STATE = 409
--- a/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
@@ -24,135 +24,210 @@
     /** It becomes part of a new copy of the model. */
     NEW_COPY,
 
-    /** It holds nothing, and these layers have the fewest holders. */
+    /** It holds nothing and takes over the layers with the least room for requests. */
     FILL,
 
-    /** Its layers have holders to spare, and other layers have hardly any. */
-    MOVE
+    /** It holds the neighbouring layers and takes those of a lost engine besides. */
+    EXTEND
 }
 
 /**
  * Decides which engine holds which layers, copy by copy of the whole model.
  *
- * Prompts are sent from stage to stage, and transfers between data centres share one pipe. So a
- * copy is built within one data centre where its engines suffice, the fastest first, and otherwise
- * over as few as possible. Each card holds only as many layers as leave room for [tokenRoom] tokens
- * of requests. Engines left over double the layers with the fewest holders. An engine that holds
- * something keeps it, unless other layers have at least two holders fewer.
+ * Prompts are sent from stage to stage, and transfers between data centres share one pipe. So each
+ * data centre gets copies of its own, of all its engines: the weights of a copy are loaded once,
+ * and the fewer copies there are, the more memory is left for requests. Within a copy each card
+ * holds as many layers as leave it the same room for tokens as the others. A data centre with more
+ * than [maxStages] engines a copy gets more copies; those that can't hold a copy with room for
+ * [minTokens] share one with others.
+ *
+ * When an engine is lost, its neighbours in the copy take its layers besides their own; an engine
+ * that comes back empty relieves the layers with the least room. Nothing else is moved, since each
+ * load takes time and stops work.
  *
  * Pure; equal input gives equal output, so another instance that takes over goes on with the same
  * plan.
  */
-public class CopyPlacement(private val profile: EngineProfile, private val tokenRoom: Double) {
-    /** The orders that [holders] need now, at most [maxMoves] of them for engines that serve. */
-    public fun plan(holders: List<CardHolder>, maxMoves: Int = 1): List<LayerAssignment> =
-        Run(holders.sortedBy { it.id }).plan(maxMoves)
-
-    private fun width(card: Card): Int = profile.layersWithRoom(card, tokenRoom)
+public class CopyPlacement(
+    private val profile: EngineProfile,
+    private val minTokens: Double,
+    private val maxStages: Int = DEFAULT_MAX_STAGES
+) {
+    /** The orders that [holders] need now. */
+    public fun plan(holders: List<CardHolder>): List<LayerAssignment> =
+        Run(holders.sortedBy { it.id }).plan()
 
     private inner class Run(holders: List<CardHolder>) {
-        private val held = holders.filter { it.layers != null }
-        private val empty = holders.filter { it.layers == null && width(it.card) > 0 }
-            .toMutableList()
-        private val coverage = IntArray(profile.layers)
+        private val held = holders.filter { it.layers != null }.toMutableList()
+        private val empty = holders.filter { it.layers == null && fits(it.card, 1) }.toMutableList()
         private val assignments = ArrayList<LayerAssignment>()
 
-        init {
-            for (h in held) h.layers?.let { count(it, 1) }
-        }
-
-        fun plan(maxMoves: Int): List<LayerAssignment> {
+        fun plan(): List<LayerAssignment> {
             buildCopies()
-            for (h in empty) assign(h, thinnest(width(h.card)), AssignmentReason.FILL)
-            if (empty.isEmpty()) repeat(maxMoves) { move() }
+            while (empty.isNotEmpty() && fill(empty.removeFirst())) Unit
+            closeGaps()
             return assignments
         }
 
         private fun buildCopies() {
-            while (true) {
-                val byCentre = empty.groupBy { it.dataCentre }
-                    .toSortedMap(compareBy { it.value })
-                    .values.sortedByDescending { group -> group.sumOf { width(it.card) } }
-                val single = byCentre.filter { group ->
-                    group.sumOf { width(it.card) } >= profile.layers
-                }.minByOrNull { group -> group.size }
-                val members = single ?: byCentre.flatten()
-                if (members.sumOf { width(it.card) } < profile.layers) return
-                buildCopy(members, isOneCentre = single != null)
+            val byCentre = empty.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value })
+            val rest = ArrayList<CardHolder>()
+            for (group in byCentre.values) {
+                val copies = copiesOf(group)
+                if (copies == 0) rest += group
+                for (members in deal(group, copies)) buildCopy(members)
             }
+            // Data centre by data centre, as each change within a chain is a transfer.
+            if (roomOf(rest) >= minTokens && rest.size <= MAX_CHAIN) buildCopy(rest)
+        }
+
+        /** Copies for which [group] has room, 0 if not even for one. */
+        private fun copiesOf(group: List<CardHolder>): Int {
+            val wanted = (group.size + maxStages - 1) / maxStages
+            return (wanted downTo 1).firstOrNull { n ->
+                deal(group, n).all { roomOf(it) >= minTokens && it.size <= MAX_CHAIN }
+            } ?: 0
+        }
+
+        /** Divides [group] into [copies] parts of about the same memory. */
+        private fun deal(group: List<CardHolder>, copies: Int): List<List<CardHolder>> {
+            if (copies == 0) return emptyList()
+            val parts = List(copies) { ArrayList<CardHolder>() }
+            val sorted = group.sortedWith(
+                compareByDescending<CardHolder> { it.card.memoryMegabytes }.thenBy { it.id }
+            )
+            for (h in sorted) parts.minBy { p -> p.sumOf { it.card.memoryMegabytes } } += h
+            return parts
         }
 
-        /** Gives layers to [members] from the first layer to the last. */
-        private fun buildCopy(members: List<CardHolder>, isOneCentre: Boolean) {
-            // Across data centres the order of the groups matters: each change is a transfer.
-            val ordered = if (isOneCentre) {
-                members.sortedWith(compareBy({ it.card.stepFactor }, { it.id }))
-            } else {
-                members
+        private fun buildCopy(members: List<CardHolder>) {
+            val room = roomOf(members)
+            val widths = members.map { profile.layersWithRoom(it.card, room) }.toIntArray()
+            // Rounding leaves some layers too many; they come off the cards with the least room.
+            while (widths.sum() > profile.layers) {
+                val i = widths.indices.filter { widths[it] > 1 }
+                    .minBy { profile.tokenRoom(members[it].card, widths[it]) }
+                widths[i]--
             }
             var from = 0
-            for (m in ordered) {
-                if (from >= profile.layers) break
-                val until = minOf(profile.layers, from + width(m.card))
-                assign(m, LayerRange(from, until), AssignmentReason.NEW_COPY)
+            for ((i, m) in members.withIndex()) {
+                if (widths[i] == 0) continue
+                assign(m, LayerRange(from, from + widths[i]), AssignmentReason.NEW_COPY)
                 empty.remove(m)
-                from = until
+                from += widths[i]
             }
         }
 
-        private fun assign(h: CardHolder, layers: LayerRange, reason: AssignmentReason) {
-            count(layers, 1)
-            assignments += LayerAssignment(h.id, layers, reason)
+        /** The most tokens for which each of [members] has room if they share one copy. */
+        private fun roomOf(members: List<CardHolder>): Double {
+            var low = 0.0
+            var high = MAX_ROOM
+            fun holdsAll(tokens: Double) =
+                members.sumOf { profile.layersWithRoom(it.card, tokens) } >= profile.layers
+            if (!holdsAll(low)) return -1.0
+            repeat(BISECTIONS) {
+                val middle = (low + high) / 2
+                if (holdsAll(middle)) low = middle else high = middle
+            }
+            return low
+        }
+
+        /** Gives [holder] the range of layers that has the least room; false if none fits. */
+        private fun fill(holder: CardHolder): Boolean {
+            val width = profile.layersWithRoom(holder.card, FILL_ROOM_FACTOR * minTokens)
+                .coerceAtLeast(1)
+            val room = DoubleArray(profile.layers)
+            for (h in held) {
+                val layers = h.layers ?: continue
+                val tokens = profile.tokenRoom(h.card, layers.size)
+                // Engines of the same data centre count whole: a chain need not leave it.
+                val weight = if (h.dataCentre == holder.dataCentre) 1.0 else REMOTE_WEIGHT
+                for (l in layers.from until minOf(layers.until, profile.layers)) {
+                    room[l] += tokens * weight
+                }
+            }
+            val start = (0..profile.layers - width).maxBy { s ->
+                (s until s + width).sumOf { 1 / (room[it] + minTokens * MIN_SHARE) }
+            }
+            assign(holder, LayerRange(start, start + width), AssignmentReason.FILL)
+            return true
         }
 
-        private fun count(layers: LayerRange, sign: Int) {
-            for (l in layers.from until minOf(layers.until, profile.layers)) coverage[l] += sign
+        /** Extends the neighbours of layers that no engine of a data centre's copies holds. */
+        private fun closeGaps() {
+            for (group in held.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value }).values) {
+                if (group.sumOf { it.layers?.size ?: 0 } < profile.layers * COPY_SHARE) continue
+                while (closeGap(group.map { h -> held.first { it.id == h.id } })) Unit
+            }
         }
 
-        /** The range of [width] layers with the fewest holders; the first of equal ones. */
-        private fun thinnest(width: Int): LayerRange {
-            var sum = 0.0
-            fun weight(l: Int) = 1.0 / (1 + coverage[l] * coverage[l])
-            for (l in 0 until width) sum += weight(l)
-            var best = sum
-            var start = 0
-            for (s in 1..profile.layers - width) {
-                sum += weight(s + width - 1) - weight(s - 1)
-                if (sum > best + TOLERANCE) {
-                    best = sum
-                    start = s
-                }
+        private fun closeGap(group: List<CardHolder>): Boolean {
+            val covered = BooleanArray(profile.layers)
+            for (h in group) h.layers?.let { r ->
+                for (l in r.from until minOf(r.until, profile.layers)) covered[l] = true
             }
-            return LayerRange(start, start + width)
+            val gap = covered.indexOfFirst { !it }
+            if (gap < 0) return false
+            val end = (gap until profile.layers).firstOrNull { covered[it] } ?: profile.layers
+            val best = group.mapNotNull { extension(it, gap, end) }
+                .maxByOrNull { (h, layers) -> profile.tokenRoom(h.card, layers.size) }
+                ?: return false
+            assign(best.first, best.second, AssignmentReason.EXTEND)
+            return true
         }
 
-        /** Moves the engine whose layers have the most holders to those with the fewest. */
-        private fun move() {
-            val fewest = coverage.min()
-            val moved = assignments.mapTo(HashSet()) { it.id }
-            val spare = held.filter { it.id !in moved && width(it.card) > 0 }
-                .map { it to (holdersOf(it) - 1) }
-                .filter { it.second > fewest }
-                .maxWithOrNull(compareBy({ it.second }, { it.first.card.stepFactor })) ?: return
-            val engine = spare.first
-            engine.layers?.let { count(it, -1) }
-            val target = thinnest(width(engine.card))
-            if ((target.from until target.until).none { coverage[it] == fewest }) {
-                engine.layers?.let { count(it, 1) }
-                return
+        /**
+         * [h] with one half of the gap besides, all of it if it is small, or as much as it has room
+         * for; null if it is no neighbour or full.
+         */
+        private fun extension(h: CardHolder, gap: Int, end: Int): Pair<CardHolder, LayerRange>? {
+            val layers = h.layers ?: return null
+            val wanted = if (end - gap <= SMALL_GAP) end - gap else (end - gap + 1) / 2
+            val most = profile.layersWithRoom(h.card, minTokens * MIN_SHARE) - layers.size
+            val part = minOf(wanted, most)
+            return when {
+                part <= 0 -> null
+                layers.until == gap -> h to LayerRange(layers.from, gap + part)
+                layers.from == end -> h to LayerRange(end - part, layers.until)
+                else -> null
             }
-            assign(engine, target, AssignmentReason.MOVE)
         }
 
-        /** Holders of that layer of [h] which has the fewest. */
-        private fun holdersOf(h: CardHolder): Int {
-            val layers = h.layers ?: return 0
-            return (layers.from until minOf(layers.until, profile.layers)).minOf { coverage[it] }
+        private fun fits(card: Card, layers: Int) =
+            profile.tokenRoom(card, layers) >= minTokens * MIN_SHARE
+
+        private fun assign(h: CardHolder, layers: LayerRange, reason: AssignmentReason) {
+            assignments.removeAll { it.id == h.id }
+            assignments += LayerAssignment(h.id, layers, reason)
+            held.removeAll { it.id == h.id }
+            held += h.copy(layers = layers)
         }
     }
 
-    private companion object {
-        /** Keeps rounding from deciding between equal ranges. */
-        const val TOLERANCE = 1e-9
+    public companion object {
+        /** More stages leave more memory, but each adds a hop and can fail. */
+        public const val DEFAULT_MAX_STAGES: Int = 20
+
+        /** A chain of more stages is refused by engines. */
+        private const val MAX_CHAIN = 32
+
+        /** Tokens; more room than any card has. */
+        private const val MAX_ROOM = 1e8
+        private const val BISECTIONS = 40
+
+        /** Room of an engine that comes back, as a multiple of the least room. */
+        private const val FILL_ROOM_FACTOR = 2.0
+
+        /** A stage with less than this part of the least room holds up its whole copy. */
+        private const val MIN_SHARE = 0.3
+
+        /** How much an engine of another data centre relieves those of this one. */
+        private const val REMOTE_WEIGHT = 0.1
+
+        /** A data centre that holds this part of a copy is worth completing. */
+        private const val COPY_SHARE = 0.6
+
+        /** Layers that one neighbour takes alone. */
+        private const val SMALL_GAP = 3
     }
 }
