Keep empty engines for lost ones, share loads between instances, avoid crossings

Change: one engine in twelve is kept empty and replaces a lost one; a silent chain's first stage is asked for whom it waits; instances exchange their loads by datagrams; pipes cost more.

--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -46,7 +46,7 @@
             settings = settings,
             loop = loop,
             connector = connector,
-            store = LogStore(connector, settings.store, settings.id),
+            store = LogStore(connector, settings.store, settings.id, settings.peers),
             protocol = HttpBackendProtocol()
         )
         try {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway
 
 import io.greengageport.common.Clock
+import io.greengageport.common.HostPort
 import io.greengageport.common.ServiceName
 import io.greengageport.common.SystemClock
 import io.greengageport.gateway.forward.AttemptEnd
@@ -20,6 +21,10 @@
 import io.greengageport.gateway.http.HttpListener
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.model.CallerLimits
+import io.greengageport.gateway.peer.PeerExchange
+import io.greengageport.gateway.peer.PeerReport
+import io.greengageport.gateway.peer.PeerView
+import io.greengageport.gateway.peer.ServerLoad
 import io.greengageport.gateway.placement.LayerPlacer
 import io.greengageport.gateway.port.BackendProtocol
 import io.greengageport.gateway.port.PlatformStore
@@ -30,11 +35,13 @@
 import io.greengageport.gateway.state.FleetIndex
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.routing.Backoff
 import io.greengageport.routing.LinkEstimator
 import io.greengageport.routing.RetryBudget
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
+import io.prometheus.metrics.core.metrics.Histogram
 import kotlin.random.Random
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -58,8 +65,9 @@
     private val configuration = ConfigurationHolder(log)
     private val directory = BackendDirectory(clock, log)
     private val index = FleetIndex(directory) { configuration.current }
-    private val duty = DutyKeeper(store.duties, clock, log)
-    private val inFlight = InFlightTable { duty.instances }
+    private val peers = PeerView(settings.id, clock, log)
+    private val duty = DutyKeeper(store.duties, clock, log, peers::onMembers)
+    private val inFlight = InFlightTable({ peers.instances }, peers::load)
     private val pool = ConnectionPool(connector, clock)
     private val health = ServerHealth(
         fleet = index.fleet,
@@ -90,6 +98,7 @@
         directory = directory,
         inFlight = inFlight,
         health = health,
+        diagnosis = StallDiagnosis(directory, connector, protocol, log, clock),
         retryBudget = ::budget,
         observer = MetricsObserver(),
         log = log,
@@ -103,10 +112,18 @@
         duty = duty,
         connector = connector,
         protocol = protocol,
-        ejected = health::ejected,
+        lost = { health.unreachable() + peers.unreachable() },
         log = log,
         clock = clock
     )
+    private val exchange = PeerExchange(
+        loop = loop,
+        view = peers,
+        log = log,
+        report = ::peerReport,
+        onReport = {}
+    )
+    private val startedAtMillis = clock.wallMillis()
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
@@ -129,8 +146,9 @@
             }
         }
         val limits = { configuration.current?.callerLimits ?: CallerLimits() }
-        listen(settings.callers) { limits().maxHeaderBytes }.let { log.record("entry", "listening") }
+        listen(settings.callers) { limits().maxHeaderBytes }
         listenForChecks()
+        exchange.listen(settings.peers)
         launchDuties()
         log.record(
             "entry",
@@ -194,6 +212,7 @@
         scope.launch { configurations.run() }
         scope.launch { servers.run() }
         scope.launch { duty.run() }
+        scope.launch { exchange.run() }
         scope.launch { placer.run() }
         scope.launch { health.run() }
         scope.launch {
@@ -206,7 +225,7 @@
     }
 
     private fun listen(
-        address: io.greengageport.common.HostPort,
+        address: HostPort,
         handler: CallerRequestHandler = router,
         maxHeaderBytes: () -> Int
     ) {
@@ -242,12 +261,24 @@
         answer.respond(status, DefaultHttpHeaders(), ByteArray(0))
     }
 
+    private fun peerReport(sequence: Long) = PeerReport(
+        from = settings.id.value,
+        address = settings.peers.toString(),
+        startedAtMillis = startedAtMillis,
+        sequence = sequence,
+        load = inFlight.ownByServer().map { (id, l) ->
+            ServerLoad(id.value, l.requests, l.tokens)
+        },
+        unreachable = health.unreachable().map { it.value },
+        suspects = emptyList()
+    )
+
     private fun budget(service: ServiceName): RetryBudget = budgets.getOrPut(service) {
         RetryBudget(
             clock = clock,
             random = Random.Default,
             share = settings.retryShare,
-            minimum = { (settings.retryAllowance * ALLOWANCE_SHARE / duty.instances).toInt() },
+            minimum = { (settings.retryAllowance * ALLOWANCE_SHARE / peers.instances).toInt() },
             backoff = Backoff(RETRY_BASE_MILLIS, RETRY_MAX_MILLIS)
         )
     }
@@ -271,7 +302,7 @@
 
         private fun observe(
             context: RequestContext,
-            histogram: io.prometheus.metrics.core.metrics.Histogram
+            histogram: Histogram
         ) {
             val millis = clock.monotonicMillis() - context.arrivedAtMillis
             histogram.labelValues(context.service.name.value, context.priority.toString())
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewaySettings.kt
@@ -16,6 +16,7 @@
     val readiness: HostPort,
     val metrics: HostPort?,
     val store: HostPort,
+    val peers: HostPort,
     /** Time in which backend servers that leave get no more new work. */
     val drainMillis: Long,
     /** Time between SIGTERM and SIGKILL. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
@@ -17,8 +17,8 @@
     /** The server states that it did not run the request; [stage] could not do its part. */
     data class NotRun(val status: Int, val stage: HostPort?) : AttemptEnd
 
-    /** The connection ended, fell silent or carried something else than the answer. */
-    data class Broken(val reason: String) : AttemptEnd
+    /** The connection ended, fell silent ([isSilent]) or carried something else. */
+    data class Broken(val reason: String, val isSilent: Boolean = false) : AttemptEnd
 
     /** The caller no longer reads. */
     data object CallerGone : AttemptEnd
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -241,7 +241,7 @@
                 else -> "closed"
             }
             val where = if (answer == null) "before the answer" else "within the answer"
-            return AttemptEnd.Broken("$address: $reason $where")
+            return AttemptEnd.Broken("$address: $reason $where", isSilent)
         }
     }
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -13,6 +13,8 @@
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.StallCause
+import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.routing.RetryBudget
 import io.greengageport.routing.RetryDecision
 import kotlinx.coroutines.delay
@@ -34,11 +36,14 @@
     private val directory: BackendDirectory,
     private val inFlight: InFlightTable,
     private val health: ServerHealth,
+    private val diagnosis: StallDiagnosis,
     private val retryBudget: (ServiceName) -> RetryBudget,
     private val observer: ForwardObserver,
     private val log: DecisionLog,
     private val clock: Clock
 ) {
+    private val firstEventTimes = FirstEventTimes()
+
     /** Serves [context] and answers. */
     suspend fun forward(context: RequestContext, answer: CallerAnswer) {
         retryBudget(context.service.name).admitted()
@@ -56,14 +61,20 @@
         private val selector = if (service.engine == null) plain else chains
         private val limit =
             AttemptLimit(context.route.repeatability, context.route.maxAttempts)
+
+        /** Servers that failed this request. */
         private val excluded = HashSet<RunnerId>()
+
+        /** Members of chains that failed for an unknown reason; used where there are no others. */
+        private val avoided = HashSet<RunnerId>()
         private val relay = if (context.route.isStreaming) newRelay() else null
         private var last: AttemptEnd? = null
         private var hadSelection = false
+        private var startedAtMillis = 0L
 
         suspend fun attempts() {
             while (true) {
-                val selection = selector.select(context, excluded) ?: return
+                val selection = select() ?: return
                 hadSelection = true
                 val end = attempt(selection)
                 last = end
@@ -75,14 +86,18 @@
             }
         }
 
+        private fun select(): Selection? =
+            (if (avoided.isEmpty()) null else selector.select(context, excluded + avoided))
+                ?: selector.select(context, excluded)
+
         private suspend fun attempt(selection: Selection): AttemptEnd {
-            val startedAt = clock.monotonicMillis()
+            startedAtMillis = clock.monotonicMillis()
             for (m in selection.members) inFlight.add(m, context.tokens)
             try {
                 val end = exchange.run(context, dispatch(selection), headMillis(), relay) {
                     if (it.load != null) plain.onLoad(selection.server.id, it.load)
                 }
-                judge(selection, end, clock.monotonicMillis() - startedAt)
+                judge(selection, end, clock.monotonicMillis() - startedAtMillis)
                 return if (end == AttemptEnd.Streamed && relay?.finish() == false) {
                     AttemptEnd.Broken("the answer ended within an event")
                 } else {
@@ -111,24 +126,37 @@
             val patient = if (relay == null) {
                 maxOf(MIN_HEAD_MILLIS, HEAD_PER_TARGET * context.route.latencyTargetMillis)
             } else {
-                silenceMillis()
+                firstEventMillis()
             }
             return minOf(left, patient).coerceAtLeast(1)
         }
 
         private fun silenceMillis() = (context.patienceMillis * SILENCE_SHARE).toLong()
 
+        /**
+         * Time until the first event; half of the target if answers usually come sooner, so that
+         * another attempt may still be in time.
+         */
+        private fun firstEventMillis(): Long {
+            val unusual = firstEventTimes.unusualMillis(service.name) ?: return silenceMillis()
+            val soon = (context.route.latencyTargetMillis * FIRST_EVENT_SHARE).toLong()
+            return maxOf(soon, unusual).coerceAtMost(silenceMillis())
+        }
+
         private fun newRelay() = StreamRelay(
             answer = answer,
             endToEnd = EndToEndHeaders::of,
             gapMillis = silenceMillis(),
             firstEventMillis = silenceMillis(),
             firstId = context.caller.lastEventId,
-            onFirstEvent = { observer.onFirstEvent(context) }
+            onFirstEvent = {
+                firstEventTimes.record(service.name, clock.monotonicMillis() - startedAtMillis)
+                observer.onFirstEvent(context)
+            }
         )
 
         /** Tells what the end of an attempt says of the servers, and leaves them out from now. */
-        private fun judge(selection: Selection, end: AttemptEnd, millis: Long) {
+        private suspend fun judge(selection: Selection, end: AttemptEnd, millis: Long) {
             val first = selection.server.id
             when (end) {
                 is AttemptEnd.Streamed -> health.succeeded(selection.members, 1)
@@ -146,21 +174,47 @@
                 }
 
                 is AttemptEnd.NotRun -> {
-                    val stage = end.stage?.let { directory.at(it)?.id } ?: first
-                    excluded += stage
-                    if (service.engine != null) health.failed(service.name, listOf(stage))
+                    val stage = end.stage?.let { directory.at(it)?.id }
+                    excluded += stage ?: first
+                    // A full server says so itself; of another stage it means that it is gone.
+                    if (stage != null) health.failed(service.name, listOf(stage))
                 }
 
-                is AttemptEnd.Broken -> {
-                    // Any stage may be at fault; a chain without all of them is tried first.
-                    excluded += if (selection.members.size > 1) selection.members else listOf(first)
-                    health.failed(service.name, selection.members)
-                }
+                is AttemptEnd.Broken -> blame(selection, end)
 
                 is AttemptEnd.CallerGone -> Unit
             }
         }
 
+        private suspend fun blame(selection: Selection, end: AttemptEnd.Broken) {
+            val first = selection.server.id
+            if (selection.members.size == 1 || !end.isSilent) {
+                excluded += first
+                health.failed(service.name, listOf(first))
+                return
+            }
+            when (val cause = diagnosis.causeAt(selection.server)) {
+                is StallCause.Stages -> {
+                    val stages = cause.stages.filter { it in selection.members }
+                    excluded += stages
+                    stages.forEach { health.unreachable(service.name, it) }
+                }
+
+                is StallCause.FirstStage -> {
+                    excluded += first
+                    health.unreachable(service.name, first)
+                }
+
+                is StallCause.Unknown -> {
+                    avoided += selection.members
+                    // Without a stage at fault the service is slow as a whole; it must not be
+                    // made slower by repeats.
+                    val waited = clock.monotonicMillis() - startedAtMillis
+                    firstEventTimes.record(service.name, SLOW_FACTOR * waited)
+                }
+            }
+        }
+
         private fun isFinal(end: AttemptEnd): Boolean = when (end) {
             is AttemptEnd.Streamed, is AttemptEnd.CallerGone -> true
 
@@ -269,6 +323,12 @@
         /** Part of a caller's patience after which a silent stream goes on elsewhere. */
         const val SILENCE_SHARE = 0.45
 
+        /** Part of the target after which a first event that is unusually late is given up. */
+        const val FIRST_EVENT_SHARE = 0.5
+
+        /** What an answer that was given up would have taken, in times of the wait for it. */
+        const val SLOW_FACTOR = 2
+
         /** Servers that may be found unreachable for one request. */
         const val MAX_UNREACHABLE = 4
 
--- /dev/null
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -0,0 +1,30 @@
+package io.greengageport.gateway.peer
+
+import io.greengageport.routing.SuspectState
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
+
+/**
+ * What an instance tells its peers: a datagram in CBOR.
+ *
+ * [startedAtMillis] is the incarnation of [from], and [sequence] grows by one with each report, so
+ * that reports that overtake each other are told apart. [unreachable] lists servers of which this
+ * instance's own attempts show that they are gone. [suspects] holds marks of requests that crash
+ * engines, which merge in any order.
+ */
+@Serializable
+@CborArray
+internal class PeerReport(
+    val from: String,
+    val address: String,
+    val startedAtMillis: Long,
+    val sequence: Long,
+    val load: List<ServerLoad>,
+    val unreachable: List<String>,
+    val suspects: List<SuspectState>
+)
+
+/** Requests and tokens that an instance has in flight at a server. */
+@Serializable
+@CborArray
+internal class ServerLoad(val server: String, val requests: Int, val tokens: Int)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -37,7 +37,7 @@
     private val duty: DutyKeeper,
     private val connector: HttpConnector,
     private val protocol: BackendProtocol,
-    private val ejected: () -> Set<RunnerId>,
+    private val lost: () -> Set<RunnerId>,
     private val log: DecisionLog,
     private val clock: Clock
 ) {
@@ -66,8 +66,8 @@
         val holders = servers.mapNotNull { holder(it, engine) }
         if (!isSettled(holders)) return
         val room = MIN_REQUESTS * (engine.usualPromptTokens + engine.usualAnswerTokens)
-        val out = ejected()
-        // An ejected engine that holds layers may be dead; others should take its place in time.
+        // The store lists a crashed engine for some seconds; others should take its place at once.
+        val out = lost()
         val usable = holders.filter { it.id !in out }
         val plan = CopyPlacement(engine, room.toDouble()).plan(usable)
         if (plan.isEmpty()) return
--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
@@ -1,6 +1,8 @@
 package io.greengageport.gateway.port
 
 import com.github.michaelbull.result.Result
+import io.greengageport.common.HostPort
+import io.greengageport.common.InstanceId
 import io.greengageport.gateway.model.BackendServer
 import io.greengageport.gateway.model.Configuration
 
@@ -59,8 +61,8 @@
     /** Gives all duties back before a planned stop. */
     public suspend fun leave(): Result<Unit, StoreError>
 
-    /** Names of the instances that hold duties, as the store knows them. */
-    public suspend fun holders(): Result<Set<String>, StoreError>
+    /** The instances that hold duties, with the addresses at which peers reach them. */
+    public suspend fun holders(): Result<Map<InstanceId, HostPort>, StoreError>
 }
 
 /**
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.fold
 import io.greengageport.common.Clock
+import io.greengageport.common.HostPort
+import io.greengageport.common.InstanceId
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.port.DutyGroup
 import io.greengageport.gateway.port.DutyShare
@@ -18,17 +20,14 @@
 public class DutyKeeper(
     private val group: DutyGroup,
     private val clock: Clock,
-    private val log: DecisionLog
+    private val log: DecisionLog,
+    private val onMembers: (Map<InstanceId, HostPort>) -> Unit
 ) {
     private var share: DutyShare? = null
     private var heldUntil = Long.MIN_VALUE
     private var fencedAt = -1L
     private var hadPlacement = false
 
-    /** Number of instances in the group, this one included. */
-    public var instances: Int = 1
-        private set
-
     /** The fencing token under which this instance may place layers now, or null. */
     public fun placementToken(): Long? {
         val s = share ?: return null
@@ -43,11 +42,12 @@
     }
 
     /** Renews the membership until cancelled. */
-    public suspend fun run() {
+    suspend fun run() {
         var rounds = 0
         while (true) {
             renew()
-            if (rounds++ % HOLDERS_EVERY == 0) countInstances()
+            if (rounds < FIRST_ROUNDS || rounds % MEMBERS_EVERY == 0) readMembers()
+            rounds++
             delay(RENEW_MILLIS)
         }
     }
@@ -90,16 +90,8 @@
         )
     }
 
-    private suspend fun countInstances() {
-        group.holders().fold(
-            { holders ->
-                if (holders.size != instances && holders.isNotEmpty()) {
-                    instances = holders.size
-                    log.record("duty", "instances", "count" to instances)
-                }
-            },
-            { log.record("duty", "holders_unknown", "error" to it) }
-        )
+    private suspend fun readMembers() {
+        group.holders().fold(onMembers) { log.record("duty", "members_unknown", "error" to it) }
     }
 
     private companion object {
@@ -110,7 +102,10 @@
         /** A duty ends early by this, for clocks that run apart and calls that are slow. */
         const val SAFETY_MILLIS = 500L
 
-        /** Rounds between two looks at the other holders. */
-        const val HOLDERS_EVERY = 5
+        /** Right after the start, when the instances find each other. */
+        const val FIRST_ROUNDS = 3
+
+        /** Rounds between later reads; new instances make themselves known to their peers. */
+        const val MEMBERS_EVERY = 15
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/InFlightTable.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/InFlightTable.kt
@@ -10,14 +10,14 @@
  * What the peers told of themselves counts if it is fresh; without that, every instance is taken to
  * have as much in flight as this one.
  */
-public class InFlightTable(private val instances: () -> Int) {
+public class InFlightTable(
+    private val instances: () -> Int,
+    private val ofPeers: () -> Map<RunnerId, InFlight>?
+) {
     private class Entry(var requests: Int = 0, var tokens: Int = 0)
 
     private val own = HashMap<RunnerId, Entry>()
 
-    /** What the peers have in flight, by server; null while it is not known. */
-    public var ofPeers: Map<RunnerId, InFlight>? = null
-
     /** Counts a request with [tokens] at [server]. */
     public fun add(server: RunnerId, tokens: Int) {
         val e = own.getOrPut(server, ::Entry)
@@ -44,7 +44,7 @@
     /** The estimate for all instances together. */
     public fun total(server: RunnerId): InFlight {
         val mine = own(server)
-        val peers = ofPeers
+        val peers = ofPeers()
         if (peers != null) {
             val others = peers[server] ?: InFlight.NONE
             return InFlight(mine.requests + others.requests, mine.tokens + others.tokens)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
@@ -32,12 +32,18 @@
 ) {
     private val detector = OutlierDetector(clock, RULES)
 
+    private val unreachable = HashSet<RunnerId>()
+
+    /** Servers that are surely gone: they accept no connection, or a stage before them waits. */
+    fun unreachable(): Set<RunnerId> = unreachable.toSet()
+
     /** Servers that get no new work. */
     fun ejected(): Set<RunnerId> = detector.ejected()
 
     /** An attempt in which [servers] took part ended well after [millis]. */
     fun succeeded(servers: List<RunnerId>, millis: Long) {
         for (s in servers) detector.succeeded(s, millis.toDouble())
+        if (unreachable.isNotEmpty()) unreachable -= servers.toSet()
     }
 
     /** An attempt failed because of one of [servers], it is not known which. */
@@ -49,11 +55,15 @@
     /** No connection to [server] could be made. */
     fun unreachable(service: ServiceName, server: RunnerId) {
         detector.silent(server)
+        unreachable += server
         evaluate(service)
     }
 
     /** Forgets a server that is gone or was started anew. */
-    fun forget(server: RunnerId): Unit = detector.forget(server)
+    fun forget(server: RunnerId) {
+        detector.forget(server)
+        unreachable -= server
+    }
 
     /** Lets ejected servers return, until cancelled. */
     suspend fun run() {
@@ -73,8 +83,9 @@
     }
 
     private suspend fun probe(id: RunnerId) {
-        val server = directory.find(id) ?: return detector.forget(id)
+        val server = directory.find(id) ?: return forget(id)
         val isHealthy = isHealthy(server)
+        if (isHealthy) unreachable -= id
         val event = detector.probed(id, isHealthy) ?: return
         log.record("health", "probed", "server" to id, "healthy" to isHealthy, "change" to event)
     }
--- a/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
@@ -71,8 +71,11 @@
     }
 
     public companion object {
-        /** Requests that wait for the pipe on average behind a transfer, by a rough estimate. */
-        public const val DEFAULT_PIPE_WEIGHT: Double = 4.0
+        /**
+         * A pipe carries some 40 prompts a second, about the load of a whole fleet, and slows all
+         * chains that use it when it fills up. A chain crosses only where nothing else is left.
+         */
+        public const val DEFAULT_PIPE_WEIGHT: Double = 25.0
 
         /** Above this use, lengths of answers that are not known yet may fill the memory. */
         private const val COMFORTABLE_MEMORY_USE = 0.8
--- a/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
@@ -24,10 +24,13 @@
     /** It becomes part of a new copy of the model. */
     NEW_COPY,
 
-    /** It holds nothing and takes over the layers with the least room for requests. */
+    /** It is one more empty engine than are kept, and relieves the layers with the least room. */
     FILL,
 
-    /** It holds the neighbouring layers and takes those of a lost engine besides. */
+    /** It was kept empty and takes the layers of a lost engine. */
+    REPLACE,
+
+    /** It takes layers of a lost engine beside its own, as no empty engine is left for them. */
     EXTEND
 }
 
@@ -41,9 +44,10 @@
  * than [maxStages] engines a copy gets more copies; those that can't hold a copy with room for
  * [minTokens] share one with others.
  *
- * When an engine is lost, its neighbours in the copy take its layers besides their own; an engine
- * that comes back empty relieves the layers with the least room. Nothing else is moved, since each
- * load takes time and stops work.
+ * Some engines of each data centre stay empty. When one that serves is lost, an empty one loads its
+ * layers within a second or two, and the lost one is kept empty when it comes back. Layers for
+ * which no empty engine is left go to their neighbours, as far as these have room. No engine gives
+ * up layers that it holds: it would take no new requests until all that pass through it have ended.
  *
  * Pure; equal input gives equal output, so another instance that takes over goes on with the same
  * plan.
@@ -64,23 +68,39 @@
 
         fun plan(): List<LayerAssignment> {
             buildCopies()
-            while (empty.isNotEmpty() && fill(empty.removeFirst())) Unit
-            closeGaps()
+            for (group in held.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value }).values) {
+                for (copy in copies(group)) repair(copy)
+                fillSurplus(group)
+            }
             return assignments
         }
 
         private fun buildCopies() {
             val byCentre = empty.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value })
             val rest = ArrayList<CardHolder>()
-            for (group in byCentre.values) {
-                val copies = copiesOf(group)
+            for ((centre, group) in byCentre) {
+                // Copies of a data centre that has some are repaired and not doubled.
+                if (held.any { it.dataCentre == centre }) continue
+                val members = group - kept(group).toSet()
+                val copies = copiesOf(members)
                 if (copies == 0) rest += group
-                for (members in deal(group, copies)) buildCopy(members)
+                for (part in deal(members, copies)) buildCopy(part)
             }
             // Data centre by data centre, as each change within a chain is a transfer.
             if (roomOf(rest) >= minTokens && rest.size <= MAX_CHAIN) buildCopy(rest)
         }
 
+        /** The engines of [group] to keep empty: of the largest kind of which there are several. */
+        private fun kept(group: List<CardHolder>): List<CardHolder> {
+            val count = keptOf(group.size)
+            if (count == 0) return emptyList()
+            return group.groupBy { it.card }.filterValues { it.size >= COMMON_KIND }
+                .maxByOrNull { it.key.memoryMegabytes }?.value?.takeLast(count).orEmpty()
+        }
+
+        private fun keptOf(engines: Int): Int =
+            if (engines < MIN_FOR_KEPT) 0 else maxOf(1, engines / ENGINES_PER_KEPT)
+
         /** Copies for which [group] has room, 0 if not even for one. */
         private fun copiesOf(group: List<CardHolder>): Int {
             val wanted = (group.size + maxStages - 1) / maxStages
@@ -101,6 +121,14 @@
         }
 
         private fun buildCopy(members: List<CardHolder>) {
+            for ((m, layers) in division(members)) {
+                assign(m, layers, AssignmentReason.NEW_COPY)
+                empty.remove(m)
+            }
+        }
+
+        /** Divides all layers among [members] in their order, with the same room on each card. */
+        private fun division(members: List<CardHolder>): List<Pair<CardHolder, LayerRange>> {
             val room = roomOf(members)
             val widths = members.map { profile.layersWithRoom(it.card, room) }.toIntArray()
             // Rounding leaves some layers too many; they come off the cards with the least room.
@@ -110,11 +138,10 @@
                 widths[i]--
             }
             var from = 0
-            for ((i, m) in members.withIndex()) {
-                if (widths[i] == 0) continue
-                assign(m, LayerRange(from, from + widths[i]), AssignmentReason.NEW_COPY)
-                empty.remove(m)
-                from += widths[i]
+            return members.indices.filter { widths[it] > 0 }.map { i ->
+                val range = LayerRange(from, from + widths[i])
+                from = range.until
+                members[i] to range
             }
         }
 
@@ -132,48 +159,67 @@
             return low
         }
 
-        /** Gives [holder] the range of layers that has the least room; false if none fits. */
-        private fun fill(holder: CardHolder): Boolean {
+        /** Gives layers to empty engines of a data centre beyond those that are kept. */
+        private fun fillSurplus(group: List<CardHolder>) {
+            val centre = group.first().dataCentre
+            val own = empty.filter { it.dataCentre == centre }
+            val surplus = own.size - keptOf(group.size + own.size)
+            // The smallest are used, since the larger ones can replace any engine.
+            for (h in own.sortedBy { it.card.memoryMegabytes }.take(maxOf(0, surplus))) fill(h)
+        }
+
+        /** Gives [holder] the range of layers that has the least room. */
+        private fun fill(holder: CardHolder) {
             val width = profile.layersWithRoom(holder.card, FILL_ROOM_FACTOR * minTokens)
                 .coerceAtLeast(1)
             val room = DoubleArray(profile.layers)
-            for (h in held) {
+            for (h in held.filter { it.dataCentre == holder.dataCentre }) {
                 val layers = h.layers ?: continue
                 val tokens = profile.tokenRoom(h.card, layers.size)
-                // Engines of the same data centre count whole: a chain need not leave it.
-                val weight = if (h.dataCentre == holder.dataCentre) 1.0 else REMOTE_WEIGHT
-                for (l in layers.from until minOf(layers.until, profile.layers)) {
-                    room[l] += tokens * weight
-                }
+                for (l in layers.from until minOf(layers.until, profile.layers)) room[l] += tokens
             }
             val start = (0..profile.layers - width).maxBy { s ->
                 (s until s + width).sumOf { 1 / (room[it] + minTokens * MIN_SHARE) }
             }
             assign(holder, LayerRange(start, start + width), AssignmentReason.FILL)
-            return true
+            empty.remove(holder)
         }
 
-        /** Extends the neighbours of layers that no engine of a data centre's copies holds. */
-        private fun closeGaps() {
-            for (group in held.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value }).values) {
-                if (group.sumOf { it.layers?.size ?: 0 } < profile.layers * COPY_SHARE) continue
-                while (closeGap(group.map { h -> held.first { it.id == h.id } })) Unit
+        /** Finds engines for the layers that [copy] lacks. */
+        private fun repair(copy: List<CardHolder>) {
+            var members = copy
+            while (true) {
+                val covered = covered(members)
+                val gap = covered.indexOfFirst { !it }
+                if (gap < 0) return
+                val end = (gap until profile.layers).firstOrNull { covered[it] } ?: profile.layers
+                val next = replace(members.first(), gap, end) ?: extend(members, gap, end) ?: return
+                members = members.filter { it.id != next.id } + next
             }
         }
 
-        private fun closeGap(group: List<CardHolder>): Boolean {
-            val covered = BooleanArray(profile.layers)
-            for (h in group) h.layers?.let { r ->
-                for (l in r.from until minOf(r.until, profile.layers)) covered[l] = true
-            }
-            val gap = covered.indexOfFirst { !it }
-            if (gap < 0) return false
-            val end = (gap until profile.layers).firstOrNull { covered[it] } ?: profile.layers
-            val best = group.mapNotNull { extension(it, gap, end) }
+        /** Lets an empty engine take the layers from [gap] to [end], or as many as it can. */
+        private fun replace(member: CardHolder, gap: Int, end: Int): CardHolder? {
+            val candidates = empty.filter { it.dataCentre == member.dataCentre }
+            val wanted = end - gap
+            fun most(h: CardHolder) = profile.layersWithRoom(h.card, minTokens * MIN_SHARE)
+            val best = candidates.filter { most(it) >= wanted }
+                .minByOrNull { it.card.memoryMegabytes }
+                ?: candidates.maxByOrNull(::most) ?: return null
+            val width = minOf(wanted, most(best))
+            if (width <= 0) return null
+            empty.remove(best)
+            val layers = LayerRange(gap, gap + width)
+            assign(best, layers, AssignmentReason.REPLACE)
+            return best.copy(layers = layers)
+        }
+
+        private fun extend(members: List<CardHolder>, gap: Int, end: Int): CardHolder? {
+            val (h, layers) = members.mapNotNull { extension(it, gap, end) }
                 .maxByOrNull { (h, layers) -> profile.tokenRoom(h.card, layers.size) }
-                ?: return false
-            assign(best.first, best.second, AssignmentReason.EXTEND)
-            return true
+                ?: return null
+            assign(h, layers, AssignmentReason.EXTEND)
+            return h.copy(layers = layers)
         }
 
         /**
@@ -193,6 +239,41 @@
             }
         }
 
+        /** Splits the engines of a data centre into copies, whole or with gaps. */
+        private fun copies(group: List<CardHolder>): List<List<CardHolder>> {
+            val copies = ArrayList<MutableList<CardHolder>>()
+            val sorted = group.sortedWith(compareBy({ it.layers?.from ?: 0 }, { it.id }))
+            for (h in sorted) {
+                val from = h.layers?.from ?: continue
+                val copy = copies.filter { end(it) <= from }.maxByOrNull(::end)
+                if (copy == null) copies += mutableListOf(h) else copy += h
+            }
+            // What relieves parts of a copy fills gaps of it as well.
+            val whole = copies.filter { coveredBy(it) >= profile.layers * COPY_SHARE }
+            val rest = (copies - whole.toSet()).flatten()
+            return whole.map { copy ->
+                val covered = covered(copy)
+                copy + rest.filter { h -> closes(h, covered) }
+            }
+        }
+
+        private fun end(copy: List<CardHolder>): Int = copy.last().layers?.until ?: 0
+
+        private fun covered(copy: List<CardHolder>): BooleanArray {
+            val covered = BooleanArray(profile.layers)
+            for (h in copy) h.layers?.let { r ->
+                for (l in r.from until minOf(r.until, profile.layers)) covered[l] = true
+            }
+            return covered
+        }
+
+        private fun coveredBy(copy: List<CardHolder>): Int = covered(copy).count { it }
+
+        private fun closes(h: CardHolder, covered: BooleanArray): Boolean {
+            val r = h.layers ?: return false
+            return (r.from until minOf(r.until, profile.layers)).any { !covered[it] }
+        }
+
         private fun fits(card: Card, layers: Int) =
             profile.tokenRoom(card, layers) >= minTokens * MIN_SHARE
 
@@ -221,13 +302,19 @@
         /** A stage with less than this part of the least room holds up its whole copy. */
         private const val MIN_SHARE = 0.3
 
-        /** How much an engine of another data centre relieves those of this one. */
-        private const val REMOTE_WEIGHT = 0.1
-
         /** A data centre that holds this part of a copy is worth completing. */
-        private const val COPY_SHARE = 0.6
+        private const val COPY_SHARE = 0.5
 
         /** Layers that one neighbour takes alone. */
         private const val SMALL_GAP = 3
+
+        /** Smaller groups of engines can't spare one. */
+        private const val MIN_FOR_KEPT = 6
+
+        /** One engine in so many is kept empty. */
+        private const val ENGINES_PER_KEPT = 12
+
+        /** Engines of which there are so many count as a kind that is likely to fail. */
+        private const val COMMON_KIND = 3
     }
 }
