Admit requests to models by the engines' memory, and count memory by layers run

Change: ServiceGates admits by rank and organisation up to the memory of whole copies, divided by what the instances tell each other; memory in flight is counted in tokens times layers run, and the charge of a full stage stays below that of a crossing.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -15,6 +15,7 @@
 import io.greengageport.gateway.forward.RequestContext
 import io.greengageport.gateway.forward.RequestForwarder
 import io.greengageport.gateway.forward.RequestRouter
+import io.greengageport.gateway.forward.ServiceGates
 import io.greengageport.gateway.http.ConnectionPool
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
@@ -38,6 +39,7 @@
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.routing.Backoff
 import io.greengageport.routing.LinkEstimator
+import io.greengageport.routing.ModelCapacity
 import io.greengageport.routing.RetryBudget
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
@@ -67,7 +69,7 @@
     private val index = FleetIndex(directory) { configuration.current }
     private val peers = PeerView(settings.id, clock, log)
     private val duty = DutyKeeper(store.duties, clock, log, peers::onMembers)
-    private val inFlight = InFlightTable({ peers.instances }, peers::load)
+    private val inFlight = InFlightTable({ peers.instances }, peers::load, peers::requestsByService)
     private val pool = ConnectionPool(connector, clock)
     private val health = ServerHealth(
         fleet = index.fleet,
@@ -90,6 +92,14 @@
         own = settings.dataCentre,
         log = log
     )
+    private val gates = ServiceGates(
+        self = settings.id,
+        capacity = ModelCapacity(index.fleet),
+        inFlight = inFlight,
+        instances = { peers.instances },
+        log = log,
+        clock = clock
+    )
     private val forwarder = RequestForwarder(
         exchange = BackendExchange(pool, protocol, clock),
         protocol = protocol,
@@ -97,6 +107,7 @@
         chains = chains,
         directory = directory,
         inFlight = inFlight,
+        gates = gates,
         health = health,
         diagnosis = StallDiagnosis(directory, connector, protocol, log, clock),
         retryBudget = ::budget,
@@ -135,6 +146,7 @@
     public fun start() {
         configuration.onChanged = {
             index.rebuild(it)
+            gates.onConfiguration(it)
             metrics.configurationVersion.set(it.version.toDouble())
         }
         directory.onChanged = { id, previous, now ->
@@ -215,6 +227,7 @@
         scope.launch { exchange.run() }
         scope.launch { placer.run() }
         scope.launch { health.run() }
+        scope.launch { gates.run() }
         scope.launch {
             while (true) {
                 delay(UPKEEP_MILLIS)
@@ -267,8 +280,9 @@
         startedAtMillis = startedAtMillis,
         sequence = sequence,
         load = inFlight.ownByServer().map { (id, l) ->
-            ServerLoad(id.value, l.requests, l.tokens)
+            ServerLoad(id.value, l.requests, l.tokenLayers)
         },
+        requestsByService = gates.admitted().mapKeys { it.key.value },
         unreachable = health.unreachable().map { it.value },
         suspects = emptyList()
     )
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
@@ -31,15 +31,15 @@
     private val log: DecisionLog
 ) : ServerSelector {
     /** By identity: profiles are compared for each request, and each configuration has its own. */
-    private val planners = IdentityHashMap<EngineProfile, ShortestChain>()
+    private val planners = IdentityHashMap<EngineProfile, Planner>()
 
     override fun select(context: RequestContext, excluded: Set<RunnerId>): Selection? {
         val profile = checkNotNull(context.service.engine) { "a chain needs a model" }
-        val planner = planner(profile)
+        val (planner, costs) = planner(profile)
         // Ejected engines are used only where no chain does without them.
         val result = plan(planner, context, excluded + ejected())
         val choice = if (result.isErr) plan(planner, context, excluded) else result
-        return choice.fold({ selection(it) }) { failure ->
+        return choice.fold({ selection(context, it, costs) }) { failure ->
             log.record("route", "no_chain", "request" to context.id, "why" to failure)
             null
         }
@@ -61,7 +61,19 @@
         )
     )
 
-    private fun selection(decision: RoutingDecision): Selection? {
+    private fun selection(
+        context: RequestContext,
+        decision: RoutingDecision,
+        costs: BatchingCosts
+    ): Selection? {
+        log.record(
+            "route",
+            "chosen",
+            "request" to context.id,
+            "expected_ms" to decision.expectedMillis.toLong(),
+            "memory_use" to (decision.stages.maxOf { costs.memoryUse(it.runner) } * PERCENT).toInt(),
+            "chain" to decision.stages.joinToString(">") { "${it.id}${it.layers}" }
+        )
         val servers = decision.stages.map { directory.find(it.runner.id) ?: return null }
         val stages = decision.stages.mapIndexed { i, s ->
             ChainStage(servers[i].address, checkNotNull(s.layers) { "a stage runs layers" })
@@ -69,18 +81,19 @@
         return Selection(servers[0], servers.map { it.id }, stages)
     }
 
-    private fun planner(profile: EngineProfile): ShortestChain {
+    private fun planner(profile: EngineProfile): Planner {
         if (planners.size > KEPT_PROFILES) planners.clear()
         return planners.getOrPut(profile) {
-            ShortestChain(
-                BatchingCosts(profile, links, inFlight::total, slowness),
-                Random.Default
-            )
+            val costs = BatchingCosts(profile, links, inFlight::total, slowness)
+            Planner(ShortestChain(costs, Random.Default), costs)
         }
     }
 
+    private data class Planner(val chains: ShortestChain, val costs: BatchingCosts)
+
     private companion object {
         /** Models in use, and those of configurations that were replaced meanwhile. */
         const val KEPT_PROFILES = 16
+        const val PERCENT = 100
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -1,5 +1,6 @@
 package io.greengageport.gateway.forward
 
+import com.github.michaelbull.result.getOrElse
 import io.greengageport.common.Clock
 import io.greengageport.common.Execution
 import io.greengageport.common.RankName
@@ -35,6 +36,7 @@
     private val chains: ServerSelector,
     private val directory: BackendDirectory,
     private val inFlight: InFlightTable,
+    private val gates: ServiceGates,
     private val health: ServerHealth,
     private val diagnosis: StallDiagnosis,
     private val retryBudget: (ServiceName) -> RetryBudget,
@@ -46,14 +48,20 @@
 
     /** Serves [context] and answers. */
     suspend fun forward(context: RequestContext, answer: CallerAnswer) {
-        retryBudget(context.service.name).admitted()
         val run = Run(context, answer)
-        val left = context.deadlineAtMillis - clock.monotonicMillis()
-        val isInTime = withTimeoutOrNull(maxOf(left, 1)) {
-            run.attempts()
-            true
-        } ?: false
-        run.conclude(isInTime)
+        val permit = gates.admit(context, firstEventTimes.unusualMillis(context.service.name) ?: 0)
+            .getOrElse { return run.refuse(it) }
+        try {
+            retryBudget(context.service.name).admitted()
+            val left = context.deadlineAtMillis - clock.monotonicMillis()
+            val isInTime = withTimeoutOrNull(maxOf(left, 1)) {
+                run.attempts()
+                true
+            } ?: false
+            run.conclude(isInTime)
+        } finally {
+            permit?.release(context.tokens.toLong())
+        }
     }
 
     private inner class Run(val context: RequestContext, val answer: CallerAnswer) {
@@ -92,7 +100,7 @@
 
         private suspend fun attempt(selection: Selection): AttemptEnd {
             startedAtMillis = clock.monotonicMillis()
-            for (m in selection.members) inFlight.add(m, context.tokens)
+            count(selection, inFlight::add)
             try {
                 val end = exchange.run(context, dispatch(selection), headMillis(), relay) {
                     if (it.load != null) plain.onLoad(selection.server.id, it.load)
@@ -104,7 +112,13 @@
                     end
                 }
             } finally {
-                for (m in selection.members) inFlight.remove(m, context.tokens)
+                count(selection, inFlight::remove)
+            }
+        }
+
+        private inline fun count(selection: Selection, change: (RunnerId, Long) -> Unit) {
+            selection.members.forEachIndexed { i, m ->
+                change(m, context.tokens.toLong() * selection.layersOf(i))
             }
         }
 
@@ -283,6 +297,16 @@
                 answer.refuse(error)
                 outcome = error.code
             }
+            ended(outcome)
+        }
+
+        /** Answers with [error] before any attempt. */
+        suspend fun refuse(error: RequestError) {
+            answer.refuse(error)
+            ended(error.code)
+        }
+
+        private fun ended(outcome: String) {
             observer.onEnd(context, outcome)
             log.record(
                 "request",
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/Selection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/Selection.kt
@@ -13,7 +13,10 @@
     val server: BackendServer,
     val members: List<RunnerId> = listOf(server.id),
     val stages: List<ChainStage> = emptyList()
-)
+) {
+    /** Layers that member [index] runs; 1 for a plain server. */
+    fun layersOf(index: Int): Int = stages.getOrNull(index)?.layers?.size ?: 1
+}
 
 /** Chooses where an attempt goes. */
 internal fun interface ServerSelector {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -20,11 +20,12 @@
     val startedAtMillis: Long,
     val sequence: Long,
     val load: List<ServerLoad>,
+    val requestsByService: Map<String, Int>,
     val unreachable: List<String>,
     val suspects: List<SuspectState>
 )
 
-/** Requests and tokens that an instance has in flight at a server. */
+/** Requests in flight at a server and the memory they hold, in tokens times layers. */
 @Serializable
 @CborArray
-internal class ServerLoad(val server: String, val requests: Int, val tokens: Int)
+internal class ServerLoad(val server: String, val requests: Int, val tokenLayers: Long)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -4,6 +4,7 @@
 import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.routing.InFlight
 
@@ -94,12 +95,23 @@
         for (r in reports) for (l in r.load) {
             val id = RunnerId(l.server)
             val old = sum[id] ?: InFlight.NONE
-            sum[id] = InFlight(old.requests + l.requests, old.tokens + l.tokens)
+            sum[id] = InFlight(old.requests + l.requests, old.tokenLayers + l.tokenLayers)
         }
         loadSum = sum
         return sum
     }
 
+    /** Admitted requests of the live peers by service, or null while no peer has told anything. */
+    fun requestsByService(): Map<ServiceName, Int>? {
+        val reports = peers.values.filter { it.isAlive }.mapNotNull { it.report }
+        if (reports.isEmpty()) return null
+        val sum = HashMap<ServiceName, Int>()
+        for (r in reports) for ((service, requests) in r.requestsByService) {
+            sum.merge(ServiceName(service), requests, Int::plus)
+        }
+        return sum
+    }
+
     /** Servers that at least one live peer found unreachable. */
     fun unreachable(): Set<RunnerId> = peers.values.filter { it.isAlive }
         .flatMapTo(HashSet()) { p -> p.report?.unreachable.orEmpty().map(::RunnerId) }
--- a/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
@@ -3,10 +3,13 @@
 import io.greengageport.common.DataCentre
 import io.greengageport.common.RunnerId
 
-/** What is in flight on a runner: requests, and the tokens that they hold in its memory. */
-public data class InFlight(val requests: Int, val tokens: Int) {
+/**
+ * What is in flight on a runner: requests, and the memory that they hold there, in tokens times the
+ * layers that the runner runs for them.
+ */
+public data class InFlight(val requests: Int, val tokenLayers: Long) {
     public companion object {
-        public val NONE: InFlight = InFlight(0, 0)
+        public val NONE: InFlight = InFlight(0, 0L)
     }
 }
 
@@ -30,11 +33,12 @@
         val load = inFlight(runner.id)
         val step = profile.stepMillis +
             profile.stepMillisPerRequest * (load.requests + 1) +
-            profile.stepMillisPerThousandTokens * load.tokens / THOUSAND
+            profile.stepMillisPerThousandTokens * load.tokenLayers /
+            (runner.layers?.size ?: 1) / THOUSAND
         val writing = request.outputTokens * step * card.stepFactor
         val reading = request.promptTokens * card.promptFactor / profile.promptTokensPerMilli
         return RunnerCost(
-            waitMillis = STAGE_MILLIS_PER_TOKEN * request.outputTokens + memoryMillis(runner, card),
+            waitMillis = STAGE_MILLIS_PER_TOKEN * request.outputTokens + memoryMillis(runner),
             millisPerLayer = (writing + reading) * slowness(runner.id) / profile.layers,
             workPerLayer = (request.promptTokens + request.outputTokens).toDouble() /
                 profile.layers,
@@ -61,13 +65,14 @@
     public fun memoryUse(runner: Runner): Double {
         val card = runner.card ?: return 0.0
         val layers = runner.layers?.size ?: return 0.0
-        val room = profile.tokenRoom(card, layers)
-        return if (room > 0) inFlight(runner.id).tokens / room else 1.0
+        val room = profile.tokenRoom(card, layers) * layers
+        return if (room > 0) inFlight(runner.id).tokenLayers / room else 1.0
     }
 
-    private fun memoryMillis(runner: Runner, card: Card): Double {
-        if (runner.layers == null || card.memoryMegabytes <= 0) return 0.0
-        return maxOf(0.0, memoryUse(runner) - COMFORTABLE_MEMORY_USE) * SHORTAGE_MILLIS
+    private fun memoryMillis(runner: Runner): Double {
+        val use = memoryUse(runner)
+        return maxOf(0.0, use - COMFORTABLE_MEMORY_USE) * TIGHTNESS_MILLIS +
+            maxOf(0.0, use - 1) * SHORTAGE_MILLIS
     }
 
     public companion object {
@@ -80,7 +85,10 @@
         /** Above this use, lengths of answers that are not known yet may fill the memory. */
         private const val COMFORTABLE_MEMORY_USE = 0.8
 
-        /** Charge of a full memory: more than any whole answer takes. */
+        /** Charge of a stage with full memory: less than a transfer between data centres. */
+        private const val TIGHTNESS_MILLIS = 2_500.0
+
+        /** Charge of a stage that would need twice its memory: more than any answer takes. */
         private const val SHORTAGE_MILLIS = 100_000.0
 
         /** Handing over a token from stage to stage costs some time wherever they are. */
--- /dev/null
+++ b/routing/src/main/kotlin/io/greengageport/routing/ModelCapacity.kt
@@ -0,0 +1,33 @@
+package io.greengageport.routing
+
+import io.greengageport.common.ServiceName
+
+/**
+ * How many requests of a model fit into the memory of its engines at a time.
+ *
+ * Chains stay within a data centre while they can, so each data centre counts by itself: by the
+ * layer for which its engines have least room together. If no data centre holds all layers, the
+ * engines of all count together.
+ */
+public class ModelCapacity(private val fleet: Fleet) {
+    /** Requests of usual length that fit at a time; 0 if some layer has no engine. */
+    public fun requests(service: ServiceName, profile: EngineProfile): Double {
+        val runners = fleet.service(service).runners
+        val usual = (profile.usualPromptTokens + profile.usualAnswerTokens).coerceAtLeast(1)
+        val byCentre = runners.groupBy { it.dataCentre }.values.sumOf { tokens(it, profile) }
+        val tokens = if (byCentre > 0) byCentre else tokens(runners, profile)
+        return tokens / usual
+    }
+
+    /** Tokens for which [runners] have room in the layer where it is least. */
+    private fun tokens(runners: List<Runner>, profile: EngineProfile): Double {
+        val room = DoubleArray(profile.layers)
+        for (r in runners) {
+            val layers = r.layers ?: continue
+            val card = r.card ?: continue
+            val tokens = profile.tokenRoom(card, layers.size)
+            for (l in layers.from until minOf(layers.until, profile.layers)) room[l] += tokens
+        }
+        return room.min()
+    }
+}
