--- a/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/EntryInstance.kt
@@ -1,12 +1,12 @@
 package io.greengageport.entry
 
-import io.greengageport.common.HostPort
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onSuccess
 import io.greengageport.common.Clock
+import io.greengageport.common.HostPort
 import io.greengageport.common.OrganisationName
 import io.greengageport.common.SystemClock
 import io.greengageport.ledger.LedgerSettings
--- a/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/InstanceConfig.kt
@@ -1,12 +1,12 @@
 package io.greengageport.entry
 
-import io.greengageport.common.HostPort
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlException
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.greengageport.common.DataCentre
+import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.settings.KeyHash
 import java.nio.file.Files
--- a/entry/src/test/kotlin/io/greengageport/entry/ScriptedEngine.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ScriptedEngine.kt
@@ -1,7 +1,7 @@
 package io.greengageport.entry
 
-import io.greengageport.common.HostPort
 import io.greengageport.common.DataCentre
+import io.greengageport.common.HostPort
 import io.greengageport.common.LayerRange
 import io.greengageport.common.RunnerId
 import io.greengageport.common.ServiceName
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -31,6 +31,7 @@
 import io.greengageport.gateway.port.PlatformStore
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.ConfigurationHolder
+import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.DutyKeeper
 import io.greengageport.gateway.state.FeedFollower
 import io.greengageport.gateway.state.FleetIndex
@@ -79,6 +80,7 @@
         log = log,
         clock = clock
     )
+    private val suspects = CrashSuspects(clock, log)
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private val plain =
         PlainSelector(directory, inFlight, health::ejected, settings.dataCentre, clock)
@@ -102,7 +104,6 @@
     )
     private val forwarder = RequestForwarder(
         exchange = BackendExchange(pool, protocol, clock),
-        protocol = protocol,
         plain = plain,
         chains = chains,
         directory = directory,
@@ -110,6 +111,7 @@
         gates = gates,
         health = health,
         diagnosis = StallDiagnosis(directory, connector, protocol, log, clock),
+        suspects = suspects,
         retryBudget = ::budget,
         observer = MetricsObserver(),
         log = log,
@@ -132,7 +134,7 @@
         view = peers,
         log = log,
         report = ::peerReport,
-        onReport = {}
+        onReport = { it.suspects.forEach(suspects::onPeer) }
     )
     private val startedAtMillis = clock.wallMillis()
     private val connections = HashSet<CallerConnection>()
@@ -151,11 +153,15 @@
         }
         directory.onChanged = { id, previous, now ->
             index.update(id, now)
+            suspects.onServer(id, now)
             if (now == null || previous?.startedAtMillis != now.startedAtMillis) {
                 health.forget(id)
                 plain.forget(id)
                 previous?.let { pool.forget(it.address) }
             }
+            (now ?: previous)?.service?.let {
+                metrics.servers.labelValues(it.value).set(directory.usable(it).size.toDouble())
+            }
         }
         val limits = { configuration.current?.callerLimits ?: CallerLimits() }
         listen(settings.callers) { limits().maxHeaderBytes }
@@ -233,6 +239,7 @@
                 delay(UPKEEP_MILLIS)
                 directory.expire()
                 pool.closeExpired()
+                suspects.expire()
             }
         }
     }
@@ -284,7 +291,7 @@
         },
         requestsByService = gates.admitted().mapKeys { it.key.value },
         unreachable = health.unreachable().map { it.value },
-        suspects = emptyList()
+        suspects = suspects.toTell()
     )
 
     private fun budget(service: ServiceName): RetryBudget = budgets.getOrPut(service) {
@@ -314,10 +321,7 @@
             observe(context, metrics.duration)
         }
 
-        private fun observe(
-            context: RequestContext,
-            histogram: Histogram
-        ) {
+        private fun observe(context: RequestContext, histogram: Histogram) {
             val millis = clock.monotonicMillis() - context.arrivedAtMillis
             histogram.labelValues(context.service.name.value, context.priority.toString())
                 .observe(millis / MILLIS_PER_SECOND)
@@ -332,7 +336,7 @@
         const val SERVERS_PAUSE_SHARE = 0.4
         const val UPKEEP_MILLIS = 500L
 
-        /** The platform asks once a second and takes two misses; new connections come until then. */
+        /** The platform asks once a second; after two misses no new connections come. */
         const val ROTATION_MILLIS = 2_500L
         const val STOP_CHECK_MILLIS = 50L
         const val STOP_MARGIN_MILLIS = 300L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -68,12 +68,12 @@
             isLast = { isStopping() || !HttpUtil.isKeepAlive(head) },
             isHeadRequest = head.method() == HttpMethod.HEAD
         )
-        val body = readBody(head, answer) ?: return false
         val failure = head.decoderResult().cause()
         if (failure != null || isAmbiguous(head)) {
             refuseMalformed(failure, answer)
             return false
         }
+        val body = readBody(head, answer) ?: return false
         serve(head, body, answer)
         return answer.isComplete && !answer.endsConnection
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
@@ -71,7 +71,11 @@
             "chosen",
             "request" to context.id,
             "expected_ms" to decision.expectedMillis.toLong(),
-            "memory_use" to (decision.stages.maxOf { costs.memoryUse(it.runner) } * PERCENT).toInt(),
+            "memory_use" to (
+                decision.stages.maxOf {
+                    costs.memoryUse(it.runner)
+                } * PERCENT
+                ).toInt(),
             "chain" to decision.stages.joinToString(">") { "${it.id}${it.layers}" }
         )
         val servers = decision.stages.map { directory.find(it.runner.id) ?: return null }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
@@ -6,6 +6,7 @@
 import io.greengageport.gateway.model.Route
 import io.greengageport.gateway.model.Service
 import io.greengageport.gateway.port.CallerHeaders
+import io.greengageport.routing.Fingerprint
 import io.netty.handler.codec.http.HttpRequest
 
 /**
@@ -49,6 +50,12 @@
         service.engine?.usualAnswerTokens ?: 1
     ).coerceAtLeast(1)
 
+    /** The same for each try of the same caller with the same path and body. */
+    val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) {
+        val path = head.uri().toByteArray()
+        Fingerprint.of(organisationName, service.name, path + body)
+    }
+
     /** Memory that the request takes in each layer, in tokens. */
     val tokens: Int get() = promptTokens + answerTokens
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -9,15 +9,17 @@
 import io.greengageport.common.ServiceName
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.model.Repeatability
-import io.greengageport.gateway.port.BackendProtocol
 import io.greengageport.gateway.port.Dispatch
 import io.greengageport.gateway.state.BackendDirectory
+import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
 import io.greengageport.gateway.state.StallCause
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.routing.RetryBudget
 import io.greengageport.routing.RetryDecision
+import io.greengageport.routing.SuspectVerdict
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -31,7 +33,6 @@
  */
 internal class RequestForwarder(
     private val exchange: BackendExchange,
-    private val protocol: BackendProtocol,
     private val plain: PlainSelector,
     private val chains: ServerSelector,
     private val directory: BackendDirectory,
@@ -39,6 +40,7 @@
     private val gates: ServiceGates,
     private val health: ServerHealth,
     private val diagnosis: StallDiagnosis,
+    private val suspects: CrashSuspects,
     private val retryBudget: (ServiceName) -> RetryBudget,
     private val observer: ForwardObserver,
     private val log: DecisionLog,
@@ -49,6 +51,18 @@
     /** Serves [context] and answers. */
     suspend fun forward(context: RequestContext, answer: CallerAnswer) {
         val run = Run(context, answer)
+        if (suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED) {
+            return run.refuse(RequestError.NoCapacity("it crashes servers", BLOCKED_RETRY_MILLIS))
+        }
+        try {
+            serve(run, context)
+        } catch (e: CancellationException) {
+            run.ended("caller_gone")
+            throw e
+        }
+    }
+
+    private suspend fun serve(run: Run, context: RequestContext) {
         val permit = gates.admit(context, firstEventTimes.unusualMillis(context.service.name) ?: 0)
             .getOrElse { return run.refuse(it) }
         try {
@@ -84,6 +98,7 @@
             while (true) {
                 val selection = select() ?: return
                 hadSelection = true
+                if (!mayStart(selection)) return
                 val end = attempt(selection)
                 last = end
                 limit.ended(end)
@@ -94,9 +109,23 @@
             }
         }
 
-        private fun select(): Selection? =
-            (if (avoided.isEmpty()) null else selector.select(context, excluded + avoided))
-                ?: selector.select(context, excluded)
+        private fun select(): Selection? {
+            val busy = if (suspects.verdict(context.fingerprint) == SuspectVerdict.CLEAR) {
+                emptySet()
+            } else {
+                suspects.markedBusy()
+            }
+            val out = excluded + busy
+            return (if (avoided.isEmpty()) null else selector.select(context, out + avoided))
+                ?: selector.select(context, out)
+        }
+
+        private fun mayStart(selection: Selection) = suspects.tryStart(
+            context.id,
+            context.fingerprint,
+            selection.members,
+            events = { relay?.events ?: 0 }
+        )
 
         private suspend fun attempt(selection: Selection): AttemptEnd {
             startedAtMillis = clock.monotonicMillis()
@@ -112,6 +141,7 @@
                     end
                 }
             } finally {
+                suspects.ended(context.id)
                 count(selection, inFlight::remove)
             }
         }
@@ -163,6 +193,7 @@
             gapMillis = silenceMillis(),
             firstEventMillis = silenceMillis(),
             firstId = context.caller.lastEventId,
+            onEvent = { suspects.progressed(context.id, it) },
             onFirstEvent = {
                 firstEventTimes.record(service.name, clock.monotonicMillis() - startedAtMillis)
                 observer.onFirstEvent(context)
@@ -173,9 +204,13 @@
         private suspend fun judge(selection: Selection, end: AttemptEnd, millis: Long) {
             val first = selection.server.id
             when (end) {
-                is AttemptEnd.Streamed -> health.succeeded(selection.members, 1)
+                is AttemptEnd.Streamed -> {
+                    suspects.completed(context.id)
+                    health.succeeded(selection.members, 1)
+                }
 
                 is AttemptEnd.Answered -> if (end.reply.status < SERVER_ERRORS) {
+                    suspects.completed(context.id)
                     health.succeeded(selection.members, millis)
                 } else {
                     excluded += first
@@ -184,6 +219,7 @@
 
                 is AttemptEnd.NotConnected -> {
                     excluded += first
+                    suspects.refused(first)
                     health.unreachable(service.name, first)
                 }
 
@@ -203,6 +239,7 @@
         private suspend fun blame(selection: Selection, end: AttemptEnd.Broken) {
             val first = selection.server.id
             if (selection.members.size == 1 || !end.isSilent) {
+                if (!end.isSilent) suspects.lost(first)
                 excluded += first
                 health.failed(service.name, listOf(first))
                 return
@@ -211,6 +248,7 @@
                 is StallCause.Stages -> {
                     val stages = cause.stages.filter { it in selection.members }
                     excluded += stages
+                    stages.forEach(suspects::lost)
                     stages.forEach { health.unreachable(service.name, it) }
                 }
 
@@ -231,9 +269,7 @@
 
         private fun isFinal(end: AttemptEnd): Boolean = when (end) {
             is AttemptEnd.Streamed, is AttemptEnd.CallerGone -> true
-
             is AttemptEnd.Answered -> end.reply.status < SERVER_ERRORS
-
             is AttemptEnd.NotConnected, is AttemptEnd.NotRun, is AttemptEnd.Broken -> false
         }
 
@@ -306,7 +342,7 @@
             ended(error.code)
         }
 
-        private fun ended(outcome: String) {
+        fun ended(outcome: String) {
             observer.onEnd(context, outcome)
             log.record(
                 "request",
@@ -358,5 +394,8 @@
 
         /** Crashed servers are back, and layers loaded elsewhere, after about a second. */
         const val RETRY_MILLIS = 1_000L
+
+        /** A request that crashes servers is blocked for an hour; none has to be asked so long. */
+        const val BLOCKED_RETRY_MILLIS = 60_000L
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/StreamRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/StreamRelay.kt
@@ -16,6 +16,7 @@
     private val gapMillis: Long,
     private val firstEventMillis: Long,
     firstId: Long?,
+    private val onEvent: (Int) -> Unit,
     private val onFirstEvent: () -> Unit
 ) : AnswerReader {
     private var framer = EventFramer(firstId)
@@ -45,6 +46,7 @@
             answer.start(status, endToEnd(checkNotNull(headers) { "a body follows a head" }))
         }
         events++
+        if (events <= OBSERVED_EVENTS) onEvent(events)
         return if (answer.send(whole)) gapMillis else null
     }
 
@@ -57,4 +59,9 @@
         answer.finish()
         return true
     }
+
+    private companion object {
+        /** A request that crashes servers does so when it begins to run. */
+        const val OBSERVED_EVENTS = 4
+    }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionPool.kt
@@ -44,7 +44,8 @@
     public fun release(lease: Lease, keepAliveMillis: Long?) {
         val c = lease.channel
         val queue = idle.getOrPut(lease.address, ::ArrayDeque)
-        if (c.isClosed || c.hasReceived || !c.isFlushed || queue.size >= MAX_IDLE_PER_SERVER) {
+        val isDoubtful = c.isClosed || c.hasReceived || !c.isFlushed
+        if (isDoubtful || queue.size >= MAX_IDLE_PER_SERVER) {
             c.close()
             return
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/logging/DecisionLog.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/logging/DecisionLog.kt
@@ -73,7 +73,7 @@
     }
 
     private fun StringBuilder.appendValue(text: String) {
-        if (text.isNotEmpty() && text.none { it == ' ' || it == '"' || it < ' ' }) {
+        if (text.isNotEmpty() && text.none { it <= ' ' || it == '"' }) {
             append(text)
             return
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -92,10 +92,12 @@
         val reports = peers.values.filter { it.isAlive }.mapNotNull { it.report }
         if (reports.isEmpty()) return null
         val sum = HashMap<RunnerId, InFlight>()
-        for (r in reports) for (l in r.load) {
-            val id = RunnerId(l.server)
-            val old = sum[id] ?: InFlight.NONE
-            sum[id] = InFlight(old.requests + l.requests, old.tokenLayers + l.tokenLayers)
+        for (r in reports) {
+            for (l in r.load) {
+                val id = RunnerId(l.server)
+                val old = sum[id] ?: InFlight.NONE
+                sum[id] = InFlight(old.requests + l.requests, old.tokenLayers + l.tokenLayers)
+            }
         }
         loadSum = sum
         return sum
@@ -106,8 +108,10 @@
         val reports = peers.values.filter { it.isAlive }.mapNotNull { it.report }
         if (reports.isEmpty()) return null
         val sum = HashMap<ServiceName, Int>()
-        for (r in reports) for ((service, requests) in r.requestsByService) {
-            sum.merge(ServiceName(service), requests, Int::plus)
+        for (r in reports) {
+            for ((service, requests) in r.requestsByService) {
+                sum.merge(ServiceName(service), requests, Int::plus)
+            }
         }
         return sum
     }
@@ -117,15 +121,17 @@
         .flatMapTo(HashSet()) { p -> p.report?.unreachable.orEmpty().map(::RunnerId) }
 
     private fun isNewer(report: PeerReport, known: PeerReport): Boolean =
-        report.startedAtMillis > known.startedAtMillis ||
-            report.startedAtMillis == known.startedAtMillis && report.sequence > known.sequence
+        when (report.startedAtMillis) {
+            known.startedAtMillis -> report.sequence > known.sequence
+            else -> report.startedAtMillis > known.startedAtMillis
+        }
 
     private companion object {
         /** Requests last some seconds, so loads that are this old are still about right. */
         const val BASE_INTERVAL_MILLIS = 200L
         const val MAX_INTERVAL_MILLIS = 2_000L
 
-        /** Up to this size every interval is the shortest; beyond, traffic per instance is level. */
+        /** Up to this size the interval is the shortest; beyond, traffic per instance is level. */
         const val SMALL_FLEET = 12
         const val SILENT_INTERVALS = 3
         const val SILENT_MILLIS = 600L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -172,7 +172,7 @@
         /** Engines register all at once; their list comes in one or two reads. */
         const val SETTLE_MILLIS = 1_000L
 
-        /** Loading takes up to some seconds, and the engine's entry is renewed about each second. */
+        /** Loading takes some seconds, and the engine's entry is renewed about each second. */
         const val PENDING_MILLIS = 6_000L
         const val CALL_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
@@ -27,10 +27,7 @@
      * Changes from [position] on. Answers as soon as there is one, and at the latest after
      * [waitMillis] with none.
      */
-    public suspend fun changes(
-        position: Long,
-        waitMillis: Long
-    ): Result<ChangeBatch<T>, StoreError>
+    public suspend fun changes(position: Long, waitMillis: Long): Result<ChangeBatch<T>, StoreError>
 }
 
 /** Changes in order; the next ones start at [next]. */
@@ -69,11 +66,7 @@
  * The duties of this instance. [generation] grows with each change in the group and serves as the
  * fencing token of what is done on duty.
  */
-public data class DutyShare(
-    val generation: Long,
-    val duties: Set<Int>,
-    val timeToLiveMillis: Long
-)
+public data class DutyShare(val generation: Long, val duties: Set<Int>, val timeToLiveMillis: Long)
 
 /** Why a call to the store failed. */
 public sealed interface StoreError {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -62,7 +62,7 @@
         )
     }
 
-    private suspend fun renew() {
+    internal suspend fun renew() {
         val sentAt = clock.monotonicMillis()
         group.renew(share?.generation ?: 0).fold(
             { s ->
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -66,7 +66,12 @@
             { batch ->
                 answered()
                 if (isSnapshot) {
-                    log.record("store", "snapshot", "table" to name, "entries" to batch.changes.size)
+                    log.record(
+                        "store",
+                        "snapshot",
+                        "table" to name,
+                        "entries" to batch.changes.size
+                    )
                     consumer.onSnapshot(batch.changes)
                 } else if (batch.changes.isNotEmpty()) {
                     consumer.onChanges(batch.changes)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/InFlightTable.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/InFlightTable.kt
@@ -5,8 +5,8 @@
 import io.greengageport.routing.InFlight
 
 /**
- * Requests and the memory that they hold at each backend server: this instance's own, and an estimate for
- * all instances.
+ * Requests and the memory that they hold at each backend server: this instance's own, and an
+ * estimate for all instances.
  *
  * What the peers told of themselves counts if it is fresh; without that, every instance is taken to
  * have as much in flight as this one.
--- /dev/null
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/EventFramerTest.kt
@@ -0,0 +1,73 @@
+package io.greengageport.gateway.forward
+
+import io.netty.buffer.Unpooled
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+/** Guards against answers with an event missing, doubled or joined from two servers' parts. */
+class EventFramerTest {
+    private fun EventFramer.feedText(text: String): String? =
+        feed(Unpooled.wrappedBuffer(text.toByteArray()))?.toString(Charsets.UTF_8)
+
+    private val first = "id: 1\ndata: a\n\n"
+    private val second = "id: 2\ndata: b\n\n"
+
+    @Nested
+    inner class `Whole events` {
+        @Test
+        fun `are the same however the bytes are cut`() {
+            val text = first + second
+            for (cut in 1 until text.length) {
+                val framer = EventFramer(null)
+                val parts = listOf(text.substring(0, cut), text.substring(cut))
+                expectThat(parts.mapNotNull { framer.feedText(it) }.joinToString(""))
+                    .isEqualTo(text)
+                expectThat(framer.lastId).isEqualTo(2L)
+            }
+        }
+
+        @Test
+        fun `may end their lines with a carriage return`() {
+            val framer = EventFramer(null)
+            val event = "id:7\r\ndata: x\r\n\r\n"
+            expectThat(framer.feedText(event)).isEqualTo(event)
+            expectThat(framer.lastId).isEqualTo(7L)
+        }
+
+        @Test
+        fun `without an id are passed on`() {
+            expectThat(EventFramer(4).feedText("data: x\n\n")).isEqualTo("data: x\n\n")
+        }
+
+        @Test
+        fun `have the id of their own line, not of a data line that looks like one`() {
+            val framer = EventFramer(null)
+            framer.feedText("data: id: 9\nid: 3\n\n")
+            expectThat(framer.lastId).isEqualTo(3L)
+        }
+    }
+
+    @Nested
+    inner class `A stream that breaks off` {
+        @Test
+        fun `keeps back the event that has not ended`() {
+            val framer = EventFramer(null)
+            expectThat(framer.feedText(first + "id: 2\nda")).isEqualTo(first)
+            expectThat(framer.isWithinEvent).isTrue()
+            expectThat(framer.lastId).isEqualTo(1L)
+        }
+
+        @Test
+        fun `goes on without the events that were delivered`() {
+            val framer = EventFramer(1)
+            expectThat(framer.feedText(first)).isNull()
+            expectThat(framer.feedText(second)).isEqualTo(second)
+            expectThat(framer.isWithinEvent).isFalse()
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/logging/DecisionLogTest.kt
@@ -0,0 +1,50 @@
+package io.greengageport.gateway.logging
+
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.any
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+/** Guards against a stalled reader of the logs that stops requests, and against floods of lines. */
+class DecisionLogTest {
+    @Test
+    fun `a stalled writer costs lines and no time`() {
+        val stall = CountDownLatch(1)
+        val log = DecisionLog(linesPerSecond = Int.MAX_VALUE) { stall.await() }
+        val started = System.nanoTime()
+        repeat(20_000) { log.record("request", "ended", "request" to it) }
+        val millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started)
+        expectThat(millis).isLessThan(2_000)
+        expectThat(log.droppedLines).isGreaterThan(10_000)
+        stall.countDown()
+        log.close()
+    }
+
+    @Test
+    fun `a part may not flood the log, and what is left out is counted`() {
+        val lines: MutableList<String> = ArrayList()
+        val log = DecisionLog(linesPerSecond = 10) { synchronized(lines) { lines += it } }
+        repeat(100) { log.record("attempt", "failed", "n" to it) }
+        TimeUnit.MILLISECONDS.sleep(1_100)
+        log.record("attempt", "failed", "n" to 100)
+        log.close()
+        expectThat(lines.size).isLessThan(25)
+        expectThat(lines).any { contains("event=lines_omitted count=") }
+    }
+
+    @Test
+    fun `values with spaces are quoted, and null ones left out`() {
+        val lines: MutableList<String> = ArrayList()
+        val log = DecisionLog { lines += it }
+        log.record("config", "unreadable", "why" to "not \"JSON\"\n", "age" to null, "v" to 3)
+        log.close()
+        expectThat(
+            lines.toList()
+        ).isEqualTo(listOf("config: event=unreadable why=\"not 'JSON''\" v=3"))
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyKeeperTest.kt
@@ -0,0 +1,86 @@
+package io.greengageport.gateway.state
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.greengageport.common.HostPort
+import io.greengageport.common.InstanceId
+import io.greengageport.gateway.RecordedLog
+import io.greengageport.gateway.SteppedClock
+import io.greengageport.gateway.port.DutyGroup
+import io.greengageport.gateway.port.DutyShare
+import io.greengageport.gateway.port.StoreError
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+/** Guards against two instances that place layers at a time, the older with a valid token. */
+class DutyKeeperTest {
+    private class ScriptedGroup(var answer: Result<DutyShare, StoreError>) : DutyGroup {
+        var onRenew: () -> Unit = {}
+
+        override suspend fun renew(lastGeneration: Long): Result<DutyShare, StoreError> {
+            onRenew()
+            return answer
+        }
+
+        override suspend fun leave(): Result<Unit, StoreError> = Ok(Unit)
+
+        override suspend fun holders(): Result<Map<InstanceId, HostPort>, StoreError> =
+            Ok(emptyMap())
+    }
+
+    private val clock = SteppedClock()
+    private val group = ScriptedGroup(Ok(DutyShare(7, setOf(0, 3), 3_000)))
+    private val keeper = DutyKeeper(group, clock, RecordedLog().log) {}
+
+    private fun renew() = runBlocking { keeper.renew() }
+
+    @Test
+    fun `the generation is the token of the one that has the duty`() {
+        renew()
+        expectThat(keeper.placementToken()).isEqualTo(7)
+    }
+
+    @Test
+    fun `an instance without the duty has no token`() {
+        group.answer = Ok(DutyShare(7, setOf(3), 3_000))
+        renew()
+        expectThat(keeper.placementToken()).isNull()
+    }
+
+    @Test
+    fun `a duty lapses by the holder's own clock while the store is away`() {
+        renew()
+        group.answer = Err(StoreError.NoAnswer("down"))
+        clock.nowMillis += 2_600
+        renew()
+        expectThat(keeper.placementToken()).isNull()
+    }
+
+    @Test
+    fun `the time of a duty counts from before the renewal was sent`() {
+        group.onRenew = { clock.nowMillis += 2_700 }
+        renew()
+        expectThat(keeper.placementToken()).isNull()
+    }
+
+    @Test
+    fun `a token that was refused is not used again, and a later one is`() {
+        renew()
+        keeper.onFenced(7)
+        expectThat(keeper.placementToken()).isNull()
+        group.answer = Ok(DutyShare(9, setOf(0), 3_000))
+        renew()
+        expectThat(keeper.placementToken()).isEqualTo(9)
+    }
+
+    @Test
+    fun `a stopping instance gives its duty up before it tells the store`() {
+        renew()
+        runBlocking { keeper.leave() }
+        expectThat(keeper.placementToken()).isNull()
+    }
+}
--- a/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
@@ -49,11 +49,7 @@
     override fun linkMillis(hopMillis: Double, request: RoutingRequest): Double =
         hopMillis * request.outputTokens
 
-    override fun stageHopMillis(
-        from: DataCentre,
-        to: DataCentre,
-        request: RoutingRequest
-    ): Double {
+    override fun stageHopMillis(from: DataCentre, to: DataCentre, request: RoutingRequest): Double {
         val hops = linkMillis(links.hopMillis(from, to), request)
         if (from == to) return hops
         return hops + pipeWeight * profile.pipeMillis(request.promptTokens + request.outputTokens)
--- a/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
@@ -68,7 +68,9 @@
 
         fun plan(): List<LayerAssignment> {
             buildCopies()
-            for (group in held.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value }).values) {
+            for (group in held.groupBy {
+                it.dataCentre
+            }.toSortedMap(compareBy { it.value }).values) {
                 for (copy in copies(group)) repair(copy)
                 fillSurplus(group)
             }
@@ -261,8 +263,10 @@
 
         private fun covered(copy: List<CardHolder>): BooleanArray {
             val covered = BooleanArray(profile.layers)
-            for (h in copy) h.layers?.let { r ->
-                for (l in r.from until minOf(r.until, profile.layers)) covered[l] = true
+            for (h in copy) {
+                h.layers?.let { r ->
+                    for (l in r.from until minOf(r.until, profile.layers)) covered[l] = true
+                }
             }
             return covered
         }
