Give up hung reads of the configuration in time

Change: reads wait 2.5 s, connections to the store 0.4 s, and the first answer to any read restarts the one of the configuration; a cancelled call closes its connection.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -227,6 +227,7 @@
             waitMillis = 0,
             pauseMillis = (settings.drainMillis * SERVERS_PAUSE_SHARE).toLong()
         )
+        directory.onStoreRegained = configurations::restart
         scope.launch { configurations.run() }
         scope.launch { servers.run() }
         scope.launch { duty.run() }
@@ -329,8 +330,8 @@
     }
 
     private companion object {
-        /** The store answers a waiting read after this without a change. */
-        const val CONFIGURATION_WAIT_MILLIS = 5_000L
+        /** A read that went silent is given up soon enough for changes to be in force in time. */
+        const val CONFIGURATION_WAIT_MILLIS = 2_500L
 
         /** Part of the time in which a leaving server has to be known, for one read of the list. */
         const val SERVERS_PAUSE_SHARE = 0.4
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
@@ -35,16 +35,21 @@
         timeoutMillis: Long
     ): Result<HttpReply, HttpFailure> {
         var connection: HttpChannel? = null
-        val result = withTimeoutOrNull(timeoutMillis) {
-            val c = takeIdle() ?: connector.connect(address, timeoutMillis)
-                .getOrElse { return@withTimeoutOrNull Err(it) }
-            connection = c
-            exchange(c, request)
-        } ?: Err(silence(connection, timeoutMillis))
-        val c = connection
-        if (c != null && (result.isErr || !isReusable(c, result.value))) c.close()
-        if (c != null && !c.isClosed && result.isOk) keep(c)
-        return result
+        var isReusable = false
+        try {
+            val result = withTimeoutOrNull(timeoutMillis) {
+                val c = takeIdle() ?: connect(timeoutMillis)
+                    .getOrElse { return@withTimeoutOrNull Err(it) }
+                connection = c
+                exchange(c, request)
+            } ?: Err(silence(connection, timeoutMillis))
+            val c = connection
+            isReusable = c != null && result.isOk && isReusable(c, result.value)
+            return result
+        } finally {
+            // Also when the caller was cancelled while it waited.
+            connection?.let { if (isReusable) keep(it) else it.close() }
+        }
     }
 
     /** Closes all idle connections, for instance after one of them turned out to be dead. */
@@ -52,6 +57,9 @@
         while (idle.isNotEmpty()) idle.removeFirst().close()
     }
 
+    private suspend fun connect(timeoutMillis: Long) =
+        connector.connect(address, minOf(timeoutMillis, CONNECT_MILLIS))
+
     private fun silence(connection: HttpChannel?, millis: Long): HttpFailure = when (connection) {
         null -> HttpFailure.NotConnected("$address: no connection within $millis ms")
         else -> HttpFailure.Broken("$address: no answer within $millis ms")
@@ -103,7 +111,8 @@
         )
     }
 
-    private fun isReusable(c: HttpChannel, reply: HttpReply): Boolean = !c.hasReceived &&
+    private fun isReusable(c: HttpChannel, reply: HttpReply): Boolean = !c.isClosed &&
+        !c.hasReceived &&
         c.isFlushed &&
         !reply.headers.contains(HttpHeaderNames.CONNECTION, "close", true) &&
         (reply.headers.contains(HttpHeaderNames.CONTENT_LENGTH) || isChunked(reply))
@@ -127,5 +136,8 @@
     private companion object {
         /** A long read, a poll and a write may be open at the same time. */
         const val MAX_IDLE = 3
+
+        /** A connection takes some ms; one that hangs is tried again soon. */
+        const val CONNECT_MILLIS = 400L
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -65,7 +65,11 @@
         }
     }
 
+    /** Called when the store answers again. */
+    public var onStoreRegained: () -> Unit = {}
+
     override fun onRegained(downMillis: Long) {
+        onStoreRegained()
         lenientUntil = clock.monotonicMillis() + GRACE_MILLIS
     }
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -9,7 +9,10 @@
 import io.greengageport.gateway.port.ChangeFeed
 import io.greengageport.gateway.port.StoreError
 import kotlin.random.Random
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 
 /** Takes in what a [FeedFollower] reads. */
 public interface FeedConsumer<T> {
@@ -47,14 +50,28 @@
     public var lastAnswerMillis: Long? = null
         private set
 
+    private var reading: Job? = null
+
     /** Follows the table until cancelled. */
-    public suspend fun run() {
+    public suspend fun run(): Unit = coroutineScope {
         while (true) {
-            step()
-            delay(if (failures > 0) backoffMillis() else pauseMillis)
+            val job = launch {
+                step()
+                delay(if (failures > 0) backoffMillis() else pauseMillis)
+            }
+            reading = job
+            job.join()
         }
     }
 
+    /**
+     * Reads anew at once, for instance after another table has shown that the store is back: a read
+     * that waits on an old connection may have been forgotten by the store.
+     */
+    public fun restart() {
+        reading?.cancel()
+    }
+
     internal suspend fun step() {
         val from = position
         val result = if (from == null) feed.snapshot() else feed.changes(from, waitMillis)
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -9,7 +9,10 @@
 import io.greengageport.gateway.port.ChangeBatch
 import io.greengageport.gateway.port.ChangeFeed
 import io.greengageport.gateway.port.StoreError
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -92,4 +95,30 @@
         expectThat(consumer.seen.toList())
             .isEqualTo(listOf("snapshot a", "regained after 200", "changes b"))
     }
+
+    @Test
+    fun `a read that hangs is replaced when the store is known to be back`() {
+        var reads = 0
+        val feed = object : ChangeFeed<String> {
+            override suspend fun snapshot(): Result<ChangeBatch<String>, StoreError> =
+                batch(1, "a")
+
+            override suspend fun changes(
+                position: Long,
+                waitMillis: Long
+            ): Result<ChangeBatch<String>, StoreError> {
+                if (reads++ == 0) awaitCancellation()
+                return batch(2, "b")
+            }
+        }
+        val follower = FeedFollower("test", feed, consumer, clock, RecordedLog().log, 0, 0)
+        runBlocking {
+            val job = launch { follower.run() }
+            while (reads == 0) yield()
+            follower.restart()
+            while ("changes b" !in consumer.seen) yield()
+            job.cancel()
+        }
+        expectThat(consumer.seen.take(2)).isEqualTo(listOf("snapshot a", "changes b"))
+    }
 }
