Let one instance read the list of servers for all

Change: the holder of a second duty reads it and tells its peers what changed, at once and again for 4 s; the others read each 5 s, and as often as before when its last read is no longer fresh.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -25,6 +25,7 @@
 import io.greengageport.gateway.peer.PeerExchange
 import io.greengageport.gateway.peer.PeerReport
 import io.greengageport.gateway.peer.PeerView
+import io.greengageport.gateway.peer.ServerListRelay
 import io.greengageport.gateway.peer.ServerLoad
 import io.greengageport.gateway.placement.LayerPlacer
 import io.greengageport.gateway.port.BackendProtocol
@@ -134,7 +135,13 @@
         view = peers,
         log = log,
         report = ::peerReport,
-        onReport = { it.suspects.forEach(suspects::onPeer) }
+        onReport = ::onPeerReport
+    )
+    private val relay = ServerListRelay(
+        clock = clock,
+        isReader = { duty.isReader },
+        readMillis = (settings.drainMillis * SERVERS_PAUSE_SHARE).toLong(),
+        freshMillis = (settings.drainMillis * SERVERS_FRESH_SHARE).toLong()
     )
     private val startedAtMillis = clock.wallMillis()
     private val connections = HashSet<CallerConnection>()
@@ -153,6 +160,7 @@
         }
         directory.onChanged = { id, previous, now ->
             index.update(id, now)
+            relay.onOwnChange(id, now, directory.position(id))
             suspects.onServer(id, now)
             if (now == null || previous?.startedAtMillis != now.startedAtMillis) {
                 health.forget(id)
@@ -216,7 +224,7 @@
             clock = clock,
             log = log,
             waitMillis = CONFIGURATION_WAIT_MILLIS,
-            pauseMillis = 0
+            pauseMillis = { 0 }
         )
         val servers = FeedFollower(
             name = "servers",
@@ -225,7 +233,11 @@
             clock = clock,
             log = log,
             waitMillis = 0,
-            pauseMillis = (settings.drainMillis * SERVERS_PAUSE_SHARE).toLong()
+            pauseMillis = { relay.pauseMillis },
+            onAnswer = {
+                relay.onOwnRead()
+                if (relay.hasNews) exchange.sendNow()
+            }
         )
         directory.onStoreRegained = configurations::restart
         scope.launch { configurations.run() }
@@ -282,6 +294,12 @@
         answer.respond(status, DefaultHttpHeaders(), ByteArray(0))
     }
 
+    private fun onPeerReport(report: PeerReport) {
+        report.suspects.forEach(suspects::onPeer)
+        val changes = relay.onReport(report.readAgeMillis, report.servers)
+        if (directory.isKnown) directory.onChanges(changes)
+    }
+
     private fun peerReport(sequence: Long) = PeerReport(
         from = settings.id.value,
         address = settings.peers.toString(),
@@ -292,7 +310,9 @@
         },
         requestsByService = gates.admitted().mapKeys { it.key.value },
         unreachable = health.unreachable().map { it.value },
-        suspects = suspects.toTell()
+        suspects = suspects.toTell(),
+        readAgeMillis = relay.readAgeMillis(),
+        servers = relay.toTell()
     )
 
     private fun budget(service: ServiceName): RetryBudget = budgets.getOrPut(service) {
@@ -335,6 +355,9 @@
 
         /** Part of the time in which a leaving server has to be known, for one read of the list. */
         const val SERVERS_PAUSE_SHARE = 0.4
+
+        /** Part of that time for which another instance's read spares this one its own. */
+        const val SERVERS_FRESH_SHARE = 0.7
         const val UPKEEP_MILLIS = 500L
 
         /** The platform asks once a second; after two misses no new connections come. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
@@ -54,6 +54,9 @@
         }
     }
 
+    /** Sends a report at once, as it holds news. */
+    fun sendNow(): Unit = send()
+
     private fun send() {
         val out = channel ?: return
         val targets = view.addresses
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -7,6 +7,9 @@
 /**
  * What an instance tells its peers: a datagram in CBOR.
  *
+ * [readAgeMillis] is the age of this instance's last read of the store's list of servers, if it has
+ * the duty to read it for all, and [servers] are the changes that it found.
+ *
  * [startedAtMillis] is the incarnation of [from], and [sequence] grows by one with each report, so
  * that reports that overtake each other are told apart. [unreachable] lists servers of which this
  * instance's own attempts show that they are gone. [suspects] holds marks of requests that crash
@@ -22,7 +25,9 @@
     val load: List<ServerLoad>,
     val requestsByService: Map<String, Int>,
     val unreachable: List<String>,
-    val suspects: List<SuspectState>
+    val suspects: List<SuspectState>,
+    val readAgeMillis: Long?,
+    val servers: List<ServerChange>
 )
 
 /** Requests in flight at a server and the memory they hold, in tokens times layers. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
@@ -33,18 +33,28 @@
 /** Changes in order; the next ones start at [next]. */
 public data class ChangeBatch<T>(val changes: List<Change<T>>, val next: Long)
 
-/** A change of one entry. */
+/** A change of one entry; [position] tells which of two changes came later. */
 public sealed interface Change<out T> {
     public val key: String
+    public val position: Long
 
     /** The entry has [value] now. */
-    public data class Put<T>(override val key: String, val value: T) : Change<T>
+    public data class Put<T>(
+        override val key: String,
+        val value: T,
+        override val position: Long = 0
+    ) : Change<T>
 
     /** The entry is gone. */
-    public data class Removed(override val key: String) : Change<Nothing>
+    public data class Removed(override val key: String, override val position: Long = 0) :
+        Change<Nothing>
 
     /** The entry was written by somebody who does not keep the format. */
-    public data class Unreadable(override val key: String, val reason: String) : Change<Nothing>
+    public data class Unreadable(
+        override val key: String,
+        val reason: String,
+        override val position: Long = 0
+    ) : Change<Nothing>
 }
 
 /** The group of live instances among which the store deals out numbered duties. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -18,6 +18,9 @@
     FeedConsumer<BackendServer> {
     private val servers = HashMap<RunnerId, BackendServer>()
     private val removeAt = HashMap<RunnerId, Long>()
+
+    /** Positions of the last changes taken in; what peers tell may overtake this one's own reads. */
+    private val positions = HashMap<RunnerId, Long>()
     private var lenientUntil = Long.MIN_VALUE
 
     /** Whether the store's list was read at least once. */
@@ -28,6 +31,9 @@
     public var onChanged: (RunnerId, previous: BackendServer?, now: BackendServer?) -> Unit =
         { _, _, _ -> }
 
+    /** Position in the store's list of the change that [onChanged] is about. */
+    public fun position(id: RunnerId): Long = positions[id] ?: 0
+
     /** All known servers. */
     public val all: Collection<BackendServer> get() = servers.values
 
@@ -46,20 +52,25 @@
         isKnown = true
         val present = entries.filterIsInstance<Change.Put<BackendServer>>()
             .mapTo(HashSet()) { RunnerId(it.key) }
+        // A snapshot may follow a loss of the history, after which positions start anew.
+        positions.clear()
         for (id in servers.keys.toList()) if (id !in present) remove(id)
         onChanges(entries)
     }
 
     override fun onChanges(changes: List<Change<BackendServer>>) {
         for (change in changes) {
+            val id = RunnerId(change.key)
+            if (change.position < position(id)) continue
+            positions[id] = change.position
             when (change) {
                 is Change.Put -> put(change.value)
 
-                is Change.Removed -> remove(RunnerId(change.key))
+                is Change.Removed -> remove(id)
 
                 is Change.Unreadable -> {
                     log.record("servers", "unreadable", "id" to change.key, "why" to change.reason)
-                    remove(RunnerId(change.key))
+                    remove(id)
                 }
             }
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -35,6 +35,10 @@
         return if (isHeld && s.generation > fencedAt) s.generation else null
     }
 
+    /** Whether this instance reads the list of servers for all; several may for a moment. */
+    val isReader: Boolean
+        get() = READER_DUTY in share?.duties.orEmpty() && clock.monotonicMillis() < heldUntil
+
     /** Takes note that an order with [token] was refused in favour of a higher one. */
     public fun onFenced(token: Long) {
         fencedAt = maxOf(fencedAt, token)
@@ -97,6 +101,9 @@
     private companion object {
         /** The duty with this number is the placement of layers. */
         const val PLACEMENT_DUTY = 0
+
+        /** The duty with this number is to read the list of servers for all instances. */
+        const val READER_DUTY = 1
         const val RENEW_MILLIS = 1_000L
 
         /** A duty ends early by this, for clocks that run apart and calls that are slow. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -31,6 +31,7 @@
  * where the store no longer keeps the changes.
  *
  * With [waitMillis] the store holds a read until there is a change; then [pauseMillis] may be 0.
+ * [onAnswer] is called after each answer was taken in.
  * While the store fails, the last known state stays in force, and reads go on with backoff.
  */
 public class FeedFollower<T>(
@@ -40,7 +41,8 @@
     private val clock: Clock,
     private val log: DecisionLog,
     private val waitMillis: Long,
-    private val pauseMillis: Long
+    private val pauseMillis: () -> Long,
+    private val onAnswer: () -> Unit = {}
 ) {
     private var position: Long? = null
     private var failingSince: Long? = null
@@ -57,7 +59,7 @@
         while (true) {
             val job = launch {
                 step()
-                delay(if (failures > 0) backoffMillis() else pauseMillis)
+                if (failures > 0) delay(backoffMillis()) else pause()
             }
             reading = job
             job.join()
@@ -72,6 +74,16 @@
         reading?.cancel()
     }
 
+    /** Waits until the pause is over, which may become shorter meanwhile. */
+    private suspend fun pause() {
+        val readAt = clock.monotonicMillis()
+        while (true) {
+            val left = readAt + pauseMillis() - clock.monotonicMillis()
+            if (left <= 0) return
+            delay(minOf(left, PAUSE_CHECK_MILLIS))
+        }
+    }
+
     internal suspend fun step() {
         val from = position
         val result = if (from == null) feed.snapshot() else feed.changes(from, waitMillis)
@@ -94,6 +106,7 @@
                     consumer.onChanges(batch.changes)
                 }
                 position = batch.next
+                onAnswer()
             },
             { error ->
                 if (error is StoreError.HistoryLost) {
@@ -134,5 +147,6 @@
         /** A configuration has to be in force within two seconds of the store's return. */
         const val MAX_BACKOFF_MILLIS = 500L
         const val MAX_SHIFT = 10
+        const val PAUSE_CHECK_MILLIS = 100L
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -28,7 +28,9 @@
             load = listOf(ServerLoad("s", requests, 10L * requests)),
             requestsByService = mapOf("model" to requests),
             unreachable = listOf("dead"),
-            suspects = emptyList()
+            suspects = emptyList(),
+            readAgeMillis = null,
+            servers = emptyList()
         )
 
     private fun requests() = view.load()?.get(RunnerId("s"))?.requests
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -98,6 +98,13 @@
         expectThat(usable()).isEqualTo(listOf("y"))
     }
 
+    @Test
+    fun `an own read that a peer's news has overtaken changes nothing back`() {
+        directory.onChanges(listOf(Change.Put("x", server("x", isLeaving = true), 20)))
+        directory.onChanges(listOf(Change.Put("x", server("x"), 12)))
+        expectThat(usable()).isEqualTo(emptyList())
+    }
+
     @Test
     fun `is not known before the first snapshot`() {
         expectThat(directory.isKnown).isFalse()
