--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -119,7 +119,14 @@
         clock = clock
     )
     private val router =
-        RequestRouter({ configuration.current }, protocol, forwarder, log, clock)
+        RequestRouter(
+            configuration = { configuration.current },
+            protocol = protocol,
+            forwarder = forwarder,
+            log = log,
+            clock = clock,
+            takesRequests = { clock.monotonicMillis() < takesUntil }
+        )
     private val placer = LayerPlacer(
         configuration = { configuration.current },
         directory = directory,
@@ -147,6 +154,7 @@
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
+    private var takesUntil = Long.MAX_VALUE
 
     private val isReady: Boolean
         get() = !isStopping && configuration.current != null && directory.isKnown
@@ -189,7 +197,8 @@
 
     /**
      * Stops in order: no longer ready at once, connections end with their next answer, and requests
-     * in flight are served to their end. Returns when none is left, or shortly before the platform
+     * in flight are served to their end. Requests that come after the balancer had time to notice
+     * are refused, since they might not end in time. Returns when none is left, or shortly before the platform
      * kills the process.
      */
     public suspend fun stop() {
@@ -197,6 +206,7 @@
         isStopping = true
         val until = clock.monotonicMillis() + settings.graceMillis - STOP_MARGIN_MILLIS
         val rotated = clock.monotonicMillis() + ROTATION_MILLIS
+        takesUntil = rotated
         log.record("entry", "stopping", "in_flight" to router.inFlight)
         duty.leave()
         while (clock.monotonicMillis() < until) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
@@ -23,6 +23,7 @@
     private val forwarder: RequestForwarder,
     private val log: DecisionLog,
     private val clock: Clock,
+    private val takesRequests: () -> Boolean,
     private val random: Random = Random.Default
 ) : CallerRequestHandler {
     /** Requests that are being served. */
@@ -59,6 +60,9 @@
         caller: CallerHeaders
     ): Result<RequestContext, RequestError> {
         val arrivedAt = clock.monotonicMillis()
+        if (!takesRequests()) {
+            return Err(RequestError.NotServing("the instance stops", ELSEWHERE_MILLIS))
+        }
         val config = configuration()
             ?: return Err(RequestError.NotServing("no configuration is known yet", RETRY_MILLIS))
         val host = head.headers()[HttpHeaderNames.HOST].lowercase()
@@ -94,5 +98,8 @@
     private companion object {
         /** A fresh instance knows the configuration within about a second. */
         const val RETRY_MILLIS = 1_000L
+
+        /** The next try reaches another instance. */
+        const val ELSEWHERE_MILLIS = 50L
     }
 }
