Take requests for 2.8 s after SIGTERM, as the balancer may send them so long

Cause: a stopping instance refused requests that it could still end within the grace time. Change: the limit is the time in which the balancer notices; the test uses a request that lasts.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -371,7 +371,7 @@
         const val UPKEEP_MILLIS = 500L
 
         /** The platform asks once a second; after two misses no new connections come. */
-        const val ROTATION_MILLIS = 2_500L
+        const val ROTATION_MILLIS = 2_800L
         const val STOP_CHECK_MILLIS = 50L
         const val STOP_MARGIN_MILLIS = 300L
         const val METRICS_PATH = "/metrics"
