Wait for all engines before placing, and spare calls to the store in a large fleet

Change: placing waits 3 s without a new engine; engines that come later become copies where they suffice; instances read the configuration when a peer tells a newer version, and the list each 10 s.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -141,6 +141,7 @@
         loop = loop,
         view = peers,
         log = log,
+        clock = clock,
         report = ::peerReport,
         onReport = ::onPeerReport
     )
@@ -155,6 +156,9 @@
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
     private var takesUntil = Long.MAX_VALUE
+    private var readConfiguration: () -> Unit = {}
+    private var wasSpared = false
+    private var versionAskedFor = 0L
 
     private val isReady: Boolean
         get() = !isStopping && configuration.current != null && directory.isKnown
@@ -164,6 +168,7 @@
         configuration.onChanged = {
             index.rebuild(it)
             gates.onConfiguration(it)
+            exchange.sendNow()
             metrics.configurationVersion.set(it.version.toDouble())
         }
         directory.onChanged = { id, previous, now ->
@@ -233,7 +238,9 @@
             consumer = configuration,
             clock = clock,
             log = log,
-            waitMillis = CONFIGURATION_WAIT_MILLIS,
+            waitMillis = {
+                if (relay.isSpared) SPARED_WAIT_MILLIS else CONFIGURATION_WAIT_MILLIS
+            },
             pauseMillis = { 0 }
         )
         val servers = FeedFollower(
@@ -242,7 +249,7 @@
             consumer = directory,
             clock = clock,
             log = log,
-            waitMillis = 0,
+            waitMillis = { 0 },
             pauseMillis = { relay.pauseMillis },
             onAnswer = {
                 relay.onOwnRead()
@@ -250,6 +257,7 @@
             }
         )
         directory.onStoreRegained = configurations::restart
+        readConfiguration = configurations::restart
         scope.launch { configurations.run() }
         scope.launch { servers.run() }
         scope.launch { duty.run() }
@@ -260,6 +268,7 @@
         scope.launch {
             while (true) {
                 delay(UPKEEP_MILLIS)
+                watchReader()
                 directory.expire()
                 pool.closeExpired()
                 suspects.expire()
@@ -308,6 +317,17 @@
         report.suspects.forEach(suspects::onPeer)
         val changes = relay.onReport(report.readAgeMillis, report.servers)
         if (directory.isKnown) directory.onChanges(changes)
+        val known = configuration.current?.version ?: 0
+        if (report.configurationVersion > maxOf(known, versionAskedFor)) {
+            versionAskedFor = report.configurationVersion
+            readConfiguration()
+        }
+    }
+
+    /** A long read that waits since peers were heard is replaced when they are heard no more. */
+    private fun watchReader() {
+        if (wasSpared && !relay.isSpared) readConfiguration()
+        wasSpared = relay.isSpared
     }
 
     private fun peerReport(sequence: Long) = PeerReport(
@@ -322,6 +342,7 @@
         unreachable = health.unreachable().map { it.value },
         suspects = suspects.toTell(),
         readAgeMillis = relay.readAgeMillis(),
+        configurationVersion = configuration.current?.version ?: 0,
         servers = relay.toTell()
     )
 
@@ -363,6 +384,9 @@
         /** A read that went silent is given up soon enough for changes to be in force in time. */
         const val CONFIGURATION_WAIT_MILLIS = 2_500L
 
+        /** Wait of an instance whose peers tell it that there is something to read. */
+        const val SPARED_WAIT_MILLIS = 20_000L
+
         /** Part of the time in which a leaving server has to be known, for one read of the list. */
         const val SERVERS_PAUSE_SHARE = 0.4
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
@@ -1,5 +1,6 @@
 package io.greengageport.gateway.peer
 
+import io.greengageport.common.Clock
 import io.greengageport.common.HostPort
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
@@ -28,11 +29,13 @@
     private val loop: EventLoop,
     private val view: PeerView,
     private val log: DecisionLog,
+    private val clock: Clock,
     private val report: (sequence: Long) -> PeerReport,
     private val onReport: (PeerReport) -> Unit
 ) {
     private var channel: Channel? = null
     private var sequence = 0L
+    private var sentAtMillis = 0L
 
     /** Listens at [address]. */
     fun listen(address: HostPort) {
@@ -50,7 +53,7 @@
         while (true) {
             delay(view.intervalMillis)
             view.expire()
-            send()
+            if (clock.monotonicMillis() - sentAtMillis >= view.intervalMillis / 2) send()
         }
     }
 
@@ -61,6 +64,7 @@
         val out = channel ?: return
         val targets = view.addresses
         if (targets.isEmpty()) return
+        sentAtMillis = clock.monotonicMillis()
         val bytes = Cbor.encodeToByteArray(report(sequence++))
         for (t in targets) {
             val to = HttpConnector.socketAddress(t)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -8,7 +8,8 @@
  * What an instance tells its peers: a datagram in CBOR.
  *
  * [readAgeMillis] is the age of this instance's last read of the store's list of servers, if it has
- * the duty to read it for all, and [servers] are the changes that it found.
+ * the duty to read it for all, and [servers] are the changes that it found. A newer
+ * [configurationVersion] than the receiver's own makes it read the configuration at once.
  *
  * [startedAtMillis] is the incarnation of [from], and [sequence] grows by one with each report, so
  * that reports that overtake each other are told apart. [unreachable] lists servers of which this
@@ -27,6 +28,7 @@
     val unreachable: List<String>,
     val suspects: List<SuspectState>,
     val readAgeMillis: Long?,
+    val configurationVersion: Long,
     val servers: List<ServerChange>
 )
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -56,8 +56,10 @@
     private var freshUntil = Long.MIN_VALUE
 
     /** Time until this instance's next read of the list. */
-    val pauseMillis: Long
-        get() = if (!isReader() && clock.monotonicMillis() < freshUntil) SELDOM_MILLIS else readMillis
+    val pauseMillis: Long get() = if (isSpared) SELDOM_MILLIS else readMillis
+
+    /** Whether a peer's reads are fresh, so that this instance need not read often itself. */
+    val isSpared: Boolean get() = !isReader() && clock.monotonicMillis() < freshUntil
 
     /** Whether changes wait to be told at once. */
     var hasNews: Boolean = false
@@ -135,7 +137,7 @@
 
     private companion object {
         /** Reads of an instance that is told of changes; they find what reports may have missed. */
-        const val SELDOM_MILLIS = 5_000L
+        const val SELDOM_MILLIS = 10_000L
 
         /** Some intervals of the reports, also in a large fleet. */
         const val TELL_MILLIS = 4_000L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -169,8 +169,8 @@
     private companion object {
         const val PAUSE_MILLIS = 300L
 
-        /** Engines register all at once; their list comes in one or two reads. */
-        const val SETTLE_MILLIS = 1_000L
+        /** Engines register within some seconds; the list is read about each second. */
+        const val SETTLE_MILLIS = 3_000L
 
         /** Loading takes some seconds, and the engine's entry is renewed about each second. */
         const val PENDING_MILLIS = 6_000L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -110,9 +110,9 @@
         const val SAFETY_MILLIS = 500L
 
         /** Right after the start, when the instances find each other. */
-        const val FIRST_ROUNDS = 3
+        const val FIRST_ROUNDS = 2
 
         /** Rounds between later reads; new instances make themselves known to their peers. */
-        const val MEMBERS_EVERY = 15
+        const val MEMBERS_EVERY = 30
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -40,7 +40,7 @@
     private val consumer: FeedConsumer<T>,
     private val clock: Clock,
     private val log: DecisionLog,
-    private val waitMillis: Long,
+    private val waitMillis: () -> Long,
     private val pauseMillis: () -> Long,
     private val onAnswer: () -> Unit = {}
 ) {
@@ -86,7 +86,7 @@
 
     internal suspend fun step() {
         val from = position
-        val result = if (from == null) feed.snapshot() else feed.changes(from, waitMillis)
+        val result = if (from == null) feed.snapshot() else feed.changes(from, waitMillis())
         take(result, isSnapshot = from == null)
     }
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -30,6 +30,7 @@
             unreachable = listOf("dead"),
             suspects = emptyList(),
             readAgeMillis = null,
+            configurationVersion = 0,
             servers = emptyList()
         )
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -25,7 +25,7 @@
         @Test
         fun `reads seldom while the reader's list is fresh`() {
             relay.onReport(ageMillis = 100, changes = emptyList())
-            expectThat(relay.pauseMillis).isEqualTo(5_000)
+            expectThat(relay.pauseMillis).isEqualTo(10_000)
         }
 
         @Test
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -61,7 +61,7 @@
 
     private fun play(answers: List<Result<ChangeBatch<String>, StoreError>>): ScriptedFeed {
         val feed = ScriptedFeed(ArrayDeque(answers))
-        val follower = FeedFollower("test", feed, consumer, clock, RecordedLog().log, 0, { 0 })
+        val follower = FeedFollower("test", feed, consumer, clock, RecordedLog().log, { 0 }, { 0 })
         runBlocking {
             repeat(answers.size) {
                 follower.step()
@@ -111,7 +111,7 @@
                 return batch(2, "b")
             }
         }
-        val follower = FeedFollower("test", feed, consumer, clock, RecordedLog().log, 0, { 0 })
+        val follower = FeedFollower("test", feed, consumer, clock, RecordedLog().log, { 0 }, { 0 })
         runBlocking {
             val job = launch { follower.run() }
             while (reads == 0) yield()
--- a/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
@@ -67,25 +67,23 @@
         private val assignments = ArrayList<LayerAssignment>()
 
         fun plan(): List<LayerAssignment> {
+            for (group in heldByCentre()) for (copy in copies(group)) repair(copy)
             buildCopies()
-            for (group in held.groupBy {
-                it.dataCentre
-            }.toSortedMap(compareBy { it.value }).values) {
-                for (copy in copies(group)) repair(copy)
-                fillSurplus(group)
-            }
+            for (group in heldByCentre()) fillSurplus(group)
             return assignments
         }
 
+        private fun heldByCentre(): Collection<List<CardHolder>> =
+            held.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value }).values
+
         private fun buildCopies() {
             val byCentre = empty.groupBy { it.dataCentre }.toSortedMap(compareBy { it.value })
             val rest = ArrayList<CardHolder>()
             for ((centre, group) in byCentre) {
-                // Copies of a data centre that has some are repaired and not doubled.
-                if (held.any { it.dataCentre == centre }) continue
+                val hasCopies = held.any { it.dataCentre == centre }
                 val members = group - kept(group).toSet()
                 val copies = copiesOf(members)
-                if (copies == 0) rest += group
+                if (copies == 0 && !hasCopies) rest += group
                 for (part in deal(members, copies)) buildCopy(part)
             }
             // Data centre by data centre, as each change within a chain is a transfer.
@@ -307,7 +305,7 @@
         private const val MIN_SHARE = 0.3
 
         /** A data centre that holds this part of a copy is worth completing. */
-        private const val COPY_SHARE = 0.5
+        private const val COPY_SHARE = 0.65
 
         /** Layers that one neighbour takes alone. */
         private const val SMALL_GAP = 3
--- a/routing/src/test/kotlin/io/greengageport/routing/CopyPlacementTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/CopyPlacementTest.kt
@@ -80,6 +80,18 @@
         }
     }
 
+    @Test
+    fun `engines that register late become a copy of their own if they suffice`() {
+        val early = (0 until 18).map { engine("a%02d".format(it), "a", slow) }
+        val held = placement.plan(early).associate { it.id to it.layers }
+        val late = (18 until 36).map { engine("a%02d".format(it), "a", slow) }
+        val plan = placement.plan(early.map { it.copy(layers = held[it.id]) } + late)
+        val ranges = held.values + plan.map { it.layers }
+        expectThat(coverage(ranges).min()).isGreaterThanOrEqualTo(2)
+        expectThat(plan.count { it.reason == AssignmentReason.NEW_COPY })
+            .isGreaterThanOrEqualTo(10)
+    }
+
     @Nested
     inner class `The loss of an engine` {
         private val all = (0 until 9).map { engine("a$it", "a", fast) }
