--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -14,11 +14,7 @@
 /** A change of the list of servers as one instance tells it to another; no server if it is gone. */
 @Serializable
 @CborArray
-internal class ServerChange(
-    val id: String,
-    val position: Long,
-    val server: ServerEntry?
-)
+internal class ServerChange(val id: String, val position: Long, val server: ServerEntry?)
 
 /** The entry of a server between instances. */
 @Serializable
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -100,8 +100,7 @@
     fun `a read that hangs is replaced when the store is known to be back`() {
         var reads = 0
         val feed = object : ChangeFeed<String> {
-            override suspend fun snapshot(): Result<ChangeBatch<String>, StoreError> =
-                batch(1, "a")
+            override suspend fun snapshot(): Result<ChangeBatch<String>, StoreError> = batch(1, "a")
 
             override suspend fun changes(
                 position: Long,
--- a/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
@@ -65,8 +65,20 @@
         return if (room > 0) inFlight(runner.id).tokenLayers / room else 1.0
     }
 
+    /**
+     * The part of the requests that [runner] may receive from instances; 0 if it holds other layers
+     * than the first, since stages receive from each other without that limit.
+     */
+    private fun slotUse(runner: Runner): Double = if (runner.layers?.from !=
+        0
+    ) {
+        0.0
+    } else {
+        inFlight(runner.id).requests.toDouble() / profile.slots
+    }
+
     private fun memoryMillis(runner: Runner): Double {
-        val use = memoryUse(runner)
+        val use = maxOf(memoryUse(runner), slotUse(runner))
         return maxOf(0.0, use - COMFORTABLE_MEMORY_USE) * TIGHTNESS_MILLIS +
             maxOf(0.0, use - 1) * SHORTAGE_MILLIS
     }
--- a/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
@@ -288,8 +288,11 @@
     }
 
     public companion object {
-        /** More stages leave more memory, but each adds a hop and can fail. */
-        public const val DEFAULT_MAX_STAGES: Int = 20
+        /**
+         * More stages leave more memory, but each adds a hop to every token and can fail, and the
+         * first stage of a copy takes a limited number of requests.
+         */
+        public const val DEFAULT_MAX_STAGES: Int = 12
 
         /** A chain of more stages is refused by engines. */
         private const val MAX_CHAIN = 32
--- a/routing/src/main/kotlin/io/greengageport/routing/ModelCapacity.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ModelCapacity.kt
@@ -3,7 +3,7 @@
 import io.greengageport.common.ServiceName
 
 /**
- * How many requests of a model fit into the memory of its engines at a time.
+ * How many requests of a model fit into the memory and the slots of its engines at a time.
  *
  * Chains stay within a data centre while they can, so each data centre counts by itself: by the
  * layer for which its engines have least room together. If no data centre holds all layers, the
@@ -14,11 +14,15 @@
     public fun requests(service: ServiceName, profile: EngineProfile): Double {
         val runners = fleet.service(service).runners
         val usual = (profile.usualPromptTokens + profile.usualAnswerTokens).coerceAtLeast(1)
-        val byCentre = runners.groupBy { it.dataCentre }.values.sumOf { tokens(it, profile) }
-        val tokens = if (byCentre > 0) byCentre else tokens(runners, profile)
-        return tokens / usual
+        fun capacity(group: List<Runner>) =
+            minOf(tokens(group, profile) / usual, firstStages(group) * profile.slots.toDouble())
+        val byCentre = runners.groupBy { it.dataCentre }.values.sumOf(::capacity)
+        return if (byCentre > 0) byCentre else capacity(runners)
     }
 
+    /** Runners that may receive requests: those that hold the first layer. */
+    private fun firstStages(runners: List<Runner>): Int = runners.count { it.layers?.from == 0 }
+
     /** Tokens for which [runners] have room in the layer where it is least. */
     private fun tokens(runners: List<Runner>, profile: EngineProfile): Double {
         val room = DoubleArray(profile.layers)
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/BatchingCostsTest.kt
@@ -0,0 +1,119 @@
+package io.greengageport.routing
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
+import io.greengageport.testkit.ManualClock
+import kotlin.random.Random
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+/**
+ * Guards against chains that cross data centres, fill one copy while another is empty, or leave a
+ * broken copy in use. The pattern is that of a burst over three data centres with a copy each.
+ */
+class BatchingCostsTest {
+    private val card = Card("card", 36_000.0, 3.0, 3.0)
+    private val profile = engineProfile(card)
+    private val service = ServiceName("model")
+    private val fleet = Fleet().apply { setLayers(service, 80) }
+    private val load = HashMap<RunnerId, InFlight>()
+    private val clock = ManualClock()
+    private val costs = BatchingCosts(
+        profile = profile,
+        links = LinkEstimator(clock),
+        inFlight = { load[it] ?: InFlight.NONE }
+    )
+    private val planner = ShortestChain(costs, Random(1))
+
+    init {
+        for (centre in listOf("a", "b", "c")) {
+            for (i in 0 until 8) put(centre, i)
+        }
+    }
+
+    private fun put(centre: String, index: Int) = fleet.put(
+        Runner(
+            id = RunnerId("$centre$index"),
+            service = service,
+            dataCentre = DataCentre(centre),
+            layers = LayerRange(10 * index, 10 * index + 10),
+            card = card
+        )
+    )
+
+    private fun chain(from: String): List<String> = planner.plan(
+        fleet.service(service),
+        RoutingRequest(
+            id = RequestId("r"),
+            service = service,
+            dataCentre = DataCentre(from),
+            promptTokens = 770,
+            outputTokens = 170
+        )
+    ).value.stages.map { it.id.value }
+
+    private fun centres(from: String) = chain(from).map { it.take(1) }.distinct()
+
+    @Nested
+    inner class `A chain` {
+        @Test
+        fun `stays in the data centre of the instance`() {
+            expectThat(centres("b")).isEqualTo(listOf("b"))
+        }
+
+        @Test
+        fun `goes whole to another data centre when the own copy is broken`() {
+            fleet.remove(RunnerId("b3"))
+            expectThat(centres("b").size).isEqualTo(1)
+            expectThat(centres("b")).all { isGreaterThan("") }
+            expectThat("b" in centres("b")).isEqualTo(false)
+        }
+
+        @Test
+        fun `crosses only where no data centre holds all layers`() {
+            listOf("a1", "b3", "c5").forEach { fleet.remove(RunnerId(it)) }
+            val stages = chain("a")
+            val crossings = stages.zipWithNext().count { (x, y) -> x[0] != y[0] }
+            expectThat(crossings).isEqualTo(1)
+        }
+    }
+
+    @Nested
+    inner class `A burst at one data centre` {
+        @Test
+        fun `spreads over all copies before one is full`() {
+            val sent = HashMap<String, Int>()
+            repeat(400) {
+                val stages = chain("a")
+                sent.merge(stages.first().take(1), 1, Int::plus)
+                for (s in stages) {
+                    val old = load[RunnerId(s)] ?: InFlight.NONE
+                    load[RunnerId(s)] =
+                        InFlight(old.requests + 1, old.tokenLayers + 940L * 10)
+                }
+            }
+            expectThat(sent.values.max()).isLessThan(250)
+            expectThat(fleet.service(service).runners).all {
+                get { costs.memoryUse(this) }.isLessThan(1.3)
+            }
+        }
+    }
+
+    @Test
+    fun `a model's capacity is that of its whole copies`() {
+        val capacity = ModelCapacity(fleet)
+        val whole = capacity.requests(service, profile)
+        fleet.remove(RunnerId("c5"))
+        expectThat(capacity.requests(service, profile)).isLessThan(0.7 * whole)
+        listOf("a1", "b3").forEach { fleet.remove(RunnerId(it)) }
+        expectThat(capacity.requests(service, profile)).isGreaterThan(0.0)
+    }
+}
--- a/routing/src/test/kotlin/io/greengageport/routing/CopyPlacementTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/CopyPlacementTest.kt
@@ -55,7 +55,13 @@
         @Test
         fun `gives a large data centre several copies of limited length`() {
             val many = (0 until 54).map { engine("a%02d".format(it), "a", slow) }
-            val layers = CopyPlacement(profile, minTokens = 25_000.0).plan(many).map { it.layers }
+            val layers = CopyPlacement(
+                profile,
+                minTokens = 25_000.0,
+                maxStages = 20
+            ).plan(many).map {
+                it.layers
+            }
             expectThat(coverage(layers).all { it == 3 }).isTrue()
         }
 
