Spread requests over the first stages by two random choices

Change: two first stages are drawn by free slots, with a preference for the own data centre, and the better one is taken; a first stage costs more from its first request on.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.fold
 import io.greengageport.common.DataCentre
 import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.port.ChainStage
 import io.greengageport.gateway.state.BackendDirectory
@@ -15,6 +16,7 @@
 import io.greengageport.routing.RoutingDecision
 import io.greengageport.routing.RoutingFailure
 import io.greengageport.routing.RoutingRequest
+import io.greengageport.routing.Runner
 import io.greengageport.routing.ShortestChain
 import java.util.IdentityHashMap
 import kotlin.random.Random
@@ -37,14 +39,49 @@
         val profile = checkNotNull(context.service.engine) { "a chain needs a model" }
         val (planner, costs) = planner(profile)
         // Ejected engines are used only where no chain does without them.
-        val result = plan(planner, context, excluded + ejected())
-        val choice = if (result.isErr) plan(planner, context, excluded) else result
+        val out = excluded + ejected()
+        val others = otherFirstStages(context.service.name, out, costs)
+        val sampled = plan(planner, context, out + others)
+        val healthy = if (sampled.isErr) plan(planner, context, out) else sampled
+        val choice = if (healthy.isErr) plan(planner, context, excluded) else healthy
         return choice.fold({ selection(context, it, costs) }) { failure ->
             log.record("route", "no_chain", "request" to context.id, "why" to failure)
             null
         }
     }
 
+    /**
+     * All first stages but two, drawn at random by their free slots and with a preference for the
+     * own data centre. What peers have in flight is known up to two seconds late, and instances that
+     * all chose the best of all copies would fill it up together.
+     */
+    private fun otherFirstStages(
+        service: ServiceName,
+        excluded: Set<RunnerId>,
+        costs: BatchingCosts
+    ): Set<RunnerId> {
+        val first = fleet.service(service).runners
+            .filter { it.layers?.from == 0 && it.id !in excluded }
+        if (first.size <= FIRST_STAGES_TRIED) return emptySet()
+        val weights = first.associateWithTo(HashMap()) { weight(it, costs) }
+        repeat(FIRST_STAGES_TRIED) { weights -= draw(weights) }
+        return weights.keys.mapTo(HashSet()) { it.id }
+    }
+
+    private fun weight(runner: Runner, costs: BatchingCosts): Double {
+        val free = maxOf(MIN_FREE, 1 - costs.slotUse(runner))
+        return free * free * if (runner.dataCentre == own) 1.0 else REMOTE_WEIGHT
+    }
+
+    private fun draw(weights: Map<Runner, Double>): Runner {
+        var left = Random.nextDouble() * weights.values.sum()
+        for ((runner, weight) in weights) {
+            left -= weight
+            if (left < 0) return runner
+        }
+        return weights.keys.last()
+    }
+
     private fun plan(
         planner: ShortestChain,
         context: RequestContext,
@@ -99,5 +136,10 @@
         /** Models in use, and those of configurations that were replaced meanwhile. */
         const val KEPT_PROFILES = 16
         const val PERCENT = 100
+
+        /** Of two random choices the better one is nearly as good as the best of all. */
+        const val FIRST_STAGES_TRIED = 2
+        const val REMOTE_WEIGHT = 0.4
+        const val MIN_FREE = 0.05
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/ChainSelectorTest.kt
@@ -0,0 +1,122 @@
+package io.greengageport.gateway.forward
+
+import io.greengageport.common.DataCentre
+import io.greengageport.common.LayerRange
+import io.greengageport.common.RequestId
+import io.greengageport.common.RunnerId
+import io.greengageport.gateway.CARD
+import io.greengageport.gateway.MODEL
+import io.greengageport.gateway.RecordedLog
+import io.greengageport.gateway.SteppedClock
+import io.greengageport.gateway.engineProfile
+import io.greengageport.gateway.model.Service
+import io.greengageport.gateway.port.CallerHeaders
+import io.greengageport.gateway.port.Change
+import io.greengageport.gateway.route
+import io.greengageport.gateway.server
+import io.greengageport.gateway.state.BackendDirectory
+import io.greengageport.gateway.state.InFlightTable
+import io.greengageport.routing.Fleet
+import io.greengageport.routing.LinkEstimator
+import io.greengageport.routing.Runner
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/**
+ * Guards against many instances that fill the fastest copy together. The pattern is that of a large
+ * fleet whose instances know each other's load a second late.
+ */
+class ChainSelectorTest {
+    private val clock = SteppedClock()
+    private val log = RecordedLog().log
+    private val directory = BackendDirectory(clock, log)
+    private val fleet = Fleet().apply { setLayers(MODEL, 80) }
+    private val inFlight = InFlightTable({ 1 }, { null })
+    private val fast = CARD.copy(name = "fast", stepFactor = 2.0)
+
+    private val selector = ChainSelector(
+        directory = directory,
+        fleet = fleet,
+        inFlight = inFlight,
+        links = LinkEstimator(clock),
+        ejected = { emptySet() },
+        slowness = { 1.0 },
+        own = DataCentre("a"),
+        log = log
+    )
+
+    private fun put(id: String, layers: LayerRange, isFast: Boolean = false) {
+        val s = server(id, MODEL, layers = layers)
+        directory.onChanges(listOf(Change.Put(id, s)))
+        fleet.put(
+            Runner(
+                id = s.id,
+                service = MODEL,
+                dataCentre = s.dataCentre,
+                layers = layers,
+                card = if (isFast) fast else CARD
+            )
+        )
+    }
+
+    private fun context(id: Int = 0) = RequestContext(
+        id = RequestId("r$id"),
+        head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a/"),
+        body = ByteArray(0),
+        caller = CallerHeaders("r$id", 20_000, null, 770, 170, null),
+        route = route(service = MODEL, isStreaming = true),
+        service = Service(MODEL, "/health", 100, engineProfile()),
+        organisation = null,
+        arrivedAtMillis = clock.nowMillis
+    )
+
+    @Test
+    fun `a second's requests are spread although no load is known yet`() {
+        for (copy in 0 until 4) {
+            put("first$copy", LayerRange(0, 40), isFast = copy == 0)
+            put("second$copy", LayerRange(40, 80))
+        }
+        val sent = (0 until 400).mapNotNull { selector.select(context(it), emptySet()) }
+            .groupingBy { it.server.id.value }.eachCount()
+        expectThat(sent.values.sum()).isEqualTo(400)
+        expectThat(sent.getValue("first0")).isLessThan(280)
+        expectThat(sent.values.min()).isGreaterThan(20)
+    }
+
+    @Test
+    fun `a first stage without free slots gets next to nothing`() {
+        for (copy in 0 until 3) {
+            put("first$copy", LayerRange(0, 40))
+            put("second$copy", LayerRange(40, 80))
+        }
+        repeat(100) { inFlight.add(RunnerId("first1"), 940L * 40) }
+        val sent = (0 until 200).mapNotNull { selector.select(context(it), emptySet()) }
+            .count { it.server.id.value == "first1" }
+        expectThat(sent).isLessThan(10)
+    }
+
+    @Test
+    fun `the only chain is found although its first stage was not drawn`() {
+        for (copy in 0 until 4) put("first$copy", LayerRange(0, 40 - copy))
+        put("second", LayerRange(40, 80))
+        repeat(20) {
+            expectThat(selector.select(context(it), emptySet())).isNotNull()
+                .get { server.id.value }.isEqualTo("first0")
+        }
+    }
+
+    @Test
+    fun `there is no chain without a holder of some layer`() {
+        put("first", LayerRange(0, 40))
+        put("second", LayerRange(41, 80))
+        expectThat(selector.select(context(), emptySet())).isNull()
+    }
+}
--- a/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
@@ -38,7 +38,8 @@
         val writing = request.outputTokens * step * card.stepFactor
         val reading = request.promptTokens * card.promptFactor / profile.promptTokensPerMilli
         return RunnerCost(
-            waitMillis = STAGE_MILLIS_PER_TOKEN * request.outputTokens + memoryMillis(runner),
+            waitMillis = STAGE_MILLIS_PER_TOKEN * request.outputTokens + memoryMillis(runner) +
+                slotMillis(runner),
             millisPerLayer = (writing + reading) * slowness(runner.id) / profile.layers,
             workPerLayer = (request.promptTokens + request.outputTokens).toDouble() /
                 profile.layers,
@@ -69,12 +70,15 @@
      * The part of the requests that [runner] may receive from instances; 0 if it holds other layers
      * than the first, since stages receive from each other without that limit.
      */
-    private fun slotUse(runner: Runner): Double = if (runner.layers?.from !=
-        0
-    ) {
-        0.0
-    } else {
-        inFlight(runner.id).requests.toDouble() / profile.slots
+    public fun slotUse(runner: Runner): Double {
+        if (runner.layers?.from != 0) return 0.0
+        return inFlight(runner.id).requests.toDouble() / profile.slots
+    }
+
+    /** Grows from the first request on, so that copies fill up together and the fastest not first. */
+    private fun slotMillis(runner: Runner): Double {
+        val use = slotUse(runner)
+        return use * use * SLOT_MILLIS
     }
 
     private fun memoryMillis(runner: Runner): Double {
@@ -96,6 +100,9 @@
         /** Charge of a stage with full memory: less than a transfer between data centres. */
         private const val TIGHTNESS_MILLIS = 2_500.0
 
+        /** Charge of a first stage that has all its slots taken, when it refuses requests. */
+        private const val SLOT_MILLIS = 4_000.0
+
         /** Charge of a stage that would need twice its memory: more than any answer takes. */
         private const val SHORTAGE_MILLIS = 100_000.0
 
