--- a/cli/src/main/kotlin/io/greengageport/cli/StatusCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/StatusCommand.kt
@@ -4,6 +4,8 @@
 import com.github.michaelbull.result.getOrElse
 import io.greengageport.entry.Decision
 import io.greengageport.entry.InstanceStatus
+import java.io.IOException
+import java.nio.file.Path
 import java.time.Instant
 import java.util.concurrent.Callable
 import picocli.CommandLine.Command
@@ -122,7 +124,31 @@
     @Parameters(paramLabel = "REQUEST-ID", description = ["Value of Greengage-Request-Id."])
     lateinit var id: String
 
-    override fun call(): Int {
+    @Option(
+        names = ["--logs"],
+        paramLabel = "FILE",
+        arity = "1..*",
+        description = ["Reads log files of any instances instead; - is standard input."]
+    )
+    var logs: List<Path> = emptyList()
+
+    override fun call(): Int = if (logs.isEmpty()) askInstance() else readLogs()
+
+    private fun readLogs(): Int {
+        val story = LogStory(id)
+        try {
+            logs.forEach(story::read)
+        } catch (e: IOException) {
+            System.err.println("cannot read the logs: $e")
+            return ExitCodes.FAILED
+        }
+        val lines = story.inOrder()
+        lines.forEach(::println)
+        if (lines.isEmpty()) System.err.println("no line about $id in ${logs.joinToString()}")
+        return if (lines.isEmpty()) ExitCodes.NOT_FOUND else ExitCodes.OK
+    }
+
+    private fun askInstance(): Int {
         val text = options.client().get("/admin/decisions/${encoded(id)}").getOrElse {
             return report(it)
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -351,7 +351,7 @@
             clock = clock,
             random = Random.Default,
             share = settings.retryShare,
-            minimum = { (settings.retryAllowance * ALLOWANCE_SHARE / peers.instances).toInt() },
+            allowance = { (settings.retryAllowance * ALLOWANCE_SHARE / peers.instances).toInt() },
             backoff = Backoff(RETRY_BASE_MILLIS, RETRY_MAX_MILLIS)
         )
     }
--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -14,7 +14,8 @@
  * the requests admitted. [reserves] states the share of the tokens that only the named rank may
  * use; a rank uses its own share first, then what is reserved for none. Shares of more than 1 in
  * sum are scaled down to 1. [minimum] retries per window are allowed in any case; with the default
- * of 0, fewer than 10 requests in 10 s allow no retry. Thread-safe.
+ * of 0, fewer than 10 requests in 10 s allow no retry. [allowance] retries per window come on top
+ * of what the requests earn. Thread-safe.
  *
  * ```
  * when (val retry = budget.tryRetry(attempt = 1, rank)) {
@@ -29,6 +30,7 @@
     private val share: Double = DEFAULT_SHARE,
     private val reserves: () -> Map<RankName, Double> = { emptyMap() },
     private val minimum: () -> Int = { 0 },
+    private val allowance: () -> Int = { 0 },
     private val backoff: Backoff = Backoff()
 ) {
     private val admitted = SlidingCount()
@@ -67,7 +69,7 @@
             val own = (used[name] ?: 0.0) + if (name == rank) cost else 0.0
             maxOf(0.0, earned * share - own)
         }
-        if (all + cost > maxOf(earned - kept + ROUNDING, minimum().toDouble())) {
+        if (all + cost > maxOf(earned - kept + ROUNDING, minimum().toDouble()) + allowance()) {
             return RetryDecision.Denied(all, earned)
         }
         retries.keys.removeAll { used[it] == 0.0 && it != rank }
--- a/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/EstimatorTest.kt
@@ -252,6 +252,15 @@
             expectThat(resumes).isEqualTo(10)
         }
 
+        /** Guards against streams that break off with a crash although the fleet may resume them. */
+        @Test
+        fun `allows an allowance on top of what the requests earn`() {
+            val budget = RetryBudget(clock, Random(1), share = 0.2, allowance = { 7 })
+            repeat(50) { budget.admitted() }
+            val retries = (1..50).count { budget.tryRetry(1, urgent) is RetryDecision.Allowed }
+            expectThat(retries).isEqualTo(17)
+        }
+
         @Test
         fun `draws delays below a bound that doubles up to the last`() {
             val backoff = Backoff(baseMillis = 10, maxMillis = 100)
