--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -341,6 +341,7 @@
         requestsByService = gates.admitted().mapKeys { it.key.value },
         unreachable = health.unreachable().map { it.value },
         suspects = suspects.toTell(),
+        known = peers.sample(),
         readAgeMillis = relay.readAgeMillis(),
         configurationVersion = configuration.current?.version ?: 0,
         servers = relay.toTell()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -7,6 +7,9 @@
 /**
  * What an instance tells its peers: a datagram in CBOR.
  *
+ * [known] is a sample of the live peers of [from]: the store lists an instance only once it holds a
+ * part of the duties, so most instances learn of each other this way.
+ *
  * [readAgeMillis] is the age of this instance's last read of the store's list of servers, if it has
  * the duty to read it for all, and [servers] are the changes that it found. A newer
  * [configurationVersion] than the receiver's own makes it read the configuration at once.
@@ -27,11 +30,17 @@
     val requestsByService: Map<String, Int>,
     val unreachable: List<String>,
     val suspects: List<SuspectState>,
+    val known: List<KnownPeer>,
     val readAgeMillis: Long?,
     val configurationVersion: Long,
     val servers: List<ServerChange>
 )
 
+/** An instance and the address at which its peers reach it. */
+@Serializable
+@CborArray
+internal class KnownPeer(val id: String, val address: String)
+
 /** Requests in flight at a server and the memory they hold, in tokens times layers. */
 @Serializable
 @CborArray
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -65,6 +65,7 @@
         if (known != null && !isNewer(report, known)) return false
         p.report = report
         p.heardAtMillis = clock.monotonicMillis()
+        report.known.forEach(::learn)
         if (!p.isAlive) {
             p.isAlive = true
             log.record("peers", "appeared", "instance" to id, "address" to address)
@@ -73,6 +74,22 @@
         return true
     }
 
+    /** Peers to tell others of: live ones, a few at random. */
+    fun sample(): List<KnownPeer> = peers.entries
+        .filter { it.value.isAlive && it.value.report != null }
+        .shuffled()
+        .take(SAMPLE)
+        .map { (id, p) -> KnownPeer(id.value, p.address.toString()) }
+
+    /** Takes note of a peer by hearsay; it counts as alive once it is heard itself. */
+    private fun learn(known: KnownPeer) {
+        val id = InstanceId(known.id)
+        val address = HostPort.parseOrNull(known.address) ?: return
+        if (id != self && id !in peers) {
+            peers[id] = Peer(address, null, clock.monotonicMillis(), isAlive = false)
+        }
+    }
+
     /** Drops peers that have fallen silent; to be called with each report that is sent. */
     fun expire() {
         val now = clock.monotonicMillis()
@@ -136,5 +153,8 @@
         const val SILENT_INTERVALS = 3
         const val SILENT_MILLIS = 600L
         const val FORGET_MILLIS = 30_000L
+
+        /** With so many, all know all after a few reports also in a large fleet. */
+        const val SAMPLE = 8
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -50,7 +50,7 @@
         var rounds = 0
         while (true) {
             renew()
-            if (rounds < FIRST_ROUNDS || rounds % MEMBERS_EVERY == 0) readMembers()
+            if (rounds in EARLY_ROUNDS || rounds % MEMBERS_EVERY == 0) readMembers()
             rounds++
             delay(RENEW_MILLIS)
         }
@@ -110,7 +110,7 @@
         const val SAFETY_MILLIS = 500L
 
         /** Right after the start, when the instances find each other. */
-        const val FIRST_ROUNDS = 2
+        val EARLY_ROUNDS = setOf(1, 2, 4, 8)
 
         /** Rounds between later reads; new instances make themselves known to their peers. */
         const val MEMBERS_EVERY = 30
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -19,20 +19,26 @@
     private val view = PeerView(InstanceId("self"), clock, RecordedLog().log)
     private val address = HostPort("127.0.0.1", 9)
 
-    private fun report(from: String, sequence: Long, requests: Int, startedAt: Long = 1) =
-        PeerReport(
-            from = from,
-            address = address.toString(),
-            startedAtMillis = startedAt,
-            sequence = sequence,
-            load = listOf(ServerLoad("s", requests, 10L * requests)),
-            requestsByService = mapOf("model" to requests),
-            unreachable = listOf("dead"),
-            suspects = emptyList(),
-            readAgeMillis = null,
-            configurationVersion = 0,
-            servers = emptyList()
-        )
+    private fun report(
+        from: String,
+        sequence: Long,
+        requests: Int,
+        startedAt: Long = 1,
+        known: List<KnownPeer> = emptyList()
+    ) = PeerReport(
+        from = from,
+        address = address.toString(),
+        startedAtMillis = startedAt,
+        sequence = sequence,
+        load = listOf(ServerLoad("s", requests, 10L * requests)),
+        requestsByService = mapOf("model" to requests),
+        unreachable = listOf("dead"),
+        suspects = emptyList(),
+        known = known,
+        readAgeMillis = null,
+        configurationVersion = 0,
+        servers = emptyList()
+    )
 
     private fun requests() = view.load()?.get(RunnerId("s"))?.requests
 
@@ -79,6 +85,17 @@
         }
     }
 
+    @Test
+    fun `a peer is learnt from another, and counts once it is heard itself`() {
+        val far = KnownPeer("far", "127.0.0.1:10")
+        view.onReport(report("a", 1, 3, known = listOf(far)), address)
+        expectThat(HostPort("127.0.0.1", 10) in view.addresses).isTrue()
+        expectThat(view.instances).isEqualTo(2)
+        view.onReport(report("far", 1, 1), HostPort("127.0.0.1", 10))
+        expectThat(view.instances).isEqualTo(3)
+        expectThat(view.sample().map { it.id }.sorted()).isEqualTo(listOf("a", "far"))
+    }
+
     @Test
     fun `this instance's own report is ignored`() {
         expectThat(view.onReport(report("self", 1, 4), address)).isFalse()
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
@@ -173,7 +173,9 @@
             var round = 0
             while (dropped <= droppedBefore && round++ < MAX_ROUNDS) {
                 val prompts = (1..INSTANCES).map { "$kind $round $it" }
-                val answers = prompts.mapIndexed { i, p -> fleet.stream("entry-${i + 1}", p, TOKENS) }
+                val answers = prompts.mapIndexed { i, p ->
+                    fleet.stream("entry-${i + 1}", p, TOKENS)
+                }
                 answers.forEachIndexed { i, a -> expectWhole(prompts[i], a) }
                 dropped = local.instances.sumOf {
                     fleet.metric(it, "greengageport_dropped_frames_total")
