--- a/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/BatchingCosts.kt
@@ -75,7 +75,7 @@
         return inFlight(runner.id).requests.toDouble() / profile.slots
     }
 
-    /** Grows from the first request on, so that copies fill up together and the fastest not first. */
+    /** Grows from the first request on, so that copies fill up together. */
     private fun slotMillis(runner: Runner): Double {
         val use = slotUse(runner)
         return use * use * SLOT_MILLIS
