--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -4,15 +4,12 @@
 import io.greengageport.common.HostPort
 import io.greengageport.common.ServiceName
 import io.greengageport.common.SystemClock
-import io.greengageport.gateway.forward.AttemptEnd
 import io.greengageport.gateway.forward.BackendExchange
 import io.greengageport.gateway.forward.CallerAnswer
 import io.greengageport.gateway.forward.CallerConnection
 import io.greengageport.gateway.forward.CallerRequestHandler
 import io.greengageport.gateway.forward.ChainSelector
-import io.greengageport.gateway.forward.ForwardObserver
 import io.greengageport.gateway.forward.PlainSelector
-import io.greengageport.gateway.forward.RequestContext
 import io.greengageport.gateway.forward.RequestForwarder
 import io.greengageport.gateway.forward.RequestRouter
 import io.greengageport.gateway.forward.ServiceGates
@@ -45,7 +42,6 @@
 import io.greengageport.routing.RetryBudget
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
-import io.prometheus.metrics.core.metrics.Histogram
 import kotlin.random.Random
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -114,7 +110,7 @@
         diagnosis = StallDiagnosis(directory, connector, protocol, log, clock),
         suspects = suspects,
         retryBudget = ::budget,
-        observer = MetricsObserver(),
+        observer = MetricsObserver(metrics, clock),
         log = log,
         clock = clock
     )
@@ -203,8 +199,8 @@
     /**
      * Stops in order: no longer ready at once, connections end with their next answer, and requests
      * in flight are served to their end. Requests that come after the balancer had time to notice
-     * are refused, since they might not end in time. Returns when none is left, or shortly before the platform
-     * kills the process.
+     * are refused, since they might not end in time. Returns when none is left, or shortly before
+     * the platform kills the process.
      */
     public suspend fun stop() {
         if (isStopping) return
@@ -357,30 +353,6 @@
         )
     }
 
-    private inner class MetricsObserver : ForwardObserver {
-        override fun onAttempt(service: ServiceName, end: AttemptEnd) {
-            metrics.attempts.labelValues(service.value, end::class.simpleName).inc()
-        }
-
-        override fun onFirstEvent(context: RequestContext) {
-            observe(context, metrics.latency)
-        }
-
-        override fun onEnd(context: RequestContext, outcome: String) {
-            val service = context.service.name.value
-            val priority = context.priority.toString()
-            metrics.requests.labelValues(service, priority, outcome).inc()
-            if (!context.route.isStreaming) observe(context, metrics.latency)
-            observe(context, metrics.duration)
-        }
-
-        private fun observe(context: RequestContext, histogram: Histogram) {
-            val millis = clock.monotonicMillis() - context.arrivedAtMillis
-            histogram.labelValues(context.service.name.value, context.priority.toString())
-                .observe(millis / MILLIS_PER_SECOND)
-        }
-    }
-
     private companion object {
         /** A read that went silent is given up soon enough for changes to be in force in time. */
         const val CONFIGURATION_WAIT_MILLIS = 2_500L
@@ -407,6 +379,5 @@
         const val ALLOWANCE_SHARE = 0.6
         const val RETRY_BASE_MILLIS = 10L
         const val RETRY_MAX_MILLIS = 40L
-        const val MILLIS_PER_SECOND = 1e3
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ChainSelector.kt
@@ -52,8 +52,8 @@
 
     /**
      * All first stages but two, drawn at random by their free slots and with a preference for the
-     * own data centre. What peers have in flight is known up to two seconds late, and instances that
-     * all chose the best of all copies would fill it up together.
+     * own data centre. What peers have in flight is known up to two seconds late, and instances
+     * that all chose the best of all copies would fill it up together.
      */
     private fun otherFirstStages(
         service: ServiceName,
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -19,7 +19,7 @@
     private val servers = HashMap<RunnerId, BackendServer>()
     private val removeAt = HashMap<RunnerId, Long>()
 
-    /** Positions of the last changes taken in; what peers tell may overtake this one's own reads. */
+    /** Positions of the last changes; what peers tell may overtake this instance's own reads. */
     private val positions = HashMap<RunnerId, Long>()
     private var lenientUntil = Long.MIN_VALUE
 
