Keep the duty to place layers while the store answers nobody

Change: a holder keeps the duty for up to 30 s while no live peer has heard of the store for 3 s; fencing tokens and the state that each order expects stop a holder that is wrong in this.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -66,7 +66,8 @@
     private val directory = BackendDirectory(clock, log)
     private val index = FleetIndex(directory) { configuration.current }
     private val peers = PeerView(settings.id, clock, log)
-    private val duty = DutyKeeper(store.duties, clock, log, peers::onMembers)
+    private val duty =
+        DutyKeeper(store.duties, clock, log, peers::onMembers, peers::isStoreAwayForAll)
     private val inFlight = InFlightTable({ peers.instances }, peers::load, peers::requestsByService)
     private val pool = ConnectionPool(connector, clock)
     private val health = ServerHealth(
@@ -338,6 +339,7 @@
         unreachable = health.unreachable().map { it.value },
         suspects = suspects.toTell(),
         known = peers.sample(),
+        renewalAgeMillis = duty.renewalAgeMillis(),
         readAgeMillis = relay.readAgeMillis(),
         configurationVersion = configuration.current?.version ?: 0,
         servers = relay.toTell()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -10,6 +10,8 @@
  * [known] is a sample of the live peers of [from]: the store lists an instance only once it holds a
  * part of the duties, so most instances learn of each other this way.
  *
+ * [renewalAgeMillis] is the age of the last answer of the store to [from].
+ *
  * [readAgeMillis] is the age of this instance's last read of the store's list of servers, if it has
  * the duty to read it for all, and [servers] are the changes that it found. A newer
  * [configurationVersion] than the receiver's own makes it read the configuration at once.
@@ -31,6 +33,7 @@
     val unreachable: List<String>,
     val suspects: List<SuspectState>,
     val known: List<KnownPeer>,
+    val renewalAgeMillis: Long?,
     val readAgeMillis: Long?,
     val configurationVersion: Long,
     val servers: List<ServerChange>
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -74,6 +74,16 @@
         return true
     }
 
+    /** Whether there are live peers and the store has answered none of them lately. */
+    fun isStoreAwayForAll(): Boolean {
+        val now = clock.monotonicMillis()
+        val live = peers.values.filter { it.isAlive && it.report != null }
+        return live.isNotEmpty() && live.all { p ->
+            val age = p.report?.renewalAgeMillis
+            age == null || age + now - p.heardAtMillis > STORE_AWAY_MILLIS
+        }
+    }
+
     /** Peers to tell others of: live ones, a few at random. */
     fun sample(): List<KnownPeer> = peers.entries
         .filter { it.value.isAlive && it.value.report != null }
@@ -154,6 +164,9 @@
         const val SILENT_MILLIS = 600L
         const val FORGET_MILLIS = 30_000L
 
+        /** Three renewals that the store has not answered. */
+        const val STORE_AWAY_MILLIS = 3_000L
+
         /** With so many, all know all after a few reports also in a large fleet. */
         const val SAMPLE = 8
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -21,20 +21,36 @@
     private val group: DutyGroup,
     private val clock: Clock,
     private val log: DecisionLog,
-    private val onMembers: (Map<InstanceId, HostPort>) -> Unit
+    private val onMembers: (Map<InstanceId, HostPort>) -> Unit,
+    private val isStoreAwayForAll: () -> Boolean = { false }
 ) {
     private var share: DutyShare? = null
     private var heldUntil = Long.MIN_VALUE
     private var fencedAt = -1L
     private var hadPlacement = false
+    private var renewedAt: Long? = null
+    private var isAnswered = false
+    private var isLeaving = false
 
     /** The fencing token under which this instance may place layers now, or null. */
     public fun placementToken(): Long? {
         val s = share ?: return null
-        val isHeld = PLACEMENT_DUTY in s.duties && clock.monotonicMillis() < heldUntil
+        val isHeld = PLACEMENT_DUTY in s.duties && (clock.monotonicMillis() < heldUntil || isKept())
         return if (isHeld && s.generation > fencedAt) s.generation else null
     }
 
+    /** Age of the last renewal that the store answered, or null before the first. */
+    fun renewalAgeMillis(): Long? = renewedAt?.let { clock.monotonicMillis() - it }
+
+    /**
+     * Whether a lapsed duty is kept, because the store answers nobody and so cannot have given it
+     * to another. A holder that is wrong in this is stopped by the engines, which have seen a later
+     * token, and by the state that each order expects.
+     */
+    private fun isKept(): Boolean = !isAnswered && !isLeaving &&
+        clock.monotonicMillis() < heldUntil + KEPT_MILLIS &&
+        isStoreAwayForAll()
+
     /** Whether this instance reads the list of servers for all; several may for a moment. */
     val isReader: Boolean
         get() = READER_DUTY in share?.duties.orEmpty() && clock.monotonicMillis() < heldUntil
@@ -58,6 +74,7 @@
 
     /** Gives the duties back. */
     public suspend fun leave() {
+        isLeaving = true
         heldUntil = Long.MIN_VALUE
         if (share == null) return
         group.leave().fold(
@@ -71,10 +88,13 @@
         group.renew(share?.generation ?: 0).fold(
             { s ->
                 share = s
+                renewedAt = sentAt
+                isAnswered = true
                 heldUntil = sentAt + s.timeToLiveMillis - SAFETY_MILLIS
                 report(s)
             },
             { error ->
+                isAnswered = false
                 if (clock.monotonicMillis() >= heldUntil && hadPlacement) {
                     hadPlacement = false
                     log.record("duty", "lapsed", "error" to error)
@@ -106,6 +126,9 @@
         const val READER_DUTY = 1
         const val RENEW_MILLIS = 1_000L
 
+        /** Outages of the store last some seconds to half a minute. */
+        const val KEPT_MILLIS = 30_000L
+
         /** A duty ends early by this, for clocks that run apart and calls that are slow. */
         const val SAFETY_MILLIS = 500L
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -35,6 +35,7 @@
         unreachable = listOf("dead"),
         suspects = emptyList(),
         known = known,
+        renewalAgeMillis = 500,
         readAgeMillis = null,
         configurationVersion = 0,
         servers = emptyList()
@@ -96,6 +97,15 @@
         expectThat(view.sample().map { it.id }.sorted()).isEqualTo(listOf("a", "far"))
     }
 
+    @Test
+    fun `the store is away for all once no live peer has heard of it lately`() {
+        expectThat(view.isStoreAwayForAll()).isFalse()
+        view.onReport(report("a", 1, 3), address)
+        expectThat(view.isStoreAwayForAll()).isFalse()
+        clock.nowMillis += 2_600
+        expectThat(view.isStoreAwayForAll()).isTrue()
+    }
+
     @Test
     fun `this instance's own report is ignored`() {
         expectThat(view.onReport(report("self", 1, 4), address)).isFalse()
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyKeeperTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyKeeperTest.kt
@@ -34,7 +34,9 @@
 
     private val clock = SteppedClock()
     private val group = ScriptedGroup(Ok(DutyShare(7, setOf(0, 3), 3_000)))
-    private val keeper = DutyKeeper(group, clock, RecordedLog().log) {}
+    private var isAwayForAll = false
+    private val keeper =
+        DutyKeeper(group, clock, RecordedLog().log, {}, { isAwayForAll })
 
     private fun renew() = runBlocking { keeper.renew() }
 
@@ -60,6 +62,30 @@
         expectThat(keeper.placementToken()).isNull()
     }
 
+    @Test
+    fun `a duty is kept while the store answers nobody, who then cannot have it`() {
+        renew()
+        group.answer = Err(StoreError.NoAnswer("down"))
+        clock.nowMillis += 2_600
+        renew()
+        isAwayForAll = true
+        expectThat(keeper.placementToken()).isEqualTo(7)
+        clock.nowMillis += 31_000
+        expectThat(keeper.placementToken()).isNull()
+    }
+
+    @Test
+    fun `a duty that is kept ends with the first answer that gives it to another`() {
+        renew()
+        group.answer = Err(StoreError.NoAnswer("down"))
+        clock.nowMillis += 2_600
+        renew()
+        isAwayForAll = true
+        group.answer = Ok(DutyShare(9, setOf(3), 3_000))
+        renew()
+        expectThat(keeper.placementToken()).isNull()
+    }
+
     @Test
     fun `the time of a duty counts from before the renewal was sent`() {
         group.onRenew = { clock.nowMillis += 2_700 }
