--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -9,6 +9,7 @@
 import io.greengageport.gateway.forward.CallerConnection
 import io.greengageport.gateway.forward.CallerRequestHandler
 import io.greengageport.gateway.forward.ChainSelector
+import io.greengageport.gateway.forward.ForwardParts
 import io.greengageport.gateway.forward.PlainSelector
 import io.greengageport.gateway.forward.RequestForwarder
 import io.greengageport.gateway.forward.RequestRouter
@@ -101,19 +102,21 @@
         clock = clock
     )
     private val forwarder = RequestForwarder(
-        exchange = BackendExchange(pool, protocol, clock),
-        plain = plain,
-        chains = chains,
-        directory = directory,
-        inFlight = inFlight,
-        gates = gates,
-        health = health,
-        diagnosis = StallDiagnosis(directory, connector, protocol, log, clock),
-        suspects = suspects,
-        retryBudget = ::budget,
-        observer = MetricsObserver(metrics, clock),
-        log = log,
-        clock = clock
+        ForwardParts(
+            exchange = BackendExchange(pool, protocol, clock),
+            plain = plain,
+            chains = chains,
+            directory = directory,
+            inFlight = inFlight,
+            gates = gates,
+            health = health,
+            diagnosis = StallDiagnosis(directory, connector, protocol, log, clock),
+            suspects = suspects,
+            retryBudget = ::budget,
+            observer = MetricsObserver(metrics, clock),
+            log = log,
+            clock = clock
+        )
     )
     private val router =
         RequestRouter(
--- /dev/null
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardParts.kt
@@ -0,0 +1,31 @@
+package io.greengageport.gateway.forward
+
+import io.greengageport.common.Clock
+import io.greengageport.common.ServiceName
+import io.greengageport.gateway.logging.DecisionLog
+import io.greengageport.gateway.state.BackendDirectory
+import io.greengageport.gateway.state.CrashSuspects
+import io.greengageport.gateway.state.InFlightTable
+import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.StallDiagnosis
+import io.greengageport.routing.RetryBudget
+
+/** What serving a request needs of the instance. */
+internal class ForwardParts(
+    val exchange: BackendExchange,
+    val plain: PlainSelector,
+    val chains: ServerSelector,
+    val directory: BackendDirectory,
+    val inFlight: InFlightTable,
+    val gates: ServiceGates,
+    val health: ServerHealth,
+    val diagnosis: StallDiagnosis,
+    val suspects: CrashSuspects,
+    val retryBudget: (ServiceName) -> RetryBudget,
+    val observer: ForwardObserver,
+    val log: DecisionLog,
+    val clock: Clock
+) {
+    /** Usual times to first events, over all requests. */
+    val firstEventTimes = FirstEventTimes()
+}
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -1,26 +1,9 @@
 package io.greengageport.gateway.forward
 
 import com.github.michaelbull.result.getOrElse
-import io.greengageport.common.Clock
-import io.greengageport.common.Execution
-import io.greengageport.common.RankName
 import io.greengageport.common.RequestError
-import io.greengageport.common.RunnerId
-import io.greengageport.common.ServiceName
-import io.greengageport.gateway.logging.DecisionLog
-import io.greengageport.gateway.model.Repeatability
-import io.greengageport.gateway.port.Dispatch
-import io.greengageport.gateway.state.BackendDirectory
-import io.greengageport.gateway.state.CrashSuspects
-import io.greengageport.gateway.state.InFlightTable
-import io.greengageport.gateway.state.ServerHealth
-import io.greengageport.gateway.state.StallCause
-import io.greengageport.gateway.state.StallDiagnosis
-import io.greengageport.routing.RetryBudget
-import io.greengageport.routing.RetryDecision
 import io.greengageport.routing.SuspectVerdict
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
@@ -31,27 +14,11 @@
  * was passed on. What comes of it is told to the caller at once: the server's own answer unchanged,
  * or a refusal that states truly whether the request ran.
  */
-internal class RequestForwarder(
-    private val exchange: BackendExchange,
-    private val plain: PlainSelector,
-    private val chains: ServerSelector,
-    private val directory: BackendDirectory,
-    private val inFlight: InFlightTable,
-    private val gates: ServiceGates,
-    private val health: ServerHealth,
-    private val diagnosis: StallDiagnosis,
-    private val suspects: CrashSuspects,
-    private val retryBudget: (ServiceName) -> RetryBudget,
-    private val observer: ForwardObserver,
-    private val log: DecisionLog,
-    private val clock: Clock
-) {
-    private val firstEventTimes = FirstEventTimes()
-
+internal class RequestForwarder(private val parts: ForwardParts) {
     /** Serves [context] and answers. */
     suspend fun forward(context: RequestContext, answer: CallerAnswer) {
-        val run = Run(context, answer)
-        if (suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED) {
+        val run = ForwardRun(parts, context, answer)
+        if (parts.suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED) {
             return run.refuse(RequestError.NoCapacity("it crashes servers", BLOCKED_RETRY_MILLIS))
         }
         try {
@@ -62,12 +29,15 @@
         }
     }
 
-    private suspend fun serve(run: Run, context: RequestContext) {
-        val permit = gates.admit(context, firstEventTimes.unusualMillis(context.service.name) ?: 0)
+    private suspend fun serve(run: ForwardRun, context: RequestContext) {
+        val permit = parts.gates.admit(
+            context,
+            parts.firstEventTimes.unusualMillis(context.service.name) ?: 0
+        )
             .getOrElse { return run.refuse(it) }
         try {
-            retryBudget(context.service.name).admitted()
-            val left = context.deadlineAtMillis - clock.monotonicMillis()
+            parts.retryBudget(context.service.name).admitted()
+            val left = context.deadlineAtMillis - parts.clock.monotonicMillis()
             val isInTime = withTimeoutOrNull(maxOf(left, 1)) {
                 run.attempts()
                 true
@@ -78,323 +48,7 @@
         }
     }
 
-    private inner class Run(val context: RequestContext, val answer: CallerAnswer) {
-        private val service = context.service
-        private val selector = if (service.engine == null) plain else chains
-        private val limit =
-            AttemptLimit(context.route.repeatability, context.route.maxAttempts)
-
-        /** Servers that failed this request. */
-        private val excluded = HashSet<RunnerId>()
-
-        /** Members of chains that failed for an unknown reason; used where there are no others. */
-        private val avoided = HashSet<RunnerId>()
-        private val relay = if (context.route.isStreaming) newRelay() else null
-        private var last: AttemptEnd? = null
-        private var hadSelection = false
-        private var startedAtMillis = 0L
-
-        suspend fun attempts() {
-            while (true) {
-                val selection = select() ?: return
-                hadSelection = true
-                if (!mayStart(selection)) return
-                val end = attempt(selection)
-                last = end
-                limit.ended(end)
-                observer.onAttempt(service.name, end)
-                if (isFinal(end)) return
-                logFailure(selection, end)
-                if (!limit.allowsAnother() || !budgetAllows(end)) return
-            }
-        }
-
-        private fun select(): Selection? {
-            val busy = if (suspects.verdict(context.fingerprint) == SuspectVerdict.CLEAR) {
-                emptySet()
-            } else {
-                suspects.markedBusy()
-            }
-            val out = excluded + busy
-            return (if (avoided.isEmpty()) null else selector.select(context, out + avoided))
-                ?: selector.select(context, out)
-        }
-
-        private fun mayStart(selection: Selection) = suspects.tryStart(
-            context.id,
-            context.fingerprint,
-            selection.members,
-            events = { relay?.events ?: 0 }
-        )
-
-        private suspend fun attempt(selection: Selection): AttemptEnd {
-            startedAtMillis = clock.monotonicMillis()
-            count(selection, inFlight::add)
-            try {
-                val end = exchange.run(context, dispatch(selection), headMillis(), relay) {
-                    if (it.load != null) plain.onLoad(selection.server.id, it.load)
-                }
-                judge(selection, end, clock.monotonicMillis() - startedAtMillis)
-                return if (end == AttemptEnd.Streamed && relay?.finish() == false) {
-                    AttemptEnd.Broken("the answer ended within an event")
-                } else {
-                    end
-                }
-            } finally {
-                suspects.ended(context.id)
-                count(selection, inFlight::remove)
-            }
-        }
-
-        private inline fun count(selection: Selection, change: (RunnerId, Long) -> Unit) {
-            selection.members.forEachIndexed { i, m ->
-                change(m, context.tokens.toLong() * selection.layersOf(i))
-            }
-        }
-
-        private fun dispatch(selection: Selection) = Dispatch(
-            server = selection.server,
-            remainingMillis = context.deadlineAtMillis - clock.monotonicMillis(),
-            organisation = context.organisation?.name?.value,
-            priority = context.priority.takeIf { service.engine != null },
-            chain = selection.stages,
-            resumeAfterEvent = relay?.lastEventId
-        )
-
-        /** Time until the head of the answer; shorter where another attempt may follow. */
-        private fun headMillis(): Long {
-            val left = context.deadlineAtMillis - clock.monotonicMillis()
-            val mayRepeat = context.route.repeatability != Repeatability.AT_MOST_ONCE &&
-                limit.runs + 1 < context.route.maxAttempts
-            if (!mayRepeat) return maxOf(left, 1)
-            val patient = if (relay == null) {
-                maxOf(MIN_HEAD_MILLIS, HEAD_PER_TARGET * context.route.latencyTargetMillis)
-            } else {
-                firstEventMillis()
-            }
-            return minOf(left, patient).coerceAtLeast(1)
-        }
-
-        private fun silenceMillis() = (context.patienceMillis * SILENCE_SHARE).toLong()
-
-        /**
-         * Time until the first event; half of the target if answers usually come sooner, so that
-         * another attempt may still be in time.
-         */
-        private fun firstEventMillis(): Long {
-            val unusual = firstEventTimes.unusualMillis(service.name) ?: return silenceMillis()
-            val soon = (context.route.latencyTargetMillis * FIRST_EVENT_SHARE).toLong()
-            return maxOf(soon, unusual).coerceAtMost(silenceMillis())
-        }
-
-        private fun newRelay() = StreamRelay(
-            answer = answer,
-            endToEnd = EndToEndHeaders::of,
-            gapMillis = silenceMillis(),
-            firstEventMillis = silenceMillis(),
-            firstId = context.caller.lastEventId,
-            onEvent = { suspects.progressed(context.id, it) },
-            onFirstEvent = {
-                firstEventTimes.record(service.name, clock.monotonicMillis() - startedAtMillis)
-                observer.onFirstEvent(context)
-            }
-        )
-
-        /** Tells what the end of an attempt says of the servers, and leaves them out from now. */
-        private suspend fun judge(selection: Selection, end: AttemptEnd, millis: Long) {
-            val first = selection.server.id
-            when (end) {
-                is AttemptEnd.Streamed -> {
-                    suspects.completed(context.id)
-                    health.succeeded(selection.members, 1)
-                }
-
-                is AttemptEnd.Answered -> if (end.reply.status < SERVER_ERRORS) {
-                    suspects.completed(context.id)
-                    health.succeeded(selection.members, millis)
-                } else {
-                    excluded += first
-                    health.failed(service.name, listOf(first))
-                }
-
-                is AttemptEnd.NotConnected -> {
-                    excluded += first
-                    suspects.refused(first)
-                    health.unreachable(service.name, first)
-                }
-
-                is AttemptEnd.NotRun -> {
-                    val stage = end.stage?.let { directory.at(it)?.id }
-                    excluded += stage ?: first
-                    // A full server says so itself; of another stage it means that it is gone.
-                    if (stage != null) health.failed(service.name, listOf(stage))
-                }
-
-                is AttemptEnd.Broken -> blame(selection, end)
-
-                is AttemptEnd.CallerGone -> Unit
-            }
-        }
-
-        private suspend fun blame(selection: Selection, end: AttemptEnd.Broken) {
-            val first = selection.server.id
-            if (selection.members.size == 1 || !end.isSilent) {
-                if (!end.isSilent) suspects.lost(first)
-                excluded += first
-                health.failed(service.name, listOf(first))
-                return
-            }
-            when (val cause = diagnosis.causeAt(selection.server)) {
-                is StallCause.Stages -> {
-                    val stages = cause.stages.filter { it in selection.members }
-                    excluded += stages
-                    stages.forEach(suspects::lost)
-                    stages.forEach { health.unreachable(service.name, it) }
-                }
-
-                is StallCause.FirstStage -> {
-                    excluded += first
-                    health.unreachable(service.name, first)
-                }
-
-                is StallCause.Unknown -> {
-                    avoided += selection.members
-                    // Without a stage at fault the service is slow as a whole; it must not be
-                    // made slower by repeats.
-                    val waited = clock.monotonicMillis() - startedAtMillis
-                    firstEventTimes.record(service.name, SLOW_FACTOR * waited)
-                }
-            }
-        }
-
-        private fun isFinal(end: AttemptEnd): Boolean = when (end) {
-            is AttemptEnd.Streamed, is AttemptEnd.CallerGone -> true
-            is AttemptEnd.Answered -> end.reply.status < SERVER_ERRORS
-            is AttemptEnd.NotConnected, is AttemptEnd.NotRun, is AttemptEnd.Broken -> false
-        }
-
-        private suspend fun budgetAllows(end: AttemptEnd): Boolean {
-            // What was never sent is no repeat for the server that gets it next.
-            if (end is AttemptEnd.NotConnected) return excluded.size <= MAX_UNREACHABLE
-            val rank = RankName(context.priority.toString())
-            val decision = retryBudget(service.name).tryRetry(maxOf(1, limit.sends), rank)
-            return when (decision) {
-                is RetryDecision.Allowed -> {
-                    delay(decision.delayMillis)
-                    true
-                }
-
-                is RetryDecision.Denied -> {
-                    log.record("retry", "denied", "request" to context.id, "budget" to decision)
-                    false
-                }
-            }
-        }
-
-        private fun logFailure(selection: Selection, end: AttemptEnd) {
-            log.record(
-                "attempt",
-                "failed",
-                "request" to context.id,
-                "end" to describe(end),
-                "server" to selection.server.id,
-                "chain" to selection.stages.takeIf { it.isNotEmpty() }
-                    ?.joinToString(">") { "${it.address}${it.layers}" },
-                "sends" to limit.sends,
-                "runs" to limit.runs,
-                "events" to relay?.events,
-                "left_ms" to context.deadlineAtMillis - clock.monotonicMillis()
-            )
-        }
-
-        private fun describe(end: AttemptEnd): String = when (end) {
-            is AttemptEnd.Answered -> "Answered(status=${end.reply.status})"
-            else -> end.toString()
-        }
-
-        /** Answers with what the attempts came to, unless the answer is sent already. */
-        suspend fun conclude(isInTime: Boolean) {
-            val end = last
-            val outcome: String
-            if (end is AttemptEnd.Streamed && answer.isComplete) {
-                outcome = "streamed"
-            } else if (answer.isStarted) {
-                // Without its end the answer does not look complete; the connection is closed.
-                outcome = if (end is AttemptEnd.CallerGone) "caller_gone" else "broken_off"
-            } else if (isInTime && end is AttemptEnd.Answered) {
-                answer.respond(
-                    end.reply.status,
-                    EndToEndHeaders.of(end.reply.headers),
-                    end.reply.body
-                )
-                outcome = if (end.reply.status < SERVER_ERRORS) "answered" else "server_failed"
-            } else {
-                val error = error(isInTime)
-                answer.refuse(error)
-                outcome = error.code
-            }
-            ended(outcome)
-        }
-
-        /** Answers with [error] before any attempt. */
-        suspend fun refuse(error: RequestError) {
-            answer.refuse(error)
-            ended(error.code)
-        }
-
-        fun ended(outcome: String) {
-            observer.onEnd(context, outcome)
-            log.record(
-                "request",
-                "ended",
-                "request" to context.id,
-                "outcome" to outcome,
-                "status" to answer.status,
-                "route" to context.route.name,
-                "priority" to context.priority,
-                "organisation" to context.organisation?.name,
-                "sends" to limit.sends,
-                "events" to relay?.events,
-                "ms" to clock.monotonicMillis() - context.arrivedAtMillis
-            )
-        }
-
-        private fun error(isInTime: Boolean): RequestError = when {
-            limit.mayHaveRun && isInTime ->
-                RequestError.BackendFailed("the backend server failed", Execution.UNKNOWN)
-
-            // A request that was sent and not answered yet counts as run as well.
-            !isInTime && hadSelection -> RequestError.DeadlineExceeded(Execution.UNKNOWN)
-
-            else -> RequestError.NoCapacity("no backend server took the request", RETRY_MILLIS)
-        }
-    }
-
     private companion object {
-        /** Statuses from here on are failures of the server. */
-        const val SERVER_ERRORS = 500
-
-        /** A plain answer that takes longer than this many targets is asked for elsewhere. */
-        const val HEAD_PER_TARGET = 2
-
-        /** Less would repeat requests for usual variations of their work. */
-        const val MIN_HEAD_MILLIS = 150L
-
-        /** Part of a caller's patience after which a silent stream goes on elsewhere. */
-        const val SILENCE_SHARE = 0.45
-
-        /** Part of the target after which a first event that is unusually late is given up. */
-        const val FIRST_EVENT_SHARE = 0.5
-
-        /** What an answer that was given up would have taken, in times of the wait for it. */
-        const val SLOW_FACTOR = 2
-
-        /** Servers that may be found unreachable for one request. */
-        const val MAX_UNREACHABLE = 4
-
-        /** Crashed servers are back, and layers loaded elsewhere, after about a second. */
-        const val RETRY_MILLIS = 1_000L
-
         /** A request that crashes servers is blocked for an hour; none has to be asked so long. */
         const val BLOCKED_RETRY_MILLIS = 60_000L
     }
