Let the reader of the list report each of its reads

Cause: an instance is spared its own reads while it has heard of the reader's last one within 0.7 of the drain time. Change: the reader sends a report with each read.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -253,7 +253,7 @@
             pauseMillis = { relay.pauseMillis },
             onAnswer = {
                 relay.onOwnRead()
-                if (relay.hasNews) exchange.sendNow()
+                if (relay.isReportDue) exchange.sendNow()
             }
         )
         directory.onStoreRegained = configurations::restart
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -61,6 +61,12 @@
     var hasNews: Boolean = false
         private set
 
+    /**
+     * Whether a read has to be reported at once. The reader reports each read: the load reports of a
+     * large fleet come so seldom that the others would take its list for stale between them.
+     */
+    val isReportDue: Boolean get() = hasNews || isReader()
+
     /** This instance has read the list. */
     fun onOwnRead() {
         lastOwnRead = clock.monotonicMillis()
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -59,6 +59,15 @@
 
     @Nested
     inner class `The reader` {
+        /** Guards against a fleet of 60 in which all instances read the list at the store. */
+        @Test
+        fun `reports each read at once, with or without news`() {
+            expectThat(relay.isReportDue).isEqualTo(false)
+            isReader = true
+            relay.onOwnRead()
+            expectThat(relay.isReportDue).isEqualTo(true)
+        }
+
         @Test
         fun `tells a change again for a while, as reports may be lost`() {
             isReader = true
