--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -62,8 +62,8 @@
         private set
 
     /**
-     * Whether a read has to be reported at once. The reader reports each read: the load reports of a
-     * large fleet come so seldom that the others would take its list for stale between them.
+     * Whether a read has to be reported at once. The reader reports each read: the load reports of
+     * a large fleet come so seldom that the others would take its list for stale between them.
      */
     val isReportDue: Boolean get() = hasNews || isReader()
 
--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -50,9 +50,8 @@
          * Whether the request may have run on [runner], which gave its last sign of life at
          * [aliveAtMillis]. A first stage accepted it; a later one may have ended long before.
          */
-        fun mayHaveRunOn(runner: RunnerId, aliveAtMillis: Long?): Boolean =
-            hasRunOn(runner) ||
-                aliveAtMillis == null || flight.startedAtMillis - aliveAtMillis <= ALIVE_MILLIS
+        fun mayHaveRunOn(runner: RunnerId, aliveAtMillis: Long?): Boolean = hasRunOn(runner) ||
+            aliveAtMillis == null || flight.startedAtMillis - aliveAtMillis <= ALIVE_MILLIS
 
         /** Whether the request surely reached [runner] while it lived. */
         fun hasRunOn(runner: RunnerId): Boolean =
