Leave out servers that peers found unreachable

Change: the first instance that finds a server unreachable tells its peers at once, and they leave it out unless an own attempt has just ended well there. A peer that names more than eight servers is taken to be cut off itself.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -76,6 +76,7 @@
         directory = directory,
         connector = connector,
         healthPath = { configuration.current?.services?.get(it)?.healthPath ?: "/" },
+        unreachableByPeers = peers::unreachable,
         log = log,
         clock = clock
     )
@@ -184,6 +185,7 @@
                 metrics.servers.labelValues(it.value).set(directory.usable(it).size.toDouble())
             }
         }
+        health.onFound = { exchange.sendNow() }
         val limits = { configuration.current?.callerLimits ?: CallerLimits() }
         listen(settings.callers) { limits().maxHeaderBytes }
         listenForChecks()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -28,6 +28,7 @@
 
     private val peers = HashMap<InstanceId, Peer>()
     private var loadSum: Map<RunnerId, InFlight>? = null
+    private var unreachableNow: Set<RunnerId>? = null
 
     /** Time between two reports of an instance, which grows with the fleet. */
     val intervalMillis: Long
@@ -53,7 +54,7 @@
         peers.entries.removeIf { (id, p) ->
             id !in members && now - p.heardAtMillis > FORGET_MILLIS
         }
-        loadSum = null
+        forgetSums()
     }
 
     /** Takes in a report; false if it is older than the one known. */
@@ -70,7 +71,7 @@
             p.isAlive = true
             log.record("peers", "appeared", "instance" to id, "address" to address)
         }
-        loadSum = null
+        forgetSums()
         return true
     }
 
@@ -107,7 +108,7 @@
         for ((id, p) in peers) {
             if (p.isAlive && now - p.heardAtMillis > silence) {
                 p.isAlive = false
-                loadSum = null
+                forgetSums()
                 log.record("peers", "silent", "instance" to id, "since_ms" to silence)
             }
         }
@@ -143,9 +144,24 @@
         return sum
     }
 
-    /** Servers that at least one live peer found unreachable. */
-    fun unreachable(): Set<RunnerId> = peers.values.filter { it.isAlive }
-        .flatMapTo(HashSet()) { p -> p.report?.unreachable.orEmpty().map(::RunnerId) }
+    /**
+     * Servers that at least one live peer found unreachable. A peer that names many is more likely
+     * cut off itself and is not believed.
+     */
+    fun unreachable(): Set<RunnerId> {
+        unreachableNow?.let { return it }
+        val found = peers.values.filter { it.isAlive }
+            .map { it.report?.unreachable.orEmpty() }
+            .filter { it.size <= MAX_BELIEVED }
+            .flatMapTo(HashSet()) { it.map(::RunnerId) }
+        unreachableNow = found
+        return found
+    }
+
+    private fun forgetSums() {
+        loadSum = null
+        unreachableNow = null
+    }
 
     private fun isNewer(report: PeerReport, known: PeerReport): Boolean =
         when (report.startedAtMillis) {
@@ -167,6 +183,9 @@
         /** Three renewals that the store has not answered. */
         const val STORE_AWAY_MILLIS = 3_000L
 
+        /** Servers that fail together, as those of a rack; a cut instance loses all at once. */
+        const val MAX_BELIEVED = 8
+
         /** With so many, all know all after a few reports also in a large fleet. */
         const val SAMPLE = 8
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
@@ -17,32 +17,52 @@
 import kotlinx.coroutines.delay
 
 /**
- * Which backend servers are left out because of how their attempts ended.
+ * Which backend servers are left out because of how attempts at them ended.
  *
  * Outcomes of requests decide. A server that was ejected is asked for its health before it gets
  * work again; its answer alone never ejects one, as health answers may be wrong either way.
+ *
+ * What peers found unreachable is left out too, unless an attempt of this instance has just ended
+ * well there. In a large fleet each instance has few requests, and the list of servers names a
+ * crashed one for seconds; without the peers' word each instance would lose requests to find out.
  */
 internal class ServerHealth(
     private val fleet: Fleet,
     private val directory: BackendDirectory,
     private val connector: HttpConnector,
     private val healthPath: (ServiceName) -> String,
+    private val unreachableByPeers: () -> Set<RunnerId>,
     private val log: DecisionLog,
-    clock: Clock
+    private val clock: Clock
 ) {
     private val detector = OutlierDetector(clock, RULES)
 
     private val unreachable = HashSet<RunnerId>()
+    private val succeededAt = HashMap<RunnerId, Long>()
+
+    /** Called when this instance is the first to find a server unreachable. */
+    var onFound: (RunnerId) -> Unit = {}
 
     /** Servers that are surely gone: they accept no connection, or a stage before them waits. */
     fun unreachable(): Set<RunnerId> = unreachable.toSet()
 
     /** Servers that get no new work. */
-    fun ejected(): Set<RunnerId> = detector.ejected()
+    fun ejected(): Set<RunnerId> {
+        val told = unreachableByPeers()
+        if (told.isEmpty()) return detector.ejected()
+        val now = clock.monotonicMillis()
+        return detector.ejected() + told.filter { id ->
+            now - (succeededAt[id] ?: Long.MIN_VALUE / 2) > TRUST_MILLIS
+        }
+    }
 
     /** An attempt in which [servers] took part ended well after [millis]. */
     fun succeeded(servers: List<RunnerId>, millis: Long) {
-        for (s in servers) detector.succeeded(s, millis.toDouble())
+        val now = clock.monotonicMillis()
+        for (s in servers) {
+            detector.succeeded(s, millis.toDouble())
+            succeededAt[s] = now
+        }
         if (unreachable.isNotEmpty()) unreachable -= servers.toSet()
     }
 
@@ -55,7 +75,8 @@
     /** No connection to [server] could be made. */
     fun unreachable(service: ServiceName, server: RunnerId) {
         detector.silent(server)
-        unreachable += server
+        succeededAt.remove(server)
+        if (unreachable.add(server) && server !in unreachableByPeers()) onFound(server)
         evaluate(service)
     }
 
@@ -63,6 +84,7 @@
     fun forget(server: RunnerId) {
         detector.forget(server)
         unreachable -= server
+        succeededAt.remove(server)
     }
 
     /** Lets ejected servers return, until cancelled. */
@@ -111,6 +133,9 @@
             maxEjectedShare = 0.75,
             probesToReturn = 1
         )
+
+        /** Time for which an own success outweighs what peers tell. */
+        const val TRUST_MILLIS = 500L
         const val PROBE_PAUSE_MILLIS = 250L
         const val PROBE_TIMEOUT_MILLIS = 400L
         const val STATUS_OK = 200
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -24,7 +24,8 @@
         sequence: Long,
         requests: Int,
         startedAt: Long = 1,
-        known: List<KnownPeer> = emptyList()
+        known: List<KnownPeer> = emptyList(),
+        unreachable: List<String> = listOf("dead")
     ) = PeerReport(
         from = from,
         address = address.toString(),
@@ -32,7 +33,7 @@
         sequence = sequence,
         load = listOf(ServerLoad("s", requests, 10L * requests)),
         requestsByService = mapOf("model" to requests),
-        unreachable = listOf("dead"),
+        unreachable = unreachable,
         suspects = emptyList(),
         known = known,
         renewalAgeMillis = 500,
@@ -106,6 +107,14 @@
         expectThat(view.isStoreAwayForAll()).isTrue()
     }
 
+    @Test
+    fun `a peer that finds nearly all servers unreachable is cut off itself`() {
+        val all = List(30) { "s$it" }
+        view.onReport(report("a", 1, 1, unreachable = listOf("s1")), address)
+        view.onReport(report("b", 1, 1, unreachable = all), address)
+        expectThat(view.unreachable()).isEqualTo(setOf(RunnerId("s1")))
+    }
+
     @Test
     fun `this instance's own report is ignored`() {
         expectThat(view.onReport(report("self", 1, 4), address)).isFalse()
--- /dev/null
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/ServerHealthTest.kt
@@ -0,0 +1,70 @@
+package io.greengageport.gateway.state
+
+import io.greengageport.common.RunnerId
+import io.greengageport.gateway.PLAIN
+import io.greengageport.gateway.RecordedLog
+import io.greengageport.gateway.SteppedClock
+import io.greengageport.gateway.http.EventLoop
+import io.greengageport.gateway.http.HttpConnector
+import io.greengageport.routing.Fleet
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+/**
+ * Guards against a large fleet in which each instance loses requests to a crashed server until it
+ * has found out by itself.
+ */
+class ServerHealthTest {
+    private val clock = SteppedClock()
+    private val recorded = RecordedLog()
+    private val loop = EventLoop()
+    private var told = emptySet<RunnerId>()
+    private val a = RunnerId("a")
+    private val health = ServerHealth(
+        fleet = Fleet(),
+        directory = BackendDirectory(clock, recorded.log),
+        connector = HttpConnector(loop),
+        healthPath = { "/" },
+        unreachableByPeers = { told },
+        log = recorded.log,
+        clock = clock
+    )
+
+    @AfterEach
+    fun close(): Unit = loop.close()
+
+    @Nested
+    inner class `A server that peers found unreachable` {
+        @Test
+        fun `gets no new work here`() {
+            told = setOf(a)
+            expectThat(health.ejected()).isEqualTo(setOf(a))
+            told = emptySet()
+            expectThat(health.ejected()).isEmpty()
+        }
+
+        @Test
+        fun `goes on where an attempt has just ended well`() {
+            told = setOf(a)
+            health.succeeded(listOf(a), 10)
+            expectThat(health.ejected()).isEmpty()
+            clock.nowMillis += 600
+            expectThat(health.ejected()).isEqualTo(setOf(a))
+        }
+    }
+
+    @Test
+    fun `the first to find a server unreachable tells at once, the others don't repeat it`() {
+        val found = mutableListOf<RunnerId>()
+        health.onFound = { found += it }
+        health.unreachable(PLAIN, a)
+        health.unreachable(PLAIN, a)
+        told = setOf(RunnerId("b"))
+        health.unreachable(PLAIN, RunnerId("b"))
+        expectThat(found).isEqualTo(mutableListOf(a))
+    }
+}
