Check the stage that a refusal names

A 503 that names a stage counted as an error of it, and two are needed to eject; each instance counted for itself and spent its retries on it. Change: the first such refusal opens a connection to the stage. If it takes none, it is unreachable, which the peers learn at once. Result: tests of ServerHealth with a closed and an open port.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -116,7 +116,8 @@
             retryBudget = ::budget,
             observer = MetricsObserver(metrics, clock),
             log = log,
-            clock = clock
+            clock = clock,
+            background = { work -> loop.scope.launch { work() } }
         )
     )
     private val router =
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardParts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardParts.kt
@@ -24,7 +24,9 @@
     val retryBudget: (ServiceName) -> RetryBudget,
     val observer: ForwardObserver,
     val log: DecisionLog,
-    val clock: Clock
+    val clock: Clock,
+    /** Runs what a request must not wait for. */
+    val background: (suspend () -> Unit) -> Unit
 ) {
     /** Usual times to first events, over all requests. */
     val firstEventTimes = FirstEventTimes()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
@@ -34,6 +34,7 @@
     private val observer = parts.observer
     private val log = parts.log
     private val clock = parts.clock
+    private val background = parts.background
     private val firstEventTimes = parts.firstEventTimes
     private val service = context.service
     private val selector = if (service.engine == null) plain else chains
@@ -182,8 +183,10 @@
             is AttemptEnd.NotRun -> {
                 val stage = end.stage?.let { directory.at(it)?.id }
                 excluded += stage ?: first
-                // A full server says so itself; of another stage it means that it is gone.
-                if (stage != null) health.failed(service.name, listOf(stage))
+                // A full server says so itself; another stage may be gone.
+                if (stage != null && stage != first) {
+                    background { health.refusedBy(service.name, stage) }
+                }
             }
 
             is AttemptEnd.Broken -> blame(selection, end)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
@@ -38,6 +38,7 @@
     private val detector = OutlierDetector(clock, RULES)
 
     private val unreachable = HashSet<RunnerId>()
+    private val checking = HashSet<RunnerId>()
     private val succeededAt = HashMap<RunnerId, Long>()
 
     /** Called when this instance is the first to find a server unreachable. */
@@ -80,6 +81,23 @@
         evaluate(service)
     }
 
+    /**
+     * An attempt was refused because of the stage [server], which is gone, leaving or short of
+     * memory. A connection to it tells which; one check serves all attempts within its time.
+     */
+    suspend fun refusedBy(service: ServiceName, server: RunnerId) {
+        failed(service, listOf(server))
+        if (server in unreachable || !checking.add(server)) return
+        try {
+            val address = directory.find(server)?.address ?: return
+            val connection = connector.connect(address, CONNECT_MILLIS)
+            connection.fold({ it.close() }) { unreachable(service, server) }
+            log.record("health", "checked", "server" to server, "reachable" to connection.isOk)
+        } finally {
+            checking.remove(server)
+        }
+    }
+
     /** Forgets a server that is gone or was started anew. */
     fun forget(server: RunnerId) {
         detector.forget(server)
@@ -136,6 +154,9 @@
 
         /** Time for which an own success outweighs what peers tell. */
         const val TRUST_MILLIS = 500L
+
+        /** A connection takes a few ms, and some ten under load. */
+        const val CONNECT_MILLIS = 150L
         const val PROBE_PAUSE_MILLIS = 250L
         const val PROBE_TIMEOUT_MILLIS = 400L
         const val STATUS_OK = 200
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/ServerHealthTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/ServerHealthTest.kt
@@ -6,7 +6,11 @@
 import io.greengageport.gateway.SteppedClock
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
+import io.greengageport.gateway.port.Change
+import io.greengageport.gateway.server
 import io.greengageport.routing.Fleet
+import java.net.ServerSocket
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -24,9 +28,10 @@
     private val loop = EventLoop()
     private var told = emptySet<RunnerId>()
     private val a = RunnerId("a")
+    private val directory = BackendDirectory(clock, recorded.log)
     private val health = ServerHealth(
         fleet = Fleet(),
-        directory = BackendDirectory(clock, recorded.log),
+        directory = directory,
         connector = HttpConnector(loop),
         healthPath = { "/" },
         unreachableByPeers = { told },
@@ -57,6 +62,27 @@
         }
     }
 
+    /** Guards against a dead stage that is taken for a full one, and so is tried again and again. */
+    @Nested
+    inner class `A stage because of which an attempt was refused` {
+        private fun listed(port: Int) {
+            directory.onChanges(listOf(Change.Put("a", server("a", port = port))))
+            runBlocking { health.refusedBy(PLAIN, a) }
+        }
+
+        @Test
+        fun `is unreachable if it takes no connection`() {
+            listed(ServerSocket(0).use { it.localPort })
+            expectThat(health.unreachable()).isEqualTo(setOf(a))
+        }
+
+        @Test
+        fun `is only short of room if it does`() {
+            ServerSocket(0).use { listed(it.localPort) }
+            expectThat(health.unreachable()).isEmpty()
+        }
+    }
+
     @Test
     fun `the first to find a server unreachable tells at once, the others don't repeat it`() {
         val found = mutableListOf<RunnerId>()
