Move streams on as soon as a stage is known to be gone

Change: attempts under way are told when a stage of theirs is found unreachable, by this instance or a peer. One that shows no sign of life within 60 ms goes on elsewhere, without asking its first stage.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -2,6 +2,7 @@
 
 import io.greengageport.common.Clock
 import io.greengageport.common.HostPort
+import io.greengageport.common.RunnerId
 import io.greengageport.common.ServiceName
 import io.greengageport.common.SystemClock
 import io.greengageport.gateway.forward.BackendExchange
@@ -9,6 +10,7 @@
 import io.greengageport.gateway.forward.CallerConnection
 import io.greengageport.gateway.forward.CallerRequestHandler
 import io.greengageport.gateway.forward.ChainSelector
+import io.greengageport.gateway.forward.ChainWatch
 import io.greengageport.gateway.forward.ForwardParts
 import io.greengageport.gateway.forward.PlainSelector
 import io.greengageport.gateway.forward.RequestForwarder
@@ -94,6 +96,7 @@
         own = settings.dataCentre,
         log = log
     )
+    private val chainWatch = ChainWatch()
     private val gates = ServiceGates(
         self = settings.id,
         capacity = ModelCapacity(index.fleet),
@@ -104,7 +107,7 @@
     )
     private val forwarder = RequestForwarder(
         ForwardParts(
-            exchange = BackendExchange(pool, protocol, clock),
+            exchange = BackendExchange(pool, protocol, clock, chainWatch),
             plain = plain,
             chains = chains,
             directory = directory,
@@ -161,6 +164,7 @@
     private var readConfiguration: () -> Unit = {}
     private var wasSpared = false
     private var versionAskedFor = 0L
+    private var unreachableBefore = emptySet<RunnerId>()
 
     private val isReady: Boolean
         get() = !isStopping && configuration.current != null && directory.isKnown
@@ -186,7 +190,10 @@
                 metrics.servers.labelValues(it.value).set(directory.usable(it).size.toDouble())
             }
         }
-        health.onFound = { exchange.sendNow() }
+        health.onFound = { id, isNews ->
+            if (isNews) exchange.sendNow()
+            chainWatch.onUnreachable(id)
+        }
         val limits = { configuration.current?.callerLimits ?: CallerLimits() }
         listen(settings.callers) { limits().maxHeaderBytes }
         listenForChecks()
@@ -318,6 +325,9 @@
 
     private fun onPeerReport(report: PeerReport) {
         report.suspects.forEach(suspects::onPeer)
+        val unreachable = peers.unreachable()
+        (unreachable - unreachableBefore).forEach(chainWatch::onUnreachable)
+        unreachableBefore = unreachable
         val changes = relay.onReport(report.readAgeMillis, report.servers)
         if (directory.isKnown) directory.onChanges(changes)
         val known = configuration.current?.version ?: 0
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.greengageport.common.Clock
 import io.greengageport.common.HostPort
+import io.greengageport.common.RunnerId
 import io.greengageport.gateway.http.ConnectionPool
 import io.greengageport.gateway.http.HttpReply
 import io.greengageport.gateway.model.Repeatability
@@ -48,17 +49,20 @@
 internal class BackendExchange(
     private val pool: ConnectionPool,
     private val protocol: BackendProtocol,
-    private val clock: Clock
+    private val clock: Clock,
+    private val chainWatch: ChainWatch = ChainWatch()
 ) {
     /**
      * Sends the request of [context] as [dispatch] says. The head of the answer has to arrive
-     * within [headMillis]; an answer of status 200 goes to [reader] if there is one.
+     * within [headMillis]; an answer of status 200 goes to [reader] if there is one. If one of
+     * [members] is found unreachable meanwhile, the attempt ends unless it shows signs of life.
      */
     suspend fun run(
         context: RequestContext,
         dispatch: Dispatch,
         headMillis: Long,
         reader: AnswerReader? = null,
+        members: List<RunnerId> = emptyList(),
         onAnswer: (AnswerHeaders) -> Unit = {}
     ): AttemptEnd {
         val address = dispatch.server.address
@@ -69,7 +73,12 @@
         var isReusable = false
         try {
             val attempt = Attempt(context, dispatch, lease, reader, onAnswer)
-            val end = attempt.run(headMillis)
+            chainWatch.add(members, attempt)
+            val end = try {
+                attempt.run(headMillis)
+            } finally {
+                chainWatch.remove(members, attempt)
+            }
             isReusable = attempt.isReusable
             if (isReusable) pool.release(lease, attempt.keepAliveMillis)
             return end
@@ -84,7 +93,9 @@
         private val lease: ConnectionPool.Lease,
         private val reader: AnswerReader?,
         private val onAnswer: (AnswerHeaders) -> Unit
-    ) {
+    ) : WaitingAttempt {
+        private var watch: Job? = null
+        private var scope: CoroutineScope? = null
         private val address: HostPort get() = lease.address
         private var silentAtMillis = 0L
         private var isSilent = false
@@ -101,15 +112,23 @@
 
         suspend fun run(headMillis: Long): AttemptEnd = coroutineScope {
             expect(headMillis)
-            val watch = watchSilence(this)
+            scope = this
+            watch = watchSilence(this)
             try {
                 send()
                 read()
             } finally {
-                watch.cancel()
+                watch?.cancel()
             }
         }
 
+        override fun onStageUnreachable() {
+            val s = scope ?: return
+            silentAtMillis = minOf(silentAtMillis, clock.monotonicMillis() + LIFE_SIGN_MILLIS)
+            watch?.cancel()
+            watch = watchSilence(s)
+        }
+
         private fun expect(millis: Long) {
             silentAtMillis = clock.monotonicMillis() + millis
         }
@@ -249,6 +268,12 @@
         /** A connection takes some ms; a lost opening packet is sent again after a second. */
         const val CONNECT_MILLIS = 300L
 
+        /**
+         * Time for a sign of life of a chain of which a stage is said to be gone: the pause between
+         * two events of a chain that runs is mostly shorter.
+         */
+        const val LIFE_SIGN_MILLIS = 60L
+
         /** Time for the rest of an answer that is read whole, once its head is there. */
         const val BODY_MILLIS = 2_000L
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
@@ -38,6 +38,7 @@
     private val firstEventTimes = parts.firstEventTimes
     private val service = context.service
     private val selector = if (service.engine == null) plain else chains
+    private val mayGoOnElsewhere = context.route.repeatability != Repeatability.AT_MOST_ONCE
     private val limit =
         AttemptLimit(context.route.repeatability, context.route.maxAttempts)
 
@@ -88,7 +89,8 @@
         startedAtMillis = clock.monotonicMillis()
         count(selection, inFlight::add)
         try {
-            val end = exchange.run(context, dispatch(selection), headMillis(), relay) {
+            val watched = if (mayGoOnElsewhere) selection.members else emptyList()
+            val end = exchange.run(context, dispatch(selection), headMillis(), relay, watched) {
                 if (it.load != null) plain.onLoad(selection.server.id, it.load)
             }
             judge(selection, end, clock.monotonicMillis() - startedAtMillis)
@@ -121,8 +123,7 @@
     /** Time until the head of the answer; shorter where another attempt may follow. */
     private fun headMillis(): Long {
         val left = context.deadlineAtMillis - clock.monotonicMillis()
-        val mayRepeat = context.route.repeatability != Repeatability.AT_MOST_ONCE &&
-            limit.runs + 1 < context.route.maxAttempts
+        val mayRepeat = mayGoOnElsewhere && limit.runs + 1 < context.route.maxAttempts
         if (!mayRepeat) return maxOf(left, 1)
         val patient = if (relay == null) {
             maxOf(MIN_HEAD_MILLIS, HEAD_PER_TARGET * context.route.latencyTargetMillis)
@@ -203,7 +204,13 @@
             health.failed(service.name, listOf(first))
             return
         }
-        when (val cause = diagnosis.causeAt(selection.server)) {
+        val known = selection.members.filterTo(HashSet(), health::isUnreachable)
+        val cause = if (known.isEmpty()) {
+            diagnosis.causeAt(selection.server)
+        } else {
+            StallCause.Stages(known)
+        }
+        when (cause) {
             is StallCause.Stages -> {
                 val stages = cause.stages.filter { it in selection.members }
                 excluded += stages
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
@@ -41,12 +41,16 @@
     private val checking = HashSet<RunnerId>()
     private val succeededAt = HashMap<RunnerId, Long>()
 
-    /** Called when this instance is the first to find a server unreachable. */
-    var onFound: (RunnerId) -> Unit = {}
+    /** Called when this instance finds a server unreachable; `isNews` if no peer has told of it. */
+    var onFound: (server: RunnerId, isNews: Boolean) -> Unit = { _, _ -> }
 
     /** Servers that are surely gone: they accept no connection, or a stage before them waits. */
     fun unreachable(): Set<RunnerId> = unreachable.toSet()
 
+    /** Whether [server] is gone by what this instance or a peer found. */
+    fun isUnreachable(server: RunnerId): Boolean =
+        server in unreachable || server in unreachableByPeers()
+
     /** Servers that get no new work. */
     fun ejected(): Set<RunnerId> {
         val told = unreachableByPeers()
@@ -77,7 +81,7 @@
     fun unreachable(service: ServiceName, server: RunnerId) {
         detector.silent(server)
         succeededAt.remove(server)
-        if (unreachable.add(server) && server !in unreachableByPeers()) onFound(server)
+        if (unreachable.add(server)) onFound(server, server !in unreachableByPeers())
         evaluate(service)
     }
 
