Ask a store that refuses an instance less often

Change: with live peers, which tell of the list and of a newer configuration, an instance waits up to two seconds between reads that fail. When a peer has heard of the store after an outage for all, those that wait read at once.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -162,6 +162,8 @@
     private var isStopping = false
     private var takesUntil = Long.MAX_VALUE
     private var readConfiguration: () -> Unit = {}
+    private var readAfterOutage: () -> Unit = {}
+    private var wasStoreAway = false
     private var wasSpared = false
     private var versionAskedFor = 0L
     private var unreachableBefore = emptySet<RunnerId>()
@@ -251,7 +253,8 @@
             waitMillis = {
                 if (relay.isSpared) SPARED_WAIT_MILLIS else CONFIGURATION_WAIT_MILLIS
             },
-            pauseMillis = { 0 }
+            pauseMillis = { 0 },
+            maxBackoffMillis = ::maxBackoffMillis
         )
         val servers = FeedFollower(
             name = "servers",
@@ -261,6 +264,7 @@
             log = log,
             waitMillis = { 0 },
             pauseMillis = { relay.pauseMillis },
+            maxBackoffMillis = ::maxBackoffMillis,
             onAnswer = {
                 relay.onOwnRead()
                 if (relay.isReportDue) exchange.sendNow()
@@ -268,6 +272,8 @@
         )
         directory.onStoreRegained = configurations::restart
         readConfiguration = configurations::restart
+        readAfterOutage =
+            { listOf(configurations, servers).filter { it.isFailing }.forEach { it.restart() } }
         scope.launch { configurations.run() }
         scope.launch { servers.run() }
         scope.launch { duty.run() }
@@ -279,6 +285,7 @@
             while (true) {
                 delay(UPKEEP_MILLIS)
                 watchReader()
+                watchOutage()
                 directory.expire()
                 pool.closeExpired()
                 suspects.expire()
@@ -330,6 +337,7 @@
         unreachableBefore = unreachable
         val changes = relay.onReport(report.readAgeMillis, report.servers)
         if (directory.isKnown) directory.onChanges(changes)
+        watchOutage()
         val known = configuration.current?.version ?: 0
         if (report.configurationVersion > maxOf(known, versionAskedFor)) {
             versionAskedFor = report.configurationVersion
@@ -337,6 +345,20 @@
         }
     }
 
+    /**
+     * All calls to the store are priced, also those that it refuses. An instance with live peers
+     * asks seldom while it is refused: the peers tell it of the list, and when the store is back.
+     */
+    private fun maxBackoffMillis(): Long =
+        if (peers.instances > 1) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
+
+    /** Reads anew once a peer has heard of the store after an outage for all. */
+    private fun watchOutage() {
+        val isAway = peers.isStoreAwayForAll()
+        if (wasStoreAway && !isAway) readAfterOutage()
+        wasStoreAway = isAway
+    }
+
     /** A long read that waits since peers were heard is replaced when they are heard no more. */
     private fun watchReader() {
         if (wasSpared && !relay.isSpared) readConfiguration()
@@ -385,6 +407,9 @@
         const val SERVERS_FRESH_SHARE = 0.7
         const val UPKEEP_MILLIS = 500L
 
+        /** Within the three seconds after an outage in which nothing is asked of an instance. */
+        const val FLEET_BACKOFF_MILLIS = 2_000L
+
         /** The platform asks once a second; after two misses no new connections come. */
         const val ROTATION_MILLIS = 2_800L
         const val STOP_CHECK_MILLIS = 50L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -32,7 +32,8 @@
  *
  * With [waitMillis] the store holds a read until there is a change; then [pauseMillis] may be 0.
  * [onAnswer] is called after each answer was taken in.
- * While the store fails, the last known state stays in force, and reads go on with backoff.
+ * While the store fails, the last known state stays in force, and reads go on with backoff of up to
+ * [maxBackoffMillis].
  */
 public class FeedFollower<T>(
     private val name: String,
@@ -42,6 +43,7 @@
     private val log: DecisionLog,
     private val waitMillis: () -> Long,
     private val pauseMillis: () -> Long,
+    private val maxBackoffMillis: () -> Long = { ALONE_BACKOFF_MILLIS },
     private val onAnswer: () -> Unit = {}
 ) {
     private var position: Long? = null
@@ -52,6 +54,9 @@
     public var lastAnswerMillis: Long? = null
         private set
 
+    /** Whether the last read failed. */
+    public val isFailing: Boolean get() = failures > 0
+
     private var reading: Job? = null
 
     /** Follows the table until cancelled. */
@@ -137,16 +142,16 @@
     }
 
     private fun backoffMillis(): Long {
-        val bound = minOf(MAX_BACKOFF_MILLIS, BASE_BACKOFF_MILLIS shl minOf(failures, MAX_SHIFT))
+        val bound = minOf(maxBackoffMillis(), BASE_BACKOFF_MILLIS shl minOf(failures, MAX_SHIFT))
         return bound / 2 + Random.nextLong(bound / 2 + 1)
     }
 
-    private companion object {
-        const val BASE_BACKOFF_MILLIS = 50L
+    public companion object {
+        private const val BASE_BACKOFF_MILLIS = 50L
 
         /** A configuration has to be in force within two seconds of the store's return. */
-        const val MAX_BACKOFF_MILLIS = 500L
-        const val MAX_SHIFT = 10
-        const val PAUSE_CHECK_MILLIS = 100L
+        public const val ALONE_BACKOFF_MILLIS: Long = 500L
+        private const val MAX_SHIFT = 10
+        private const val PAUSE_CHECK_MILLIS = 100L
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -10,12 +10,15 @@
 import io.greengageport.gateway.port.ChangeFeed
 import io.greengageport.gateway.port.StoreError
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.yield
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 
 /** Guards against changes that are lost, and against a stop when the store misbehaves. */
 class FeedFollowerTest {
@@ -120,4 +123,36 @@
         }
         expectThat(consumer.seen.take(2)).isEqualTo(listOf("snapshot a", "changes b"))
     }
+
+    /** Guards against priced calls of a whole fleet to a store that refuses them. */
+    @Test
+    fun `waits between reads that fail as long as its owner allows`() {
+        fun callsIn(maxBackoffMillis: Long): Int = runBlocking {
+            val refused = List(MANY) { Err(StoreError.Refused(503)) }
+            val feed = ScriptedFeed(ArrayDeque(refused))
+            val follower = FeedFollower(
+                name = "test",
+                feed = feed,
+                consumer = consumer,
+                clock = clock,
+                log = RecordedLog().log,
+                waitMillis = { 0 },
+                pauseMillis = { 0 },
+                maxBackoffMillis = { maxBackoffMillis }
+            )
+            val job = launch { follower.run() }
+            delay(OUTAGE_MILLIS)
+            job.cancel()
+            expectThat(follower.isFailing).isEqualTo(true)
+            feed.calls.size
+        }
+        // The first backoffs double from 50 ms on, whatever the bound.
+        expectThat(callsIn(maxBackoffMillis = 60)).isGreaterThan(15)
+        expectThat(callsIn(maxBackoffMillis = 2_000)).isLessThan(7)
+    }
+
+    private companion object {
+        const val MANY = 1_000
+        const val OUTAGE_MILLIS = 1_500L
+    }
 }
