Divide a broken copy anew where the neighbours of the gap are full

Change: where neither an empty engine nor a neighbour can take a gap, the copy's layers are divided anew among its engines. The capacity counts data centres with broken copies together, as chains that cross use them.

--- a/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/CopyPlacement.kt
@@ -31,7 +31,10 @@
     REPLACE,
 
     /** It takes layers of a lost engine beside its own, as no empty engine is left for them. */
-    EXTEND
+    EXTEND,
+
+    /** It takes its part of a broken copy that no neighbour of the gap has room to complete. */
+    REDIVIDE
 }
 
 /**
@@ -46,8 +49,10 @@
  *
  * Some engines of each data centre stay empty. When one that serves is lost, an empty one loads its
  * layers within a second or two, and the lost one is kept empty when it comes back. Layers for
- * which no empty engine is left go to their neighbours, as far as these have room. No engine gives
- * up layers that it holds: it would take no new requests until all that pass through it have ended.
+ * which no empty engine is left go to their neighbours, as far as these have room. An engine that
+ * gives up layers takes no new requests until all that pass through it have ended, so a copy is
+ * divided anew only where its neighbours are full: it is of no use by itself then, and chains that
+ * cross to another data centre for the missing layers fill the pipe.
  *
  * Pure; equal input gives equal output, so another instance that takes over goes on with the same
  * plan.
@@ -193,11 +198,21 @@
                 val gap = covered.indexOfFirst { !it }
                 if (gap < 0) return
                 val end = (gap until profile.layers).firstOrNull { covered[it] } ?: profile.layers
-                val next = replace(members.first(), gap, end) ?: extend(members, gap, end) ?: return
+                val next = replace(members.first(), gap, end) ?: extend(members, gap, end)
+                    ?: return redivide(members)
                 members = members.filter { it.id != next.id } + next
             }
         }
 
+        /** Divides all layers among [members] in the order in which they hold layers now. */
+        private fun redivide(members: List<CardHolder>) {
+            val sorted = members.sortedWith(compareBy({ it.layers?.from ?: 0 }, { it.id }))
+            if (roomOf(sorted) < minTokens * MIN_SHARE) return
+            for ((m, layers) in division(sorted)) {
+                if (m.layers != layers) assign(m, layers, AssignmentReason.REDIVIDE)
+            }
+        }
+
         /** Lets an empty engine take the layers from [gap] to [end], or as many as it can. */
         private fun replace(member: CardHolder, gap: Int, end: Int): CardHolder? {
             val candidates = empty.filter { it.dataCentre == member.dataCentre }
--- a/routing/src/main/kotlin/io/greengageport/routing/ModelCapacity.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/ModelCapacity.kt
@@ -6,8 +6,8 @@
  * How many requests of a model fit into the memory and the slots of its engines at a time.
  *
  * Chains stay within a data centre while they can, so each data centre counts by itself: by the
- * layer for which its engines have least room together. If no data centre holds all layers, the
- * engines of all count together.
+ * layer for which its engines have least room together. The engines of data centres that hold no
+ * whole copy count together, as chains that cross use them.
  */
 public class ModelCapacity(private val fleet: Fleet) {
     /** Requests of usual length that fit at a time; 0 if some layer has no engine. */
@@ -16,8 +16,9 @@
         val usual = (profile.usualPromptTokens + profile.usualAnswerTokens).coerceAtLeast(1)
         fun capacity(group: List<Runner>) =
             minOf(tokens(group, profile) / usual, firstStages(group) * profile.slots.toDouble())
-        val byCentre = runners.groupBy { it.dataCentre }.values.sumOf(::capacity)
-        return if (byCentre > 0) byCentre else capacity(runners)
+        val (whole, broken) = runners.groupBy { it.dataCentre }.values
+            .partition { tokens(it, profile) > 0 }
+        return whole.sumOf(::capacity) + capacity(broken.flatten())
     }
 
     /** Runners that may receive requests: those that hold the first layer. */
--- a/routing/src/test/kotlin/io/greengageport/routing/BatchingCostsTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/BatchingCostsTest.kt
@@ -107,6 +107,22 @@
         }
     }
 
+    /** Guards against refusals while the broken copies of two data centres could serve together. */
+    @Test
+    fun `broken copies that complete each other count as well`() {
+        val capacity = ModelCapacity(fleet)
+        fleet.remove(RunnerId("c5"))
+        val oneBroken = capacity.requests(service, profile)
+        // The layers that b lacks are held in c and the other way round.
+        fleet.remove(RunnerId("b3"))
+        val bothBroken = capacity.requests(service, profile)
+        fleet.service(service).runners.map { it.id }.filter { it.value[0] != 'a' }
+            .forEach { fleet.remove(it) }
+        val alone = capacity.requests(service, profile)
+        expectThat(oneBroken).isGreaterThan(alone)
+        expectThat(bothBroken).isGreaterThan(alone)
+    }
+
     @Test
     fun `a model's capacity is that of its whole copies`() {
         val capacity = ModelCapacity(fleet)
--- a/routing/src/test/kotlin/io/greengageport/routing/CopyPlacementTest.kt
+++ b/routing/src/test/kotlin/io/greengageport/routing/CopyPlacementTest.kt
@@ -144,6 +144,25 @@
             }
         }
 
+        /**
+         * Guards against a data centre whose chains cross to another one for the rest of a day: the
+         * neighbours of the lost engine are full, while others of the copy have room.
+         */
+        @Test
+        fun `whose neighbours are full has the copy divided anew`() {
+            val full = (0 until 7).map { engine("s$it", "a", slow, LayerRange(7 * it, 7 * it + 7)) }
+            val others = listOf(
+                engine("f0", "a", fast, LayerRange(49, 61)),
+                engine("f1", "a", fast, LayerRange(61, 73)),
+                engine("s7", "a", slow, LayerRange(73, 80))
+            )
+            val rest = full.filter { it.id.value != "s2" } + others
+            val plan = placement.plan(rest)
+            expectThat(plan.map { it.reason }.toSet()).isEqualTo(setOf(AssignmentReason.REDIVIDE))
+            expectThat(coverage(ranges(after(rest, plan))).all { it == 1 }).isTrue()
+            expectThat(placement.plan(after(rest, plan))).isEmpty()
+        }
+
         @Test
         fun `of one of two copies leaves the other alone`() {
             val other = serving.map { it.copy(id = RunnerId("x" + it.id.value)) }
