Spread the return of callers whom a model refuses

Change: a model's callers are asked back in two to five seconds, within the third of their time that they wait at most.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerAnswer.kt
@@ -55,11 +55,11 @@
         isComplete = channel.flush()
     }
 
-    /** Sends the refusal or failure [error] of this system, with the time to come back. */
-    suspend fun refuse(error: RequestError) {
+    /** Sends the refusal or failure [error] of this system; [returnMillis] is when to come back. */
+    suspend fun refuse(error: RequestError, returnMillis: Long? = error.retryAfterMillis) {
         val headers = DefaultHttpHeaders()
             .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-        error.retryAfterMillis?.let {
+        returnMillis?.let {
             headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", it / 1e3))
         }
         val body = "{\"code\":\"${error.code}\",\"execution\":\"${error.execution.wireName}\"}"
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardParts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardParts.kt
@@ -8,6 +8,7 @@
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
 import io.greengageport.gateway.state.StallDiagnosis
+import io.greengageport.limits.ReturnSpread
 import io.greengageport.routing.RetryBudget
 
 /** What serving a request needs of the instance. */
@@ -28,6 +29,8 @@
     /** Runs what a request must not wait for. */
     val background: (suspend () -> Unit) -> Unit
 ) {
+    val returns = ReturnSpread()
+
     /** Usual times to first events, over all requests. */
     val firstEventTimes = FirstEventTimes()
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
@@ -35,6 +35,7 @@
     private val log = parts.log
     private val clock = parts.clock
     private val background = parts.background
+    private val returns = parts.returns
     private val firstEventTimes = parts.firstEventTimes
     private val service = context.service
     private val selector = if (service.engine == null) plain else chains
@@ -296,7 +297,7 @@
             outcome = if (end.reply.status < SERVER_ERRORS) "answered" else "server_failed"
         } else {
             val error = error(isInTime)
-            answer.refuse(error)
+            answer.refuse(error, returnMillis(error))
             outcome = error.code
         }
         ended(outcome)
@@ -304,10 +305,22 @@
 
     /** Answers with [error] before any attempt. */
     suspend fun refuse(error: RequestError) {
-        answer.refuse(error)
+        answer.refuse(error, returnMillis(error))
         ended(error.code)
     }
 
+    /** When the caller should come back, in ms; null if the error states no time. */
+    private fun returnMillis(error: RequestError): Long? {
+        val relief = error.retryAfterMillis
+        if (relief == null || service.engine == null) return relief
+        return when (error) {
+            is RequestError.Overloaded, is RequestError.NoCapacity ->
+                returns.returnMillis(relief, context.deadlineAtMillis - clock.monotonicMillis())
+
+            else -> relief
+        }
+    }
+
     fun ended(outcome: String) {
         observer.onEnd(context, outcome)
         log.record(
