--- a/cli/src/main/kotlin/io/greengageport/cli/Main.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/Main.kt
@@ -67,7 +67,7 @@
 
 /** Entry point of the program. */
 public fun main(args: Array<String>) {
-    // Gateways start often and on slow machines, and the model of all commands is a third of a start.
+    // Gateways start often and on slow machines; the model of all commands takes a part of a start.
     if (args.firstOrNull() == GATEWAY) {
         val command = commandLine(GatewayCommand()).setCommandName("greengageport $GATEWAY")
         exitProcess(command.execute(*args.drop(1).toTypedArray()))
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -34,11 +34,11 @@
 import io.greengageport.gateway.state.ConfigurationHolder
 import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.DutyKeeper
-import io.greengageport.gateway.state.FeedFollower
 import io.greengageport.gateway.state.FleetIndex
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
 import io.greengageport.gateway.state.StallDiagnosis
+import io.greengageport.gateway.state.StoreFollowing
 import io.greengageport.routing.Backoff
 import io.greengageport.routing.LinkEstimator
 import io.greengageport.routing.ModelCapacity
@@ -156,16 +156,21 @@
         readMillis = (settings.drainMillis * SERVERS_PAUSE_SHARE).toLong(),
         freshMillis = (settings.drainMillis * SERVERS_FRESH_SHARE).toLong()
     )
+    private val following = StoreFollowing(
+        store = store,
+        configuration = configuration,
+        directory = directory,
+        relay = relay,
+        peers = peers,
+        clock = clock,
+        log = log,
+        sendReport = exchange::sendNow
+    )
     private val startedAtMillis = clock.wallMillis()
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
     private var takesUntil = Long.MAX_VALUE
-    private var readConfiguration: () -> Unit = {}
-    private var readAfterOutage: () -> Unit = {}
-    private var wasStoreAway = false
-    private var wasSpared = false
-    private var versionAskedFor = 0L
     private var unreachableBefore = emptySet<RunnerId>()
 
     private val isReady: Boolean
@@ -244,38 +249,7 @@
 
     private fun launchDuties() {
         val scope = loop.scope
-        val configurations = FeedFollower(
-            name = "configurations",
-            feed = store.configurations,
-            consumer = configuration,
-            clock = clock,
-            log = log,
-            waitMillis = {
-                if (relay.isSpared) SPARED_WAIT_MILLIS else CONFIGURATION_WAIT_MILLIS
-            },
-            pauseMillis = { 0 },
-            maxBackoffMillis = ::maxBackoffMillis
-        )
-        val servers = FeedFollower(
-            name = "servers",
-            feed = store.backendServers,
-            consumer = directory,
-            clock = clock,
-            log = log,
-            waitMillis = { 0 },
-            pauseMillis = { relay.pauseMillis },
-            maxBackoffMillis = ::maxBackoffMillis,
-            onAnswer = {
-                relay.onOwnRead()
-                if (relay.isReportDue) exchange.sendNow()
-            }
-        )
-        directory.onStoreRegained = configurations::restart
-        readConfiguration = configurations::restart
-        readAfterOutage =
-            { listOf(configurations, servers).filter { it.isFailing }.forEach { it.restart() } }
-        scope.launch { configurations.run() }
-        scope.launch { servers.run() }
+        following.launchIn(scope)
         scope.launch { duty.run() }
         scope.launch { exchange.run() }
         scope.launch { placer.run() }
@@ -284,8 +258,7 @@
         scope.launch {
             while (true) {
                 delay(UPKEEP_MILLIS)
-                watchReader()
-                watchOutage()
+                following.watch()
                 directory.expire()
                 pool.closeExpired()
                 suspects.expire()
@@ -335,34 +308,7 @@
         val unreachable = peers.unreachable()
         (unreachable - unreachableBefore).forEach(chainWatch::onUnreachable)
         unreachableBefore = unreachable
-        val changes = relay.onReport(report.readAgeMillis, report.servers)
-        if (directory.isKnown) directory.onChanges(changes)
-        watchOutage()
-        val known = configuration.current?.version ?: 0
-        if (report.configurationVersion > maxOf(known, versionAskedFor)) {
-            versionAskedFor = report.configurationVersion
-            readConfiguration()
-        }
-    }
-
-    /**
-     * All calls to the store are priced, also those that it refuses. An instance with live peers
-     * asks seldom while it is refused: the peers tell it of the list, and when the store is back.
-     */
-    private fun maxBackoffMillis(): Long =
-        if (peers.instances > 1) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
-
-    /** Reads anew once a peer has heard of the store after an outage for all. */
-    private fun watchOutage() {
-        val isAway = peers.isStoreAwayForAll()
-        if (wasStoreAway && !isAway) readAfterOutage()
-        wasStoreAway = isAway
-    }
-
-    /** A long read that waits since peers were heard is replaced when they are heard no more. */
-    private fun watchReader() {
-        if (wasSpared && !relay.isSpared) readConfiguration()
-        wasSpared = relay.isSpared
+        following.onPeerReport(report)
     }
 
     private fun peerReport(sequence: Long) = PeerReport(
@@ -394,12 +340,6 @@
     }
 
     private companion object {
-        /** A read that went silent is given up soon enough for changes to be in force in time. */
-        const val CONFIGURATION_WAIT_MILLIS = 2_500L
-
-        /** Wait of an instance whose peers tell it that there is something to read. */
-        const val SPARED_WAIT_MILLIS = 20_000L
-
         /** Part of the time in which a leaving server has to be known, for one read of the list. */
         const val SERVERS_PAUSE_SHARE = 0.4
 
@@ -407,9 +347,6 @@
         const val SERVERS_FRESH_SHARE = 0.7
         const val UPKEEP_MILLIS = 500L
 
-        /** Within the three seconds after an outage in which nothing is asked of an instance. */
-        const val FLEET_BACKOFF_MILLIS = 2_000L
-
         /** The platform asks once a second; after two misses no new connections come. */
         const val ROTATION_MILLIS = 2_800L
         const val STOP_CHECK_MILLIS = 50L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
@@ -52,6 +52,7 @@
     private var last: AttemptEnd? = null
     private var hadSelection = false
     private var startedAtMillis = 0L
+    private var returnAfterMillis: Long? = null
 
     suspend fun attempts() {
         while (true) {
@@ -297,7 +298,7 @@
             outcome = if (end.reply.status < SERVER_ERRORS) "answered" else "server_failed"
         } else {
             val error = error(isInTime)
-            answer.refuse(error, returnMillis(error))
+            refuseWith(error)
             outcome = error.code
         }
         ended(outcome)
@@ -305,10 +306,15 @@
 
     /** Answers with [error] before any attempt. */
     suspend fun refuse(error: RequestError) {
-        answer.refuse(error, returnMillis(error))
+        refuseWith(error)
         ended(error.code)
     }
 
+    private suspend fun refuseWith(error: RequestError) {
+        returnAfterMillis = returnMillis(error)
+        answer.refuse(error, returnAfterMillis)
+    }
+
     /** When the caller should come back, in ms; null if the error states no time. */
     private fun returnMillis(error: RequestError): Long? {
         val relief = error.retryAfterMillis
@@ -334,6 +340,7 @@
             "organisation" to context.organisation?.name,
             "sends" to limit.sends,
             "events" to relay?.events,
+            "retry_after_ms" to returnAfterMillis,
             "ms" to clock.monotonicMillis() - context.arrivedAtMillis
         )
     }
--- /dev/null
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollowing.kt
@@ -0,0 +1,110 @@
+package io.greengageport.gateway.state
+
+import io.greengageport.common.Clock
+import io.greengageport.gateway.logging.DecisionLog
+import io.greengageport.gateway.peer.PeerReport
+import io.greengageport.gateway.peer.PeerView
+import io.greengageport.gateway.peer.ServerListRelay
+import io.greengageport.gateway.port.PlatformStore
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+/**
+ * Follows the store's configuration and its list of servers, and lets the peers' reports spare
+ * calls: one instance reads the list for all, and a newer version that a peer has is read at once.
+ *
+ * All calls to the store are priced, also those that it refuses. So an instance with live peers
+ * asks seldom while it is refused: the peers tell it of the list, and when the store is back.
+ */
+internal class StoreFollowing(
+    store: PlatformStore,
+    private val configuration: ConfigurationHolder,
+    private val directory: BackendDirectory,
+    private val relay: ServerListRelay,
+    private val peers: PeerView,
+    clock: Clock,
+    log: DecisionLog,
+    private val sendReport: () -> Unit
+) {
+    private val configurations = FeedFollower(
+        name = "configurations",
+        feed = store.configurations,
+        consumer = configuration,
+        clock = clock,
+        log = log,
+        waitMillis = { if (relay.isSpared) SPARED_WAIT_MILLIS else CONFIGURATION_WAIT_MILLIS },
+        pauseMillis = { 0 },
+        maxBackoffMillis = ::maxBackoffMillis
+    )
+    private val servers = FeedFollower(
+        name = "servers",
+        feed = store.backendServers,
+        consumer = directory,
+        clock = clock,
+        log = log,
+        waitMillis = { 0 },
+        pauseMillis = { relay.pauseMillis },
+        maxBackoffMillis = ::maxBackoffMillis,
+        onAnswer = {
+            relay.onOwnRead()
+            if (relay.isReportDue) sendReport()
+        }
+    )
+    private var wasStoreAway = false
+    private var wasSpared = false
+    private var versionAskedFor = 0L
+
+    /** Follows both tables until [scope] ends. */
+    fun launchIn(scope: CoroutineScope) {
+        directory.onStoreRegained = configurations::restart
+        scope.launch { configurations.run() }
+        scope.launch { servers.run() }
+    }
+
+    /** Takes in what a peer tells of the store. */
+    fun onPeerReport(report: PeerReport) {
+        val changes = relay.onReport(report.readAgeMillis, report.servers)
+        if (directory.isKnown) directory.onChanges(changes)
+        watchOutage()
+        val known = configuration.current?.version ?: 0
+        if (report.configurationVersion > maxOf(known, versionAskedFor)) {
+            versionAskedFor = report.configurationVersion
+            configurations.restart()
+        }
+    }
+
+    /** Notes that peers have fallen silent; to be called every half second or so. */
+    fun watch() {
+        watchReader()
+        watchOutage()
+    }
+
+    private fun maxBackoffMillis(): Long =
+        if (peers.instances > 1) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
+
+    /** Reads anew once a peer has heard of the store after an outage for all. */
+    private fun watchOutage() {
+        val isAway = peers.isStoreAwayForAll()
+        if (wasStoreAway && !isAway) {
+            listOf(configurations, servers).filter { it.isFailing }.forEach { it.restart() }
+        }
+        wasStoreAway = isAway
+    }
+
+    /** A long read that waits since peers were heard is replaced when they are heard no more. */
+    private fun watchReader() {
+        if (wasSpared && !relay.isSpared) configurations.restart()
+        wasSpared = relay.isSpared
+    }
+
+    private companion object {
+        /** A read that went silent is given up soon enough for changes to be in force in time. */
+        const val CONFIGURATION_WAIT_MILLIS = 2_500L
+
+        /** Wait of an instance whose peers tell it that there is something to read. */
+        const val SPARED_WAIT_MILLIS = 20_000L
+
+        /** Within the three seconds after an outage in which nothing is asked of an instance. */
+        const val FLEET_BACKOFF_MILLIS = 2_000L
+    }
+}
--- a/limits/src/main/kotlin/io/greengageport/limits/ReturnSpread.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/ReturnSpread.kt
@@ -5,8 +5,8 @@
 /**
  * When refused callers of a model come back.
  *
- * A caller returns once or twice. Bursts last some seconds, and so does it until the layers of lost
- * engines are loaded elsewhere; a caller that returns within the same burst is refused for good. All
+ * A caller returns once or twice. Bursts last some seconds, and so does the time until the layers
+ * of lost engines are loaded elsewhere; who returns within the same burst is refused for good. All
  * of them at the same moment would be a burst of their own, so their returns are spread.
  */
 public class ReturnSpread(private val random: Random = Random.Default) {
