Ask a refusing store as before unless a peer reads the list

Change: the long backoff of the list holds only while a peer's read is fresh, and a failing read is repeated at once when it is fresh no more. Result: StoreFollowingTest, which fails with the former rule.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollowing.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollowing.kt
@@ -34,7 +34,9 @@
         log = log,
         waitMillis = { if (relay.isSpared) SPARED_WAIT_MILLIS else CONFIGURATION_WAIT_MILLIS },
         pauseMillis = { 0 },
-        maxBackoffMillis = ::maxBackoffMillis
+        maxBackoffMillis = {
+            if (peers.instances > 1) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
+        }
     )
     private val servers = FeedFollower(
         name = "servers",
@@ -44,7 +46,10 @@
         log = log,
         waitMillis = { 0 },
         pauseMillis = { relay.pauseMillis },
-        maxBackoffMillis = ::maxBackoffMillis,
+        // Only a peer's fresh read of the list makes up for an own one that fails.
+        maxBackoffMillis = {
+            if (relay.isSpared) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
+        },
         onAnswer = {
             relay.onOwnRead()
             if (relay.isReportDue) sendReport()
@@ -79,9 +84,6 @@
         watchOutage()
     }
 
-    private fun maxBackoffMillis(): Long =
-        if (peers.instances > 1) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
-
     /** Reads anew once a peer has heard of the store after an outage for all. */
     private fun watchOutage() {
         val isAway = peers.isStoreAwayForAll()
@@ -91,9 +93,15 @@
         wasStoreAway = isAway
     }
 
-    /** A long read that waits since peers were heard is replaced when they are heard no more. */
+    /**
+     * A read that waits long since a peer reads for all, or since it failed meanwhile, is replaced
+     * when that peer's reads are fresh no more.
+     */
     private fun watchReader() {
-        if (wasSpared && !relay.isSpared) configurations.restart()
+        if (wasSpared && !relay.isSpared) {
+            configurations.restart()
+            if (servers.isFailing) servers.restart()
+        }
         wasSpared = relay.isSpared
     }
 
--- /dev/null
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowingTest.kt
@@ -0,0 +1,114 @@
+package io.greengageport.gateway.state
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.greengageport.common.HostPort
+import io.greengageport.common.InstanceId
+import io.greengageport.common.SystemClock
+import io.greengageport.gateway.RecordedLog
+import io.greengageport.gateway.model.BackendServer
+import io.greengageport.gateway.model.Configuration
+import io.greengageport.gateway.peer.PeerReport
+import io.greengageport.gateway.peer.PeerView
+import io.greengageport.gateway.peer.ServerListRelay
+import io.greengageport.gateway.port.ChangeBatch
+import io.greengageport.gateway.port.ChangeFeed
+import io.greengageport.gateway.port.DutyGroup
+import io.greengageport.gateway.port.PlatformStore
+import io.greengageport.gateway.port.StoreError
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+/**
+ * Guards against work for a leaving server: an instance that the store refuses waited two seconds
+ * between its reads of the list although no peer read the list for it.
+ */
+class StoreFollowingTest {
+    private class RefusingFeed<T> : ChangeFeed<T> {
+        var reads = 0
+
+        override suspend fun snapshot(): Result<ChangeBatch<T>, StoreError> {
+            reads++
+            return Err(StoreError.Refused(503))
+        }
+
+        override suspend fun changes(
+            position: Long,
+            waitMillis: Long
+        ): Result<ChangeBatch<T>, StoreError> = snapshot()
+    }
+
+    private val servers = RefusingFeed<BackendServer>()
+    private val store = object : PlatformStore {
+        override val configurations: ChangeFeed<Configuration> = RefusingFeed()
+        override val backendServers: ChangeFeed<BackendServer> = servers
+        override val duties: DutyGroup get() = error("no duties are used here")
+    }
+    private val log = RecordedLog().log
+    private val clock = SystemClock
+    private val peers = PeerView(InstanceId("self"), clock, log)
+    private val relay = ServerListRelay(clock, { false }, readMillis = 800, freshMillis = 1_400)
+    private val following = StoreFollowing(
+        store = store,
+        configuration = ConfigurationHolder(log),
+        directory = BackendDirectory(clock, log),
+        relay = relay,
+        peers = peers,
+        clock = clock,
+        log = log,
+        sendReport = {}
+    )
+
+    private fun report(sequence: Long, readAgeMillis: Long?) = PeerReport(
+        from = "peer",
+        address = "127.0.0.1:9",
+        startedAtMillis = 1,
+        sequence = sequence,
+        load = emptyList(),
+        requestsByService = emptyMap(),
+        unreachable = emptyList(),
+        suspects = emptyList(),
+        known = emptyList(),
+        renewalAgeMillis = 100,
+        readAgeMillis = readAgeMillis,
+        configurationVersion = 0,
+        servers = emptyList()
+    )
+
+    /** Reads of the list that the store refused within [PLAY_MILLIS], beside a live peer. */
+    private fun readsBeside(readAgeMillis: Long?): Int = runBlocking {
+        coroutineScope {
+            following.launchIn(this)
+            repeat(ROUNDS) { i ->
+                val report = report(i.toLong(), readAgeMillis)
+                peers.onReport(report, HostPort("127.0.0.1", 9))
+                following.onPeerReport(report)
+                following.watch()
+                delay(PLAY_MILLIS / ROUNDS)
+            }
+            coroutineContext.cancelChildren()
+        }
+        servers.reads
+    }
+
+    @Test
+    fun `an instance that is refused goes on asking soon if no peer reads the list for it`() {
+        expectThat(readsBeside(readAgeMillis = null)).isGreaterThan(8)
+    }
+
+    @Test
+    fun `an instance that is refused asks seldom while a peer reads the list for it`() {
+        expectThat(readsBeside(readAgeMillis = 50)).isLessThan(8)
+    }
+
+    private companion object {
+        const val PLAY_MILLIS = 3_600L
+        const val ROUNDS = 18
+    }
+}
