--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -4,6 +4,7 @@
 import io.greengageport.gateway.GatewayInstance
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
+import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.platform.HttpBackendProtocol
 import io.greengageport.platform.LogStore
 import io.greengageport.platform.SettingsDecoder
@@ -46,7 +47,12 @@
             settings = settings,
             loop = loop,
             connector = connector,
-            store = LogStore(connector, settings.store, settings.id, settings.peers),
+            store = LogStore(
+                connector,
+                settings.store,
+                settings.id,
+                MemberAddress(settings.peers, settings.dataCentre)
+            ),
             protocol = HttpBackendProtocol()
         )
         try {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -22,6 +22,7 @@
 import io.greengageport.gateway.http.HttpListener
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.model.CallerLimits
+import io.greengageport.gateway.peer.CentreSummary
 import io.greengageport.gateway.peer.PeerExchange
 import io.greengageport.gateway.peer.PeerReport
 import io.greengageport.gateway.peer.PeerView
@@ -69,7 +70,7 @@
     private val configuration = ConfigurationHolder(log)
     private val directory = BackendDirectory(clock, log)
     private val index = FleetIndex(directory) { configuration.current }
-    private val peers = PeerView(settings.id, clock, log)
+    private val peers = PeerView(settings.id, settings.dataCentre, clock, log)
     private val duty =
         DutyKeeper(store.duties, clock, log, peers::onMembers, peers::isStoreAwayForAll)
     private val inFlight = InFlightTable({ peers.instances }, peers::load, peers::requestsByService)
@@ -159,7 +160,8 @@
         clock = clock,
         isReader = { duty.isReader },
         readMillis = (settings.drainMillis * SERVERS_PAUSE_SHARE).toLong(),
-        freshMillis = (settings.drainMillis * SERVERS_FRESH_SHARE).toLong()
+        freshMillis = (settings.drainMillis * SERVERS_FRESH_SHARE).toLong(),
+        isRelay = { peers.isRelay }
     )
     private val following = StoreFollowing(
         store = store,
@@ -312,13 +314,16 @@
     private fun onPeerReport(report: PeerReport) {
         report.suspects.forEach(suspects::onPeer)
         val unreachable = peers.unreachable()
-        (unreachable - unreachableBefore).forEach(chainWatch::onUnreachable)
+        val found = unreachable - unreachableBefore
         unreachableBefore = unreachable
+        found.forEach(chainWatch::onUnreachable)
+        if (found.isNotEmpty() && peers.isRelay) exchange.sendNow()
         following.onPeerReport(report)
     }
 
-    private fun peerReport(sequence: Long) = PeerReport(
+    private fun peerReport(sequence: Long, centres: List<CentreSummary>) = PeerReport(
         from = settings.id.value,
+        dataCentre = settings.dataCentre.value,
         address = settings.peers.toString(),
         startedAtMillis = startedAtMillis,
         sequence = sequence,
@@ -332,7 +337,8 @@
         renewalAgeMillis = duty.renewalAgeMillis(),
         readAgeMillis = relay.readAgeMillis(),
         configurationVersion = configuration.current?.version ?: 0,
-        servers = relay.toTell()
+        news = relay.toTell(),
+        centres = centres
     )
 
     private fun budget(service: ServiceName): RetryBudget = budgets.getOrPut(service) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -12,9 +12,11 @@
  *
  * [renewalAgeMillis] is the age of the last answer of the store to [from].
  *
- * [readAgeMillis] is the age of this instance's last read of the store's list of servers, if it has
- * the duty to read it for all, and [servers] are the changes that it found. A newer
- * [configurationVersion] than the receiver's own makes it read the configuration at once.
+ * [news] tells what changed in the store's list of servers, as read [readAgeMillis] ago by the
+ * instance that reads it for all. A newer [configurationVersion] than the receiver's own makes it
+ * read the configuration at once.
+ *
+ * [centres] sums up data centres whose instances the receiver does not hear themselves.
  *
  * [startedAtMillis] is the incarnation of [from], and [sequence] grows by one with each report, so
  * that reports that overtake each other are told apart. [unreachable] lists servers of which this
@@ -25,6 +27,7 @@
 @CborArray
 internal class PeerReport(
     val from: String,
+    val dataCentre: String,
     val address: String,
     val startedAtMillis: Long,
     val sequence: Long,
@@ -36,15 +39,48 @@
     val renewalAgeMillis: Long?,
     val readAgeMillis: Long?,
     val configurationVersion: Long,
-    val servers: List<ServerChange>
-)
+    val news: ServerNews?,
+    val centres: List<CentreSummary>
+) {
+    /** This report with [summary], which contains what it tells of loads, in their place. */
+    fun summedUp(summary: CentreSummary): PeerReport = PeerReport(
+        from = from,
+        dataCentre = dataCentre,
+        address = address,
+        startedAtMillis = startedAtMillis,
+        sequence = sequence,
+        load = emptyList(),
+        requestsByService = emptyMap(),
+        unreachable = emptyList(),
+        suspects = suspects,
+        known = known,
+        renewalAgeMillis = renewalAgeMillis,
+        readAgeMillis = readAgeMillis,
+        configurationVersion = configurationVersion,
+        news = news,
+        centres = listOf(summary)
+    )
+}
 
-/** An instance and the address at which its peers reach it. */
+/** An instance, its data centre and the address at which its peers reach it. */
 @Serializable
 @CborArray
-internal class KnownPeer(val id: String, val address: String)
+internal class KnownPeer(val id: String, val dataCentre: String, val address: String)
 
 /** Requests in flight at a server and the memory they hold, in tokens times layers. */
 @Serializable
 @CborArray
 internal class ServerLoad(val server: String, val requests: Int, val tokenLayers: Long)
+
+/** What the instances of [dataCentre] told together, as summed up [ageMillis] ago by one of them. */
+@Serializable
+@CborArray
+internal class CentreSummary(
+    val dataCentre: String,
+    val ageMillis: Long,
+    val instances: Int,
+    val load: List<ServerLoad>,
+    val requestsByService: Map<String, Int>,
+    val unreachable: List<String>,
+    val renewalAgeMillis: Long?
+)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -1,56 +1,83 @@
 package io.greengageport.gateway.peer
 
 import io.greengageport.common.Clock
+import io.greengageport.common.DataCentre
 import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.common.RunnerId
 import io.greengageport.common.ServiceName
 import io.greengageport.gateway.logging.DecisionLog
+import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.routing.InFlight
 
 /**
  * What the peers told last, and who of them is alive.
  *
  * A peer counts as alive while its reports come; the store's list of group members only tells where
- * to look for peers, since it is read seldom and lags.
+ * to look for peers, since it is read seldom and lags. Of other data centres a large fleet hears
+ * sums only, and these count in place of what single peers there told.
  */
 internal class PeerView(
     private val self: InstanceId,
+    private val own: DataCentre,
     private val clock: Clock,
     private val log: DecisionLog
 ) {
     private class Peer(
         val address: HostPort,
+        val dataCentre: DataCentre,
         var report: PeerReport?,
         var heardAtMillis: Long,
         var isAlive: Boolean
     )
 
+    private class Sum(val summary: CentreSummary, val atMillis: Long)
+
     private val peers = HashMap<InstanceId, Peer>()
+    private val sums = HashMap<DataCentre, Sum>()
+    private val routes = ReportRoutes(self, own)
+    private var candidateList: List<ReportRoutes.Candidate>? = null
     private var loadSum: Map<RunnerId, InFlight>? = null
     private var unreachableNow: Set<RunnerId>? = null
+    private var round = 0
+
+    private val candidates: List<ReportRoutes.Candidate>
+        get() = candidateList ?: peers.map { (id, p) ->
+            ReportRoutes.Candidate(id, p.dataCentre, p.isAlive)
+        }.also { candidateList = it }
 
-    /** Time between two reports of an instance, which grows with the fleet. */
+    /** Time between two reports of an instance, which grows with the peers that it reports to. */
     val intervalMillis: Long
-        get() = (BASE_INTERVAL_MILLIS * maxOf(1, (peers.size + 1) / SMALL_FLEET))
+        get() = (BASE_INTERVAL_MILLIS * maxOf(1, (near.size + 1) / SMALL_FLEET))
             .coerceAtMost(MAX_INTERVAL_MILLIS)
 
     /** Instances that are alive, this one included. */
-    val instances: Int get() = 1 + peers.values.count { it.isAlive }
+    val instances: Int
+        get() = 1 + heardPeers().size + validSums().sumOf { it.instances }
+
+    /** Whether this instance passes on reports between data centres. */
+    val isRelay: Boolean get() = routes.isRelay(candidates)
+
+    private val near: List<InstanceId> get() = routes.near(candidates)
+
+    /** Where this instance's own report goes. */
+    val addresses: List<HostPort> get() = near.mapNotNull { peers[it]?.address }
 
-    /** Where reports go. */
-    val addresses: List<HostPort> get() = peers.values.map { it.address }
+    /** Where the sums of this data centre go; none unless this instance is a relay. */
+    fun farAddresses(): List<HostPort> =
+        routes.far(candidates, round++).mapNotNull { peers[it]?.address }
 
     /** Takes in the members of the group that the store lists. */
-    fun onMembers(members: Map<InstanceId, HostPort>) {
-        for ((id, address) in members) {
+    fun onMembers(members: Map<InstanceId, MemberAddress>) {
+        val now = clock.monotonicMillis()
+        for ((id, member) in members) {
             if (id == self) continue
             val known = peers[id]
-            if (known == null || known.address != address) {
-                peers[id] = Peer(address, null, clock.monotonicMillis(), isAlive = true)
+            if (known == null || known.address != member.address) {
+                peers[id] =
+                    Peer(member.address, member.dataCentre, null, now, isAlive = true)
             }
         }
-        val now = clock.monotonicMillis()
         peers.entries.removeIf { (id, p) ->
             id !in members && now - p.heardAtMillis > FORGET_MILLIS
         }
@@ -61,12 +88,15 @@
     fun onReport(report: PeerReport, address: HostPort): Boolean {
         val id = InstanceId(report.from)
         if (id == self) return false
-        val p = peers.getOrPut(id) { Peer(address, null, 0, isAlive = false) }
+        val p = peers.getOrPut(id) {
+            Peer(address, DataCentre(report.dataCentre), null, 0, isAlive = false)
+        }
         val known = p.report
         if (known != null && !isNewer(report, known)) return false
         p.report = report
         p.heardAtMillis = clock.monotonicMillis()
         report.known.forEach(::learn)
+        report.centres.forEach(::takeSum)
         if (!p.isAlive) {
             p.isAlive = true
             log.record("peers", "appeared", "instance" to id, "address" to address)
@@ -75,14 +105,36 @@
         return true
     }
 
+    private fun takeSum(summary: CentreSummary) {
+        val centre = DataCentre(summary.dataCentre)
+        val at = clock.monotonicMillis() - summary.ageMillis
+        if (centre != own && at > (sums[centre]?.atMillis ?: Long.MIN_VALUE)) {
+            sums[centre] = Sum(summary, at)
+        }
+    }
+
+    private fun validSums(): List<CentreSummary> {
+        val now = clock.monotonicMillis()
+        sums.values.removeIf { now - it.atMillis > SUM_KEPT_MILLIS }
+        return sums.values.map { it.summary }
+    }
+
+    /** Live peers of which no sum tells. */
+    private fun heardPeers(): List<Peer> {
+        validSums()
+        return peers.values.filter { it.isAlive && it.dataCentre !in sums }
+    }
+
+    private fun reports(): List<PeerReport> = heardPeers().mapNotNull { it.report }
+
     /** Whether there are live peers and the store has answered none of them lately. */
     fun isStoreAwayForAll(): Boolean {
         val now = clock.monotonicMillis()
         val live = peers.values.filter { it.isAlive && it.report != null }
-        return live.isNotEmpty() && live.all { p ->
-            val age = p.report?.renewalAgeMillis
-            age == null || age + now - p.heardAtMillis > STORE_AWAY_MILLIS
-        }
+        val ages = live.map { p ->
+            p.report?.renewalAgeMillis?.let { it + now - p.heardAtMillis }
+        } + validSums().map { it.renewalAgeMillis }
+        return live.isNotEmpty() && ages.all { it == null || it > STORE_AWAY_MILLIS }
     }
 
     /** Peers to tell others of: live ones, a few at random. */
@@ -90,14 +142,15 @@
         .filter { it.value.isAlive && it.value.report != null }
         .shuffled()
         .take(SAMPLE)
-        .map { (id, p) -> KnownPeer(id.value, p.address.toString()) }
+        .map { (id, p) -> KnownPeer(id.value, p.dataCentre.value, p.address.toString()) }
 
     /** Takes note of a peer by hearsay; it counts as alive once it is heard itself. */
     private fun learn(known: KnownPeer) {
         val id = InstanceId(known.id)
         val address = HostPort.parseOrNull(known.address) ?: return
         if (id != self && id !in peers) {
-            peers[id] = Peer(address, null, clock.monotonicMillis(), isAlive = false)
+            val centre = DataCentre(known.dataCentre)
+            peers[id] = Peer(address, centre, null, clock.monotonicMillis(), isAlive = false)
         }
     }
 
@@ -117,15 +170,14 @@
     /** What the live peers have in flight, or null while no peer has told anything. */
     fun load(): Map<RunnerId, InFlight>? {
         loadSum?.let { return it }
-        val reports = peers.values.filter { it.isAlive }.mapNotNull { it.report }
-        if (reports.isEmpty()) return null
+        val reports = reports()
+        val sums = validSums()
+        if (reports.isEmpty() && sums.isEmpty()) return null
         val sum = HashMap<RunnerId, InFlight>()
-        for (r in reports) {
-            for (l in r.load) {
-                val id = RunnerId(l.server)
-                val old = sum[id] ?: InFlight.NONE
-                sum[id] = InFlight(old.requests + l.requests, old.tokenLayers + l.tokenLayers)
-            }
+        for (l in reports.flatMap { it.load } + sums.flatMap { it.load }) {
+            val id = RunnerId(l.server)
+            val old = sum[id] ?: InFlight.NONE
+            sum[id] = InFlight(old.requests + l.requests, old.tokenLayers + l.tokenLayers)
         }
         loadSum = sum
         return sum
@@ -133,13 +185,11 @@
 
     /** Admitted requests of the live peers by service, or null while no peer has told anything. */
     fun requestsByService(): Map<ServiceName, Int>? {
-        val reports = peers.values.filter { it.isAlive }.mapNotNull { it.report }
-        if (reports.isEmpty()) return null
+        val told = reports().map { it.requestsByService } + validSums().map { it.requestsByService }
+        if (told.isEmpty()) return null
         val sum = HashMap<ServiceName, Int>()
-        for (r in reports) {
-            for ((service, requests) in r.requestsByService) {
-                sum.merge(ServiceName(service), requests, Int::plus)
-            }
+        for (t in told) {
+            for ((service, requests) in t) sum.merge(ServiceName(service), requests, Int::plus)
         }
         return sum
     }
@@ -150,15 +200,56 @@
      */
     fun unreachable(): Set<RunnerId> {
         unreachableNow?.let { return it }
-        val found = peers.values.filter { it.isAlive }
-            .map { it.report?.unreachable.orEmpty() }
-            .filter { it.size <= MAX_BELIEVED }
-            .flatMapTo(HashSet()) { it.map(::RunnerId) }
-        unreachableNow = found
-        return found
+        val found = reports().map { it.unreachable }.filter { it.size <= MAX_BELIEVED }.flatten() +
+            validSums().flatMap { it.unreachable }
+        return found.mapTo(HashSet(), ::RunnerId).also { unreachableNow = it }
+    }
+
+    /** Sums up this data centre for the others; [ownReport] is this instance's. */
+    fun summary(ownReport: PeerReport): CentreSummary {
+        val reports = peers.values.filter { it.isAlive && it.dataCentre == own }
+            .mapNotNull { it.report } + ownReport
+        val load = HashMap<String, ServerLoad>()
+        for (l in reports.flatMap { it.load }) {
+            load.merge(l.server, l) { a, b ->
+                ServerLoad(a.server, a.requests + b.requests, a.tokenLayers + b.tokenLayers)
+            }
+        }
+        val requests = HashMap<String, Int>()
+        for (r in reports) {
+            for ((service, n) in r.requestsByService) requests.merge(service, n, Int::plus)
+        }
+        return CentreSummary(
+            dataCentre = own.value,
+            ageMillis = 0,
+            instances = reports.size,
+            load = load.values.toList(),
+            requestsByService = requests,
+            unreachable = reports.map { it.unreachable }.filter { it.size <= MAX_BELIEVED }
+                .flatten().distinct(),
+            renewalAgeMillis = reports.mapNotNull { it.renewalAgeMillis }.minOrNull()
+        )
+    }
+
+    /** The sums of the other data centres with their ages of now, to pass them on. */
+    fun centres(): List<CentreSummary> {
+        val now = clock.monotonicMillis()
+        return validSums().map { s ->
+            val at = sums.getValue(DataCentre(s.dataCentre)).atMillis
+            CentreSummary(
+                dataCentre = s.dataCentre,
+                ageMillis = now - at,
+                instances = s.instances,
+                load = s.load,
+                requestsByService = s.requestsByService,
+                unreachable = s.unreachable,
+                renewalAgeMillis = s.renewalAgeMillis?.let { it + now - at }
+            )
+        }
     }
 
     private fun forgetSums() {
+        candidateList = null
         loadSum = null
         unreachableNow = null
     }
@@ -180,6 +271,9 @@
         const val SILENT_MILLIS = 600L
         const val FORGET_MILLIS = 30_000L
 
+        /** Some intervals at which relays send sums. */
+        const val SUM_KEPT_MILLIS = 5_000L
+
         /** Three renewals that the store has not answered. */
         const val STORE_AWAY_MILLIS = 3_000L
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -16,6 +16,23 @@
 @CborArray
 internal class ServerChange(val id: String, val position: Long, val server: ServerEntry?)
 
+/** Changes of the list of servers from position [from] until before [until]; others there are none. */
+@Serializable
+@CborArray
+internal class ServerNews(val from: Long, val until: Long, val changes: List<ServerChange>)
+
+/** What a peer's news of the list of servers mean to an instance. */
+internal sealed interface NewsEnd {
+    /** They go on from the own position: the list is now known until [until]. */
+    data class Taken(val changes: List<Change<BackendServer>>, val until: Long) : NewsEnd
+
+    /** Earlier ones were missed, so the list has to be read. */
+    data object Missed : NewsEnd
+
+    /** There are none that are not known yet. */
+    data object Known : NewsEnd
+}
+
 /** The entry of a server between instances. */
 @Serializable
 @CborArray
@@ -35,20 +52,23 @@
  * Lets one instance read the store's list of servers often and tell the others what changed.
  *
  * Each heartbeat of each server is a record of the list, and each read is priced. The instance with
- * the duty reads every time; the others read seldom while its reports say that its last read is
- * fresh, and as often as it does otherwise, so that neither its loss nor its being cut off from the
- * store delays them by more than [freshMillis].
+ * the duty reads every time and tells what changed between two positions of the list. The others
+ * read themselves where such news leave a gap to what they know, and as often as the reader does
+ * once its last read is fresh no more, so that neither its loss nor its being cut off from the store
+ * delays them by more than [freshMillis]. Relays between data centres pass on what they heard last.
  */
 internal class ServerListRelay(
     private val clock: Clock,
     private val isReader: () -> Boolean,
     private val readMillis: Long,
-    private val freshMillis: Long
+    private val freshMillis: Long,
+    private val isRelay: () -> Boolean = { false }
 ) {
-    private class Sent(val change: ServerChange, val untilMillis: Long)
+    private class Read(val news: ServerNews, val atMillis: Long)
 
-    private val sent = LinkedHashMap<String, Sent>()
-    private var lastOwnRead: Long? = null
+    private val reads = ArrayDeque<Read>()
+    private val changed = LinkedHashMap<String, ServerChange>()
+    private var heard: Read? = null
     private var freshUntil = Long.MIN_VALUE
 
     /** Time until this instance's next read of the list. */
@@ -57,56 +77,83 @@
     /** Whether a peer's reads are fresh, so that this instance need not read often itself. */
     val isSpared: Boolean get() = !isReader() && clock.monotonicMillis() < freshUntil
 
-    /** Whether changes wait to be told at once. */
-    var hasNews: Boolean = false
+    /**
+     * Whether what was read or heard last has to be told at once. The load reports of a large fleet
+     * come so seldom that the others would take the list for stale between them.
+     */
+    var isReportDue: Boolean = false
         private set
 
     /**
-     * Whether a read has to be reported at once. The reader reports each read: the load reports of
-     * a large fleet come so seldom that the others would take its list for stale between them.
+     * This instance has read the list from [from] until before [until]; a snapshot has no [from].
+     * What a snapshot shows as changed is not told: each instance reads one of its own.
      */
-    val isReportDue: Boolean get() = hasNews || isReader()
-
-    /** This instance has read the list. */
-    fun onOwnRead() {
-        lastOwnRead = clock.monotonicMillis()
+    fun onOwnRead(from: Long?, until: Long) {
+        val now = clock.monotonicMillis()
+        if (from == null || from != reads.lastOrNull()?.news?.until) reads.clear()
+        if (from != null) reads += Read(ServerNews(from, until, changed.values.toList()), now)
+        changed.clear()
+        while (reads.size > 1 && now - reads.first().atMillis > TELL_MILLIS) reads.removeFirst()
+        isReportDue = isReader()
     }
 
-    /** This instance's read showed a change of a server. */
+    /** An entry of the list changed for this instance, by its own read or by what it heard. */
     fun onOwnChange(id: RunnerId, server: BackendServer?, position: Long) {
-        if (!isReader()) return
-        sent[id.value] = Sent(
-            ServerChange(id.value, position, server?.let(::entry)),
-            clock.monotonicMillis() + TELL_MILLIS
-        )
-        hasNews = true
+        if (isReader()) {
+            changed[id.value] = ServerChange(id.value, position, server?.let(::entry))
+        }
     }
 
-    /** Age of the last read, if this instance has the duty to read. */
-    fun readAgeMillis(): Long? =
-        if (isReader()) lastOwnRead?.let { clock.monotonicMillis() - it } else null
+    /** Age of the read that [toTell] tells of. */
+    fun readAgeMillis(): Long? = told()?.let { clock.monotonicMillis() - it.atMillis }
+
+    /** News to tell the peers now; each change is told again for a while, as reports may be lost. */
+    fun toTell(): ServerNews? {
+        isReportDue = false
+        val last = told() ?: return null
+        if (!isReader()) return last.news
+        val changes = ArrayDeque<ServerChange>()
+        var from = last.news.until
+        // Who lacks more than fits into a report reads the list itself.
+        for (r in reads.reversed()) {
+            if (changes.size + r.news.changes.size > MAX_CHANGES) break
+            changes.addAll(0, r.news.changes)
+            from = r.news.from
+        }
+        return ServerNews(from, last.news.until, changes)
+    }
 
-    /** Changes to tell the peers now; each is told again for a while, as reports may be lost. */
-    fun toTell(): List<ServerChange> {
-        hasNews = false
-        val now = clock.monotonicMillis()
-        sent.values.removeIf { it.untilMillis < now }
-        return sent.values.map { it.change }
+    private fun told(): Read? = when {
+        isReader() -> reads.lastOrNull()
+        isRelay() -> heard?.takeIf { clock.monotonicMillis() - it.atMillis < TELL_MILLIS }
+        else -> null
     }
 
-    /** Takes in a peer's report of its read, [ageMillis] old, and returns the changes in it. */
-    fun onReport(ageMillis: Long?, changes: List<ServerChange>): List<Change<BackendServer>> {
-        if (ageMillis != null) {
-            freshUntil = maxOf(freshUntil, clock.monotonicMillis() + freshMillis - ageMillis)
-        }
-        return changes.mapNotNull { c ->
-            val server = c.server
-            if (server == null) {
-                Change.Removed(c.id, c.position)
-            } else {
-                decode(c.id, server)?.let { Change.Put(c.id, it, c.position) }
-            }
+    /**
+     * Takes in a peer's [news] of a read that is [ageMillis] old, while this instance knows the list
+     * until [position], or not at all.
+     */
+    fun onReport(ageMillis: Long?, news: ServerNews?, position: Long?): NewsEnd {
+        if (ageMillis == null || news == null || position == null) return NewsEnd.Known
+        val readAt = clock.monotonicMillis() - ageMillis
+        if (news.until > (heard?.news?.until ?: -1)) {
+            heard = Read(news, readAt)
+            if (isRelay()) isReportDue = true
         }
+        if (news.from > position) return NewsEnd.Missed
+        freshUntil = maxOf(freshUntil, readAt + freshMillis)
+        if (news.until <= position) return NewsEnd.Known
+        return NewsEnd.Taken(
+            news.changes.filter {
+                it.position >= position
+            }.mapNotNull(::change),
+            news.until
+        )
+    }
+
+    private fun change(c: ServerChange): Change<BackendServer>? {
+        val server = c.server ?: return Change.Removed(c.id, c.position)
+        return decode(c.id, server)?.let { Change.Put(c.id, it, c.position) }
     }
 
     private fun entry(s: BackendServer) = ServerEntry(
@@ -138,8 +185,11 @@
     }
 
     private companion object {
-        /** Reads of an instance that is told of changes; they find what reports may have missed. */
-        const val SELDOM_MILLIS = 10_000L
+        /** Reads of an instance that is told of all changes; they only show that it is. */
+        const val SELDOM_MILLIS = 30_000L
+
+        /** Some 200 B each; a report stays well within one datagram. */
+        const val MAX_CHANGES = 64
 
         /** Some intervals of the reports, also in a large fleet. */
         const val TELL_MILLIS = 4_000L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway.port
 
 import com.github.michaelbull.result.Result
+import io.greengageport.common.DataCentre
 import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.gateway.model.BackendServer
@@ -68,10 +69,13 @@
     /** Gives all duties back before a planned stop. */
     public suspend fun leave(): Result<Unit, StoreError>
 
-    /** The instances that hold duties, with the addresses at which peers reach them. */
-    public suspend fun holders(): Result<Map<InstanceId, HostPort>, StoreError>
+    /** The instances that hold duties, with where peers reach them. */
+    public suspend fun holders(): Result<Map<InstanceId, MemberAddress>, StoreError>
 }
 
+/** The address at which its peers reach an instance, and its data centre. */
+public data class MemberAddress(val address: HostPort, val dataCentre: DataCentre)
+
 /**
  * The duties of this instance. [generation] grows with each change in the group and serves as the
  * fencing token of what is done on duty.
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -2,11 +2,11 @@
 
 import com.github.michaelbull.result.fold
 import io.greengageport.common.Clock
-import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.port.DutyGroup
 import io.greengageport.gateway.port.DutyShare
+import io.greengageport.gateway.port.MemberAddress
 import kotlinx.coroutines.delay
 
 /**
@@ -21,7 +21,7 @@
     private val group: DutyGroup,
     private val clock: Clock,
     private val log: DecisionLog,
-    private val onMembers: (Map<InstanceId, HostPort>) -> Unit,
+    private val onMembers: (Map<InstanceId, MemberAddress>) -> Unit,
     private val isStoreAwayForAll: () -> Boolean = { false }
 ) {
     private var share: DutyShare? = null
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -31,7 +31,8 @@
  * where the store no longer keeps the changes.
  *
  * With [waitMillis] the store holds a read until there is a change; then [pauseMillis] may be 0.
- * [onAnswer] is called after each answer was taken in.
+ * [onAnswer] is called after each answer was taken in, with the positions from which (null for a
+ * snapshot) and until which it was read.
  * While the store fails, the last known state stays in force, and reads go on with backoff of up to
  * [maxBackoffMillis].
  */
@@ -44,9 +45,12 @@
     private val waitMillis: () -> Long,
     private val pauseMillis: () -> Long,
     private val maxBackoffMillis: () -> Long = { ALONE_BACKOFF_MILLIS },
-    private val onAnswer: () -> Unit = {}
+    private val onAnswer: (from: Long?, until: Long) -> Unit = { _, _ -> }
 ) {
-    private var position: Long? = null
+    /** Where the next read starts; null before the first snapshot. */
+    public var position: Long? = null
+        private set
+    private var isReadDue = false
     private var failingSince: Long? = null
     private var failures = 0
 
@@ -79,27 +83,38 @@
         reading?.cancel()
     }
 
+    /** Takes note that all changes before [until] were learnt elsewhere. */
+    public fun advanceTo(until: Long) {
+        position = position?.let { maxOf(it, until) }
+    }
+
+    /** Ends the pause before the next read. */
+    public fun readSoon() {
+        isReadDue = true
+    }
+
     /** Waits until the pause is over, which may become shorter meanwhile. */
     private suspend fun pause() {
         val readAt = clock.monotonicMillis()
         while (true) {
             val left = readAt + pauseMillis() - clock.monotonicMillis()
-            if (left <= 0) return
+            if (left <= 0 || isReadDue) return
             delay(minOf(left, PAUSE_CHECK_MILLIS))
         }
     }
 
     internal suspend fun step() {
+        isReadDue = false
         val from = position
         val result = if (from == null) feed.snapshot() else feed.changes(from, waitMillis())
-        take(result, isSnapshot = from == null)
+        take(result, from)
     }
 
-    private fun take(result: Result<ChangeBatch<T>, StoreError>, isSnapshot: Boolean) {
+    private fun take(result: Result<ChangeBatch<T>, StoreError>, from: Long?) {
         result.fold(
             { batch ->
                 answered()
-                if (isSnapshot) {
+                if (from == null) {
                     log.record(
                         "store",
                         "snapshot",
@@ -110,8 +125,9 @@
                 } else if (batch.changes.isNotEmpty()) {
                     consumer.onChanges(batch.changes)
                 }
-                position = batch.next
-                onAnswer()
+                // What was learnt elsewhere meanwhile may reach further than this read.
+                position = if (from == null) batch.next else maxOf(batch.next, position ?: 0)
+                onAnswer(from, batch.next)
             },
             { error ->
                 if (error is StoreError.HistoryLost) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollowing.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollowing.kt
@@ -3,6 +3,7 @@
 import io.greengageport.common.Clock
 import io.greengageport.gateway.launchSupervised
 import io.greengageport.gateway.logging.DecisionLog
+import io.greengageport.gateway.peer.NewsEnd
 import io.greengageport.gateway.peer.PeerReport
 import io.greengageport.gateway.peer.PeerView
 import io.greengageport.gateway.peer.ServerListRelay
@@ -50,8 +51,8 @@
         maxBackoffMillis = {
             if (relay.isSpared) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
         },
-        onAnswer = {
-            relay.onOwnRead()
+        onAnswer = { from, until ->
+            relay.onOwnRead(from, until)
             if (relay.isReportDue) sendReport()
         }
     )
@@ -68,8 +69,7 @@
 
     /** Takes in what a peer tells of the store. */
     fun onPeerReport(report: PeerReport) {
-        val changes = relay.onReport(report.readAgeMillis, report.servers)
-        directory.onPeerChanges(changes)
+        takeNews(relay.onReport(report.readAgeMillis, report.news, servers.position))
         watchOutage()
         val known = configuration.current?.version ?: 0
         if (report.configurationVersion > maxOf(known, versionAskedFor)) {
@@ -78,6 +78,20 @@
         }
     }
 
+    private fun takeNews(end: NewsEnd) {
+        when (end) {
+            is NewsEnd.Taken -> {
+                directory.onPeerChanges(end.changes)
+                servers.advanceTo(end.until)
+            }
+
+            is NewsEnd.Missed -> servers.readSoon()
+
+            is NewsEnd.Known -> Unit
+        }
+        if (relay.isReportDue) sendReport()
+    }
+
     /** Notes that peers have fallen silent; to be called every half second or so. */
     fun watch() {
         watchReader()
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -1,10 +1,12 @@
 package io.greengageport.gateway.peer
 
+import io.greengageport.common.DataCentre
 import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.common.RunnerId
 import io.greengageport.gateway.RecordedLog
 import io.greengageport.gateway.SteppedClock
+import io.greengageport.gateway.port.MemberAddress
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -16,7 +18,7 @@
 /** Guards against loads of peers that are gone, doubled or out of order. */
 class PeerViewTest {
     private val clock = SteppedClock()
-    private val view = PeerView(InstanceId("self"), clock, RecordedLog().log)
+    private val view = PeerView(InstanceId("self"), DataCentre("z"), clock, RecordedLog().log)
     private val address = HostPort("127.0.0.1", 9)
 
     private fun report(
@@ -25,9 +27,12 @@
         requests: Int,
         startedAt: Long = 1,
         known: List<KnownPeer> = emptyList(),
-        unreachable: List<String> = listOf("dead")
+        unreachable: List<String> = listOf("dead"),
+        dataCentre: String = "z",
+        centres: List<CentreSummary> = emptyList()
     ) = PeerReport(
         from = from,
+        dataCentre = dataCentre,
         address = address.toString(),
         startedAtMillis = startedAt,
         sequence = sequence,
@@ -39,7 +44,8 @@
         renewalAgeMillis = 500,
         readAgeMillis = null,
         configurationVersion = 0,
-        servers = emptyList()
+        news = null,
+        centres = centres
     )
 
     private fun requests() = view.load()?.get(RunnerId("s"))?.requests
@@ -48,7 +54,7 @@
     inner class `The load of peers` {
         @Test
         fun `is unknown before the first report`() {
-            view.onMembers(mapOf(InstanceId("a") to address))
+            view.onMembers(mapOf(InstanceId("a") to MemberAddress(address, DataCentre("z"))))
             expectThat(view.load()).isNull()
         }
 
@@ -89,7 +95,7 @@
 
     @Test
     fun `a peer is learnt from another, and counts once it is heard itself`() {
-        val far = KnownPeer("far", "127.0.0.1:10")
+        val far = KnownPeer("far", "z", "127.0.0.1:10")
         view.onReport(report("a", 1, 3, known = listOf(far)), address)
         expectThat(HostPort("127.0.0.1", 10) in view.addresses).isTrue()
         expectThat(view.instances).isEqualTo(2)
@@ -98,6 +104,63 @@
         expectThat(view.sample().map { it.id }.sorted()).isEqualTo(listOf("a", "far"))
     }
 
+    @Nested
+    inner class `Other data centres of a large fleet` {
+        private fun summary(requests: Int, ageMillis: Long = 0) = CentreSummary(
+            dataCentre = "y",
+            ageMillis = ageMillis,
+            instances = 20,
+            load = listOf(ServerLoad("s", requests, 10L * requests)),
+            requestsByService = mapOf("model" to requests),
+            unreachable = listOf("gone"),
+            renewalAgeMillis = 100
+        )
+
+        @Test
+        fun `count by their sums, and not twice by the relays that are heard`() {
+            view.onReport(report("a", 1, 3, centres = listOf(summary(50))), address)
+            view.onReport(report("relay", 1, 7, dataCentre = "y"), address)
+            expectThat(requests()).isEqualTo(53)
+            expectThat(view.instances).isEqualTo(22)
+            expectThat(view.unreachable()).isEqualTo(setOf(RunnerId("dead"), RunnerId("gone")))
+        }
+
+        @Test
+        fun `count by the newest sum, whatever the order in which two relays tell them`() {
+            view.onReport(report("a", 1, 0, centres = listOf(summary(50))), address)
+            view.onReport(report("b", 1, 0, centres = listOf(summary(9, ageMillis = 900))), address)
+            expectThat(requests()).isEqualTo(50)
+        }
+
+        @Test
+        fun `no longer count once their relays have fallen silent`() {
+            view.onReport(report("a", 1, 3, centres = listOf(summary(50))), address)
+            clock.nowMillis += 5_100
+            view.onReport(report("a", 2, 3), address)
+            expectThat(requests()).isEqualTo(3)
+            expectThat(view.instances).isEqualTo(2)
+        }
+
+        @Test
+        fun `are told the sum of this one`() {
+            view.onReport(report("a", 1, 3), address)
+            view.onReport(report("relay", 1, 7, dataCentre = "y"), address)
+            val sum = view.summary(report("self", 1, 2))
+            expectThat(sum.load.single().requests).isEqualTo(5)
+            expectThat(sum.instances).isEqualTo(2)
+        }
+
+        @Test
+        fun `have heard of the store if their sum says so`() {
+            view.onReport(report("a", 1, 3), address)
+            clock.nowMillis += 2_600
+            val own = report("b", 1, 3, centres = listOf(summary(1)))
+            view.onReport(own, address)
+            clock.nowMillis += 300
+            expectThat(view.isStoreAwayForAll()).isFalse()
+        }
+    }
+
     @Test
     fun `the store is away for all once no live peer has heard of it lately`() {
         expectThat(view.isStoreAwayForAll()).isFalse()
@@ -124,8 +187,9 @@
     @Test
     fun `reports become rarer as the fleet grows, so that traffic per instance stays level`() {
         fun interval(instances: Int): Long {
-            val large = PeerView(InstanceId("self"), clock, RecordedLog().log)
-            large.onMembers((1 until instances).associate { InstanceId("i$it") to address })
+            val large = PeerView(InstanceId("self"), DataCentre("z"), clock, RecordedLog().log)
+            val member = MemberAddress(address, DataCentre("z"))
+            large.onMembers((1 until instances).associate { InstanceId("i$it") to member })
             return large.intervalMillis
         }
         expectThat(interval(9)).isEqualTo(200)
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyKeeperTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyKeeperTest.kt
@@ -3,12 +3,12 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.gateway.RecordedLog
 import io.greengageport.gateway.SteppedClock
 import io.greengageport.gateway.port.DutyGroup
 import io.greengageport.gateway.port.DutyShare
+import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.gateway.port.StoreError
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
@@ -28,7 +28,7 @@
 
         override suspend fun leave(): Result<Unit, StoreError> = Ok(Unit)
 
-        override suspend fun holders(): Result<Map<InstanceId, HostPort>, StoreError> =
+        override suspend fun holders(): Result<Map<InstanceId, MemberAddress>, StoreError> =
             Ok(emptyMap())
     }
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowingTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowingTest.kt
@@ -1,7 +1,9 @@
 package io.greengageport.gateway.state
 
 import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.greengageport.common.DataCentre
 import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.common.SystemClock
@@ -11,6 +13,7 @@
 import io.greengageport.gateway.peer.PeerReport
 import io.greengageport.gateway.peer.PeerView
 import io.greengageport.gateway.peer.ServerListRelay
+import io.greengageport.gateway.peer.ServerNews
 import io.greengageport.gateway.port.ChangeBatch
 import io.greengageport.gateway.port.ChangeFeed
 import io.greengageport.gateway.port.DutyGroup
@@ -30,18 +33,20 @@
  * between its reads of the list although no peer read the list for it.
  */
 class StoreFollowingTest {
+    /** Gives an empty snapshot and refuses everything after it. */
     private class RefusingFeed<T> : ChangeFeed<T> {
         var reads = 0
 
-        override suspend fun snapshot(): Result<ChangeBatch<T>, StoreError> {
-            reads++
-            return Err(StoreError.Refused(503))
-        }
+        override suspend fun snapshot(): Result<ChangeBatch<T>, StoreError> =
+            Ok(ChangeBatch(emptyList(), 0))
 
         override suspend fun changes(
             position: Long,
             waitMillis: Long
-        ): Result<ChangeBatch<T>, StoreError> = snapshot()
+        ): Result<ChangeBatch<T>, StoreError> {
+            reads++
+            return Err(StoreError.Refused(503))
+        }
     }
 
     private val servers = RefusingFeed<BackendServer>()
@@ -52,7 +57,7 @@
     }
     private val log = RecordedLog().log
     private val clock = SystemClock
-    private val peers = PeerView(InstanceId("self"), clock, log)
+    private val peers = PeerView(InstanceId("self"), DataCentre("z"), clock, log)
     private val relay = ServerListRelay(clock, { false }, readMillis = 800, freshMillis = 1_400)
     private val following = StoreFollowing(
         store = store,
@@ -67,6 +72,7 @@
 
     private fun report(sequence: Long, readAgeMillis: Long?) = PeerReport(
         from = "peer",
+        dataCentre = "z",
         address = "127.0.0.1:9",
         startedAtMillis = 1,
         sequence = sequence,
@@ -78,7 +84,8 @@
         renewalAgeMillis = 100,
         readAgeMillis = readAgeMillis,
         configurationVersion = 0,
-        servers = emptyList()
+        news = readAgeMillis?.let { ServerNews(0, sequence, emptyList()) },
+        centres = emptyList()
     )
 
     /** Reads of the list that the store refused within [PLAY_MILLIS], beside a live peer. */
