--- a/gateway/src/main/kotlin/io/greengageport/gateway/Supervision.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/Supervision.kt
@@ -10,9 +10,9 @@
 import kotlinx.coroutines.launch
 
 /**
- * Runs [work], which is to go on for as long as the instance, and starts it anew after an unexpected
- * error. Without this an instance would go on to serve but, for example, never again read the
- * configuration.
+ * Runs [work], which is to go on for as long as the instance, and starts it anew after an
+ * unexpected error. Without this an instance would go on to serve but, for example, never again
+ * read the configuration.
  */
 internal fun CoroutineScope.launchSupervised(
     name: String,
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -72,7 +72,7 @@
 @CborArray
 internal class ServerLoad(val server: String, val requests: Int, val tokenLayers: Long)
 
-/** What the instances of [dataCentre] told together, as summed up [ageMillis] ago by one of them. */
+/** What the instances of [dataCentre] told together, as one summed up [ageMillis] ago. */
 @Serializable
 @CborArray
 internal class CentreSummary(
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportRoutes.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportRoutes.kt
@@ -15,7 +15,7 @@
  * are: what several relays tell is the same, and what none tells is stale for some intervals.
  */
 internal class ReportRoutes(private val self: InstanceId, private val own: DataCentre) {
-    /** A peer as far as routes need it; of far peers only relays are heard, so few count as live. */
+    /** A peer as far as routes need it; of far peers only relays are heard and count as live. */
     class Candidate(val id: InstanceId, val dataCentre: DataCentre, val isAlive: Boolean)
 
     /** Whether all report to all. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -16,7 +16,7 @@
 @CborArray
 internal class ServerChange(val id: String, val position: Long, val server: ServerEntry?)
 
-/** Changes of the list of servers from position [from] until before [until]; others there are none. */
+/** All changes of the list of servers from position [from] until before [until]. */
 @Serializable
 @CborArray
 internal class ServerNews(val from: Long, val until: Long, val changes: List<ServerChange>)
@@ -54,8 +54,8 @@
  * Each heartbeat of each server is a record of the list, and each read is priced. The instance with
  * the duty reads every time and tells what changed between two positions of the list. The others
  * read themselves where such news leave a gap to what they know, and as often as the reader does
- * once its last read is fresh no more, so that neither its loss nor its being cut off from the store
- * delays them by more than [freshMillis]. Relays between data centres pass on what they heard last.
+ * once its last read is fresh no more, so that neither its loss nor its being cut off from the
+ * store delays them by more than [freshMillis]. Relays pass on what they heard last.
  */
 internal class ServerListRelay(
     private val clock: Clock,
@@ -107,7 +107,7 @@
     /** Age of the read that [toTell] tells of. */
     fun readAgeMillis(): Long? = told()?.let { clock.monotonicMillis() - it.atMillis }
 
-    /** News to tell the peers now; each change is told again for a while, as reports may be lost. */
+    /** News to tell the peers now. Each change is told for a while, as reports may be lost. */
     fun toTell(): ServerNews? {
         isReportDue = false
         val last = told() ?: return null
@@ -130,8 +130,8 @@
     }
 
     /**
-     * Takes in a peer's [news] of a read that is [ageMillis] old, while this instance knows the list
-     * until [position], or not at all.
+     * Takes in a peer's [news] of a read that is [ageMillis] old, while this instance knows the
+     * list until [position], or not at all.
      */
     fun onReport(ageMillis: Long?, news: ServerNews?, position: Long?): NewsEnd {
         if (ageMillis == null || news == null || position == null) return NewsEnd.Known
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ReportRoutesTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ReportRoutesTest.kt
@@ -44,7 +44,7 @@
         private val all = fleet(5, 19)
 
         @Test
-        fun `an instance reports to its data centre, and two of each to the relays of the others`() {
+        fun `each instance reports to its data centre, and two of it to relays of the others`() {
             val relays = all.filter { targets(it, all).second.isNotEmpty() }
             expectThat(relays.size).isEqualTo(5 * ReportRoutes.RELAYS)
             for (i in all) expectThat(targets(i, all).first.size).isEqualTo(18)
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -63,7 +63,7 @@
             )
         }
 
-        /** Guards against a change in a report that was lost, with no later one that tells of it. */
+        /** Guards against a change in a lost report that no later one tells of. */
         @Test
         fun `reads the list itself if news were missed, and does not take it for fresh`() {
             val end = relay.onReport(100, news(30, 40), position = 20)
