Let a new holder of the placement duty wait until the former one has heard of the store

Cause: while the store answers nobody, the holder keeps its duty. When the store came back and gave the duty to another, both could act until the former holder's peers reported again, which takes up to two seconds in a large fleet. The fencing token does not stop that: both may order different engines to hold the same layers. Change: an instance that the store answers again tells its peers at once, and a new holder places nothing for a second.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -71,8 +71,15 @@
     private val directory = BackendDirectory(clock, log)
     private val index = FleetIndex(directory) { configuration.current }
     private val peers = PeerView(settings.id, settings.dataCentre, clock, log)
-    private val duty =
-        DutyKeeper(store.duties, clock, log, peers::onMembers, peers::isStoreAwayForAll)
+    private val duty: DutyKeeper = DutyKeeper(
+        group = store.duties,
+        clock = clock,
+        log = log,
+        onMembers = peers::onMembers,
+        isStoreAwayForAll = peers::isStoreAwayForAll,
+        // A holder that keeps its duty while the store answers nobody has to hear of this at once.
+        onStoreRegained = { sendReport() }
+    )
     private val inFlight = InFlightTable({ peers.instances }, peers::load, peers::requestsByService)
     private val pool = ConnectionPool(connector, clock)
     private val pauses = ServerPauses(clock, log)
@@ -255,6 +262,8 @@
         log.record("entry", "reload", "changed" to "nothing")
     }
 
+    private fun sendReport() = exchange.sendNow()
+
     private fun launchDuties() {
         val scope = loop.scope
         following.launchIn(scope)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -15,19 +15,22 @@
  * A duty counts as held only until the store may have given it away: the time to live is counted
  * from before the renewal was sent, so a frozen or cut-off instance stops by its own clock. What it
  * does on duty bears the group's generation as fencing token, which stops what it sent before it
- * froze.
+ * froze. A fencing token does not stop two holders that order different engines for the same
+ * layers, so a new holder waits until its peers have heard that the store has given it the duty.
  */
 public class DutyKeeper(
     private val group: DutyGroup,
     private val clock: Clock,
     private val log: DecisionLog,
     private val onMembers: (Map<InstanceId, MemberAddress>) -> Unit,
-    private val isStoreAwayForAll: () -> Boolean = { false }
+    private val isStoreAwayForAll: () -> Boolean = { false },
+    private val onStoreRegained: () -> Unit = {}
 ) {
     private var share: DutyShare? = null
     private var heldUntil = Long.MIN_VALUE
     private var fencedAt = -1L
     private var hadPlacement = false
+    private var placesFrom = Long.MIN_VALUE
     private var renewedAt: Long? = null
     private var isAnswered = false
     private var isLeaving = false
@@ -35,7 +38,9 @@
     /** The fencing token under which this instance may place layers now, or null. */
     public fun placementToken(): Long? {
         val s = share ?: return null
-        val isHeld = PLACEMENT_DUTY in s.duties && (clock.monotonicMillis() < heldUntil || isKept())
+        val now = clock.monotonicMillis()
+        val isHeld = PLACEMENT_DUTY in s.duties && now >= placesFrom &&
+            (now < heldUntil || isKept())
         return if (isHeld && s.generation > fencedAt) s.generation else null
     }
 
@@ -88,10 +93,12 @@
         group.renew(share?.generation ?: 0).fold(
             { s ->
                 share = s
+                val wasAway = sentAt - (renewedAt ?: sentAt) > AWAY_MILLIS
                 renewedAt = sentAt
                 isAnswered = true
                 heldUntil = sentAt + s.timeToLiveMillis - SAFETY_MILLIS
                 report(s)
+                if (wasAway) onStoreRegained()
             },
             { error ->
                 isAnswered = false
@@ -107,6 +114,7 @@
         val has = PLACEMENT_DUTY in s.duties
         if (has == hadPlacement) return
         hadPlacement = has
+        if (has) placesFrom = clock.monotonicMillis() + TAKEOVER_MILLIS
         log.record(
             "duty",
             if (has) "placement_taken" else "placement_given_up",
@@ -132,6 +140,12 @@
         /** A duty ends early by this, for clocks that run apart and calls that are slow. */
         const val SAFETY_MILLIS = 500L
 
+        /** Time in which the former holder hears of the store from its peers' reports. */
+        const val TAKEOVER_MILLIS = 1_000L
+
+        /** Two renewals that the store has not answered. */
+        const val AWAY_MILLIS = 2_500L
+
         /** Right after the start, when the instances find each other. */
         val EARLY_ROUNDS = setOf(1, 2, 4, 8)
 
