Pass on reads of the server list that found nothing new

Each instance also read the group's members four times at its start, though one member suffices to learn of all others. Change: a later read replaces an equal one and is passed on once; members are read twice at the start.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -136,10 +136,7 @@
     fun onReport(ageMillis: Long?, news: ServerNews?, position: Long?): NewsEnd {
         if (ageMillis == null || news == null || position == null) return NewsEnd.Known
         val readAt = clock.monotonicMillis() - ageMillis
-        if (news.until > (heard?.news?.until ?: -1)) {
-            heard = Read(news, readAt)
-            if (isRelay()) isReportDue = true
-        }
+        hear(news, readAt)
         if (news.from > position) return NewsEnd.Missed
         freshUntil = maxOf(freshUntil, readAt + freshMillis)
         if (news.until <= position) return NewsEnd.Known
@@ -151,6 +148,16 @@
         )
     }
 
+    /** Keeps the latest read to pass it on; one that found nothing new shows the list as fresh. */
+    private fun hear(news: ServerNews, readAtMillis: Long) {
+        val last = heard
+        val isNewer = last == null || news.until > last.news.until ||
+            news.until == last.news.until && readAtMillis - last.atMillis >= SAME_READ_MILLIS
+        if (!isNewer) return
+        heard = Read(news, readAtMillis)
+        if (isRelay()) isReportDue = true
+    }
+
     private fun change(c: ServerChange): Change<BackendServer>? {
         val server = c.server ?: return Change.Removed(c.id, c.position)
         return decode(c.id, server)?.let { Change.Put(c.id, it, c.position) }
@@ -188,6 +195,9 @@
         /** Reads of an instance that is told of all changes; they only show that it is. */
         const val SELDOM_MILLIS = 30_000L
 
+        /** Reports of one read differ in its age by the time on their ways. */
+        const val SAME_READ_MILLIS = 200L
+
         /** Some 200 B each; a report stays well within one datagram. */
         const val MAX_CHANGES = 64
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyKeeper.kt
@@ -146,8 +146,8 @@
         /** Two renewals that the store has not answered. */
         const val AWAY_MILLIS = 2_500L
 
-        /** Right after the start, when the instances find each other. */
-        val EARLY_ROUNDS = setOf(1, 2, 4, 8)
+        /** Right after the start; from one member on, instances learn of all others by reports. */
+        val EARLY_ROUNDS = setOf(1, 5)
 
         /** Rounds between later reads; new instances make themselves known to their peers. */
         const val MEMBERS_EVERY = 30
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -147,6 +147,21 @@
             expectThat(far.isReportDue).isEqualTo(false)
         }
 
+        /** Guards against far instances that read the list themselves while nothing changes. */
+        @Test
+        fun `passes on that a read found nothing new, once`() {
+            far.onReport(100, news(1, 5), position = 5)
+            far.toTell()
+            clock.nowMillis += 1_600
+            far.onReport(100, news(1, 5), position = 5)
+            expectThat(far.isReportDue).isEqualTo(true)
+            expectThat(far.readAgeMillis()).isEqualTo(100)
+            far.toTell()
+            clock.nowMillis += 20
+            far.onReport(110, news(1, 5), position = 5)
+            expectThat(far.isReportDue).isEqualTo(false)
+        }
+
         @Test
         fun `passes nothing on that is old`() {
             far.onReport(100, news(1, 5), position = 5)
