--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -152,7 +152,10 @@
     private fun hear(news: ServerNews, readAtMillis: Long) {
         val last = heard
         val isNewer = last == null || news.until > last.news.until ||
-            news.until == last.news.until && readAtMillis - last.atMillis >= SAME_READ_MILLIS
+            (
+                news.until == last.news.until &&
+                    readAtMillis - last.atMillis >= SAME_READ_MILLIS
+                )
         if (!isNewer) return
         heard = Read(news, readAtMillis)
         if (isRelay()) isReportDue = true
