Divide copies anew only after three seconds, and those of one data centre at a time

At 9.85 s both copies were divided anew; the crashed engines were back, empty, at 10.3 s. Change: division waits for three seconds instead of 1.2, so that engines that come back replace themselves, and the copies of a second data centre wait until the first has carried out its orders. The pacing is a class of its own.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -15,7 +15,6 @@
 import io.greengageport.gateway.port.BackendReport
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.DutyKeeper
-import io.greengageport.routing.AssignmentReason
 import io.greengageport.routing.CardHolder
 import io.greengageport.routing.CopyPlacement
 import io.greengageport.routing.EngineProfile
@@ -47,7 +46,7 @@
     private val pending = HashMap<RunnerId, Pending>()
     private var seen = emptySet<RunnerId>()
     private var changedAt = Long.MIN_VALUE
-    private var dividingSince: Long? = null
+    private val divisions = DivisionPacer(clock)
 
     /** Places layers until cancelled. */
     suspend fun run() {
@@ -71,7 +70,11 @@
         // The store lists a crashed engine for some seconds; others should take its place at once.
         val out = lost()
         val usable = holders.filter { it.id !in out }
-        val plan = withoutEarlyDivisions(CopyPlacement(engine, room.toDouble()).plan(usable))
+        val plan = divisions.paced(
+            plan = CopyPlacement(engine, room.toDouble()).plan(usable),
+            centreOf = { directory.find(it)?.dataCentre },
+            isOpen = { centre -> pending.keys.any { directory.find(it)?.dataCentre == centre } }
+        )
         if (plan.isEmpty()) return
         coroutineScope {
             for (a in plan) order(this, a, token)
@@ -102,22 +105,6 @@
         return ids.isNotEmpty() && clock.monotonicMillis() - changedAt >= SETTLE_MILLIS
     }
 
-    /**
-     * Leaves out that copies are divided anew until this has been the only way for a while. Engines
-     * of a rack are lost one by one, and one that crashed may be back in a few seconds; dividing
-     * anew after each loss loads weights for nothing.
-     */
-    private fun withoutEarlyDivisions(plan: List<LayerAssignment>): List<LayerAssignment> {
-        val (divisions, others) = plan.partition { it.reason == AssignmentReason.REDIVIDE }
-        val now = clock.monotonicMillis()
-        if (divisions.isEmpty()) {
-            dividingSince = null
-            return plan
-        }
-        val since = dividingSince ?: now.also { dividingSince = it }
-        return if (now - since >= DIVIDE_AFTER_MILLIS) plan else others
-    }
-
     private fun order(scope: CoroutineScope, assignment: LayerAssignment, token: Long) {
         val server = directory.find(assignment.id) ?: return
         pending[server.id] = Pending(
@@ -190,9 +177,6 @@
         /** Engines register within some seconds; the list is read about each second. */
         const val SETTLE_MILLIS = 3_000L
 
-        /** The losses of a rack are found within about a second. */
-        const val DIVIDE_AFTER_MILLIS = 1_200L
-
         /** Loading takes some seconds, and the engine's entry is renewed about each second. */
         const val PENDING_MILLIS = 6_000L
         const val CALL_MILLIS = 1_000L
