Let instances share the retry budget of the fleet

Cause: each instance had a fixed part of the fleet's allowance, one retry in ten seconds with 21 instances. Change: instances report their retries, and each may take its part of what the fleet has left, within the time that reports take. Together they stay within the budget also if all retry at once. Result: FleetRetriesTest.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -26,6 +26,7 @@
 import io.greengageport.gateway.peer.PeerExchange
 import io.greengageport.gateway.peer.PeerReport
 import io.greengageport.gateway.peer.PeerView
+import io.greengageport.gateway.peer.RetryUse
 import io.greengageport.gateway.peer.ServerListRelay
 import io.greengageport.gateway.peer.ServerLoad
 import io.greengageport.gateway.placement.LayerPlacer
@@ -42,9 +43,11 @@
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.gateway.state.StoreFollowing
 import io.greengageport.routing.Backoff
+import io.greengageport.routing.FleetRetries
 import io.greengageport.routing.LinkEstimator
 import io.greengageport.routing.ModelCapacity
 import io.greengageport.routing.RetryBudget
+import io.greengageport.routing.RetryUsage
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import kotlin.random.Random
@@ -340,6 +343,9 @@
             ServerLoad(id.value, l.requests, l.tokenLayers)
         },
         requestsByService = gates.admitted().mapKeys { it.key.value },
+        retries = budgets.entries.associate { (service, budget) ->
+            service.value to budget.usage().let { RetryUse(it.used, it.earned) }
+        },
         unreachable = health.unreachable().map { it.value },
         suspects = suspects.toTell(),
         known = peers.sample(),
@@ -355,7 +361,13 @@
             clock = clock,
             random = Random.Default,
             share = settings.retryShare,
-            allowance = { (settings.retryAllowance * ALLOWANCE_SHARE / peers.instances).toInt() },
+            fleet = {
+                FleetRetries(
+                    instances = peers.instances,
+                    allowance = settings.retryAllowance * ALLOWANCE_SHARE,
+                    others = peers.retries(service) ?: RetryUsage.NONE
+                )
+            },
             backoff = Backoff(RETRY_BASE_MILLIS, RETRY_MAX_MILLIS)
         )
     }
@@ -376,7 +388,7 @@
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
 
-        /** Part of the fleet's allowance that is handed out; instances may come and go. */
+        /** Part of the fleet's allowance that is used; instances may come and go. */
         const val ALLOWANCE_SHARE = 0.6
         const val RETRY_BASE_MILLIS = 10L
         const val RETRY_MAX_MILLIS = 40L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -33,6 +33,7 @@
     val sequence: Long,
     val load: List<ServerLoad>,
     val requestsByService: Map<String, Int>,
+    val retries: Map<String, RetryUse>,
     val unreachable: List<String>,
     val suspects: List<SuspectState>,
     val known: List<KnownPeer>,
@@ -51,6 +52,7 @@
         sequence = sequence,
         load = emptyList(),
         requestsByService = emptyMap(),
+        retries = emptyMap(),
         unreachable = emptyList(),
         suspects = suspects,
         known = known,
@@ -72,6 +74,11 @@
 @CborArray
 internal class ServerLoad(val server: String, val requests: Int, val tokenLayers: Long)
 
+/** Retries that an instance made for a service in the last ten seconds, and those it earned. */
+@Serializable
+@CborArray
+internal class RetryUse(val used: Double, val earned: Double)
+
 /** What the instances of [dataCentre] told together, as one summed up [ageMillis] ago. */
 @Serializable
 @CborArray
@@ -81,6 +88,7 @@
     val instances: Int,
     val load: List<ServerLoad>,
     val requestsByService: Map<String, Int>,
+    val retries: Map<String, RetryUse>,
     val unreachable: List<String>,
     val renewalAgeMillis: Long?
 )
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -9,6 +9,7 @@
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.routing.InFlight
+import io.greengageport.routing.RetryUsage
 
 /**
  * What the peers told last, and who of them is alive.
@@ -194,6 +195,16 @@
         return sum
     }
 
+    /** Retries of the live peers for [service], or null while no peer has told anything. */
+    fun retries(service: ServiceName): RetryUsage? {
+        val told = reports().map { it.retries } + validSums().map { it.retries }
+        if (told.isEmpty()) return null
+        return total(told.mapNotNull { it[service.value] })
+    }
+
+    private fun total(uses: List<RetryUse>): RetryUsage =
+        uses.fold(RetryUsage.NONE) { sum, u -> sum + RetryUsage(u.used, u.earned) }
+
     /**
      * Servers that at least one live peer found unreachable. A peer that names many is more likely
      * cut off itself and is not believed.
@@ -219,12 +230,15 @@
         for (r in reports) {
             for ((service, n) in r.requestsByService) requests.merge(service, n, Int::plus)
         }
+        val retries = reports.flatMap { it.retries.entries }.groupBy({ it.key }, { it.value })
+            .mapValues { (_, uses) -> total(uses).let { RetryUse(it.used, it.earned) } }
         return CentreSummary(
             dataCentre = own.value,
             ageMillis = 0,
             instances = reports.size,
             load = load.values.toList(),
             requestsByService = requests,
+            retries = retries,
             unreachable = reports.map { it.unreachable }.filter { it.size <= MAX_BELIEVED }
                 .flatten().distinct(),
             renewalAgeMillis = reports.mapNotNull { it.renewalAgeMillis }.minOrNull()
@@ -242,6 +256,7 @@
                 instances = s.instances,
                 load = s.load,
                 requestsByService = s.requestsByService,
+                retries = s.retries,
                 unreachable = s.unreachable,
                 renewalAgeMillis = s.renewalAgeMillis?.let { it + now - at }
             )
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerExchangeTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerExchangeTest.kt
@@ -47,6 +47,7 @@
             sequence = sequence,
             load = List(servers) { ServerLoad("i-0123456789-$it", 3, 900_000) },
             requestsByService = emptyMap(),
+            retries = emptyMap(),
             unreachable = emptyList(),
             suspects = emptyList(),
             known = emptyList(),
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -4,9 +4,11 @@
 import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
 import io.greengageport.common.RunnerId
+import io.greengageport.common.ServiceName
 import io.greengageport.gateway.RecordedLog
 import io.greengageport.gateway.SteppedClock
 import io.greengageport.gateway.port.MemberAddress
+import io.greengageport.routing.RetryUsage
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -38,6 +40,7 @@
         sequence = sequence,
         load = listOf(ServerLoad("s", requests, 10L * requests)),
         requestsByService = mapOf("model" to requests),
+        retries = mapOf("model" to RetryUse(1.0 * requests, 2.0)),
         unreachable = unreachable,
         suspects = emptyList(),
         known = known,
@@ -112,6 +115,7 @@
             instances = 20,
             load = listOf(ServerLoad("s", requests, 10L * requests)),
             requestsByService = mapOf("model" to requests),
+            retries = mapOf("model" to RetryUse(1.0 * requests, 2.0)),
             unreachable = listOf("gone"),
             renewalAgeMillis = 100
         )
@@ -122,6 +126,7 @@
             view.onReport(report("relay", 1, 7, dataCentre = "y"), address)
             expectThat(requests()).isEqualTo(53)
             expectThat(view.instances).isEqualTo(22)
+            expectThat(view.retries(ServiceName("model"))).isEqualTo(RetryUsage(53.0, 4.0))
             expectThat(view.unreachable()).isEqualTo(setOf(RunnerId("dead"), RunnerId("gone")))
         }
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowingTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowingTest.kt
@@ -78,6 +78,7 @@
         sequence = sequence,
         load = emptyList(),
         requestsByService = emptyMap(),
+        retries = emptyMap(),
         unreachable = emptyList(),
         suspects = emptyList(),
         known = emptyList(),
--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -15,7 +15,12 @@
  * use; a rank uses its own share first, then what is reserved for none. Shares of more than 1 in
  * sum are scaled down to 1. [minimum] retries per window are allowed in any case; with the default
  * of 0, fewer than 10 requests in 10 s allow no retry. [allowance] retries per window come on top
- * of what the requests earn. Thread-safe.
+ * of what the requests earn.
+ *
+ * With [fleet], the instances of a fleet share one budget: lost engines take streams of few instances
+ * at a time, and these may use what the others leave. Since they know each other's use only after
+ * [LAG_MILLIS], each takes at most its part of what is left within that time, so that together they
+ * never use more than there is. Thread-safe.
  *
  * ```
  * when (val retry = budget.tryRetry(attempt = 1, rank)) {
@@ -31,10 +36,12 @@
     private val reserves: () -> Map<RankName, Double> = { emptyMap() },
     private val minimum: () -> Int = { 0 },
     private val allowance: () -> Int = { 0 },
+    private val fleet: () -> FleetRetries? = { null },
     private val backoff: Backoff = Backoff()
 ) {
     private val admitted = SlidingCount()
     private val retries = HashMap<RankName, SlidingCount>()
+    private var drawnAtMillis: Long? = null
 
     init {
         require(share >= 0) { "the share of retries is not negative: $share" }
@@ -60,6 +67,7 @@
     ): RetryDecision {
         require(cost > 0 && cost <= 1) { "the repeated work is a part of a request: $cost" }
         val now = clock.monotonicMillis()
+        fleet()?.let { return tryShared(it, attempt, rank, cost, backoff) }
         // Whole slots only for what is admitted, part slots too for retries: never too many.
         val earned = admitted.inWholeSlots(now) / UNITS * share
         val used = retries.mapValues { it.value.inAllSlots(now) / UNITS }
@@ -73,7 +81,52 @@
             return RetryDecision.Denied(all, earned)
         }
         retries.keys.removeAll { used[it] == 0.0 && it != rank }
-        retries.getOrPut(rank) { SlidingCount() }.add(now, ceil(cost * UNITS).toLong())
+        return allow(attempt, rank, cost, backoff)
+    }
+
+    /** What this instance used and earned in the window, to tell the others. */
+    @Synchronized
+    public fun usage(): RetryUsage {
+        val now = clock.monotonicMillis()
+        return RetryUsage(
+            used = retries.values.sumOf { it.inAllSlots(now) } / UNITS,
+            earned = admitted.inWholeSlots(now) / UNITS * share
+        )
+    }
+
+    private fun tryShared(
+        fleet: FleetRetries,
+        attempt: Int,
+        rank: RankName,
+        cost: Double,
+        backoff: Backoff
+    ): RetryDecision {
+        val own = usage()
+        val now = clock.monotonicMillis()
+        val untold = retries.values.sumOf { it.inLast(LAG_MILLIS, now) } / UNITS
+        val part = fleet.left(own) / fleet.instances
+        val mayTake = untold + cost <= part + ROUNDING || (untold == 0.0 && draws(part / cost))
+        return if (mayTake) {
+            allow(attempt, rank, cost, backoff)
+        } else {
+            RetryDecision.Denied(own.used, own.earned)
+        }
+    }
+
+    /**
+     * Draws once within [LAG_MILLIS] whether a part of less than one retry becomes a whole one; a
+     * large fleet would leave such parts unused.
+     */
+    private fun draws(probability: Double): Boolean {
+        val now = clock.monotonicMillis()
+        if (now - (drawnAtMillis ?: (now - LAG_MILLIS)) < LAG_MILLIS) return false
+        drawnAtMillis = now
+        return random.nextDouble() < probability
+    }
+
+    private fun allow(attempt: Int, rank: RankName, cost: Double, backoff: Backoff): RetryDecision {
+        retries.getOrPut(rank) { SlidingCount() }
+            .add(clock.monotonicMillis(), ceil(cost * UNITS).toLong())
         return RetryDecision.Allowed(backoff.delayMillis(attempt, random))
     }
 
@@ -87,6 +140,9 @@
         public const val DEFAULT_SHARE: Double = 0.1
         public const val WINDOW_MILLIS: Long = 10_000
 
+        /** Reports between the instances of a large fleet take so long at most. */
+        public const val LAG_MILLIS: Long = 2_000
+
         /** Parts of a request in which work is counted. */
         private const val UNITS = 1_000.0
 
@@ -156,6 +212,9 @@
     /** Events of all slots of which any part lies in the last 10 s. */
     fun inAllSlots(nowMillis: Long): Long = since(nowMillis / SLOT_MILLIS - WHOLE_SLOTS)
 
+    /** Events of the slots of which any part lies in the last [millis]. */
+    fun inLast(millis: Long, nowMillis: Long): Long = since((nowMillis - millis) / SLOT_MILLIS)
+
     private fun since(number: Long): Long =
         counts.indices.sumOf { if (slotNumbers[it] >= number) counts[it] else 0L }
 
--- /dev/null
+++ b/routing/src/test/kotlin/io/greengageport/routing/FleetRetriesTest.kt
@@ -0,0 +1,83 @@
+package io.greengageport.routing
+
+import io.greengageport.common.Clock
+import io.greengageport.common.RankName
+import kotlin.random.Random
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+/**
+ * Guards against streams that break off though the fleet may still retry, and against a fleet that
+ * retries more than it may. The patterns: the engines of one copy are lost, and its streams are at
+ * few instances; engines of all copies are lost, and all instances retry at once.
+ */
+class FleetRetriesTest {
+    private val clock = object : Clock {
+        var now = 1_000_000L
+
+        override fun monotonicMillis(): Long = now
+
+        override fun wallMillis(): Long = now
+    }
+    private val told = Array(INSTANCES) { RetryUsage.NONE }
+    private val budgets = List(INSTANCES) { i ->
+        RetryBudget(
+            clock = clock,
+            random = Random(i),
+            share = 0.2,
+            fleet = {
+                val others = told.indices.filter { it != i }.map { told[it] }
+                FleetRetries(INSTANCES, ALLOWANCE, others.fold(RetryUsage.NONE, RetryUsage::plus))
+            }
+        )
+    }
+    private val rank = RankName("0")
+
+    private fun admit(each: Int) = budgets.forEach { b -> repeat(each) { b.admitted() } }
+
+    /** All instances in [retrying] ask again and again for [seconds]; reports lag by a second. */
+    private fun retries(retrying: IntRange, seconds: Int): Int {
+        var allowed = 0
+        repeat(seconds * 10) { tick ->
+            for (i in retrying) {
+                if (budgets[i].tryRetry(1, rank) is RetryDecision.Allowed) allowed++
+            }
+            clock.now += 100
+            if (tick % 10 == 9) budgets.forEachIndexed { i, b -> told[i] = b.usage() }
+        }
+        return allowed
+    }
+
+    @Test
+    fun `Few instances that lose all streams of a copy use what the others leave`() {
+        admit(each = 12)
+        val staticPart = (12 * 0.2 + ALLOWANCE / INSTANCES).toInt()
+        expectThat(retries(0..1, seconds = 6)).isGreaterThan(2 * 2 * staticPart)
+    }
+
+    @Test
+    fun `All instances that retry at once stay within the fleet's budget`() {
+        admit(each = 12)
+        val bound = (INSTANCES * 12 * 0.2 + ALLOWANCE).toInt()
+        val used = retries(0 until INSTANCES, seconds = 6)
+        expectThat(used).isLessThanOrEqualTo(bound)
+        expectThat(used).isGreaterThanOrEqualTo(bound * 3 / 4)
+    }
+
+    @Test
+    fun `Retries lapse with the window`() {
+        admit(each = 12)
+        retries(0 until INSTANCES, seconds = 6)
+        clock.now += 10_100
+        expectThat(budgets[0].usage()).isEqualTo(RetryUsage.NONE)
+    }
+
+    private companion object {
+        const val INSTANCES = 21
+        const val ALLOWANCE = 45.0
+    }
+}
