--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -17,10 +17,10 @@
  * of 0, fewer than 10 requests in 10 s allow no retry. [allowance] retries per window come on top
  * of what the requests earn.
  *
- * With [fleet], the instances of a fleet share one budget: lost engines take streams of few instances
- * at a time, and these may use what the others leave. Since they know each other's use only after
- * [LAG_MILLIS], each takes at most its part of what is left within that time, so that together they
- * never use more than there is. Thread-safe.
+ * With [fleet], the instances of a fleet share one budget: lost engines take streams of few
+ * instances at a time, and these may use what the others leave. Since they know each other's use
+ * only after [LAG_MILLIS], each takes at most its part of what is left within that time, so that
+ * together they never use more than there is. Thread-safe.
  *
  * ```
  * when (val retry = budget.tryRetry(attempt = 1, rank)) {
