Let requests wait for an instance that has just started

Change: a request that comes before the configuration and the list of servers are known waits for them for a quarter of its time, one second at most, and is refused then as before.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -146,7 +146,8 @@
             forwarder = forwarder,
             log = log,
             clock = clock,
-            takesRequests = { clock.monotonicMillis() < takesUntil }
+            takesRequests = { clock.monotonicMillis() < takesUntil },
+            isReady = { configuration.current != null && directory.isKnown }
         )
     private val placer = LayerPlacer(
         configuration = { configuration.current },
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
@@ -15,8 +15,15 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import kotlin.random.Random
+import kotlinx.coroutines.delay
 
-/** Finds the route, service and organisation of a request by the configuration in force. */
+/**
+ * Finds the route, service and organisation of a request by the configuration in force.
+ *
+ * An instance that has just started reads the configuration and the list of servers within some
+ * hundred milliseconds. Requests that come before wait for that a part of their time: most can
+ * still be served in time, and after a loss of power no other instance knows more.
+ */
 internal class RequestRouter(
     private val configuration: () -> Configuration?,
     private val protocol: BackendProtocol,
@@ -24,6 +31,7 @@
     private val log: DecisionLog,
     private val clock: Clock,
     private val takesRequests: () -> Boolean,
+    private val isReady: () -> Boolean,
     private val random: Random = Random.Default
 ) : CallerRequestHandler {
     /** Requests that are being served. */
@@ -33,8 +41,10 @@
     override suspend fun handle(head: HttpRequest, body: ByteArray, answer: CallerAnswer) {
         inFlight++
         try {
+            val arrivedAt = clock.monotonicMillis()
             val caller = protocol.readCaller(head)
-            resolve(head, body, caller).fold(
+            awaitStart(caller)
+            resolve(head, body, caller, arrivedAt).fold(
                 { forwarder.forward(it, answer) },
                 { error ->
                     answer.refuse(error)
@@ -54,12 +64,20 @@
         }
     }
 
+    private suspend fun awaitStart(caller: CallerHeaders) {
+        val patience = (caller.deadlineMillis ?: MAX_START_WAIT_MILLIS) / START_WAIT_PART
+        val until = clock.monotonicMillis() + minOf(patience, MAX_START_WAIT_MILLIS)
+        while (!isReady() && takesRequests() && clock.monotonicMillis() < until) {
+            delay(START_CHECK_MILLIS)
+        }
+    }
+
     private fun resolve(
         head: HttpRequest,
         body: ByteArray,
-        caller: CallerHeaders
+        caller: CallerHeaders,
+        arrivedAt: Long
     ): Result<RequestContext, RequestError> {
-        val arrivedAt = clock.monotonicMillis()
         if (!takesRequests()) {
             return Err(RequestError.NotServing("the instance stops", ELSEWHERE_MILLIS))
         }
@@ -96,6 +114,13 @@
         caller.apiKey?.let { config.organisationOfKey?.get(it) }
 
     private companion object {
+        /** A start takes about half as long from the first request on, also under load. */
+        const val MAX_START_WAIT_MILLIS = 1_000L
+
+        /** Part of a caller's time that may pass before its request is looked at. */
+        const val START_WAIT_PART = 4
+        const val START_CHECK_MILLIS = 20L
+
         /** A fresh instance knows the configuration within about a second. */
         const val RETRY_MILLIS = 1_000L
 
