Repeat the read of a configuration that peers have until the store has answered

Change: reads do not wait while a peer has a newer version, and are repeated until one is answered. Result: StoreFollowingTest, one new test with a store that is silent.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollowing.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollowing.kt
@@ -33,11 +33,14 @@
         consumer = configuration,
         clock = clock,
         log = log,
-        waitMillis = { if (relay.isSpared) SPARED_WAIT_MILLIS else CONFIGURATION_WAIT_MILLIS },
+        waitMillis = ::configurationWaitMillis,
         pauseMillis = { 0 },
         maxBackoffMillis = {
-            if (peers.instances > 1) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
-        }
+            val asksSeldom = peers.instances > 1 && !isBehind
+            if (asksSeldom) FLEET_BACKOFF_MILLIS else FeedFollower.ALONE_BACKOFF_MILLIS
+        },
+        // The store answers with its newest, so a peer that named a later version was wrong.
+        onAnswer = { _, _ -> if (isReadUrgent) newerHeard = 0 }
     )
     private val servers = FeedFollower(
         name = "servers",
@@ -58,7 +61,14 @@
     )
     private var wasStoreAway = false
     private var wasSpared = false
-    private var versionAskedFor = 0L
+
+    /** The newest version that a peer has and that no read has brought yet. */
+    private var newerHeard = 0L
+
+    /** Whether the read under way started after [newerHeard] was heard. */
+    private var isReadUrgent = false
+
+    private val isBehind: Boolean get() = newerHeard > (configuration.current?.version ?: 0)
 
     /** Follows both tables until [scope] ends. */
     fun launchIn(scope: CoroutineScope) {
@@ -71,10 +81,21 @@
     fun onPeerReport(report: PeerReport) {
         takeNews(relay.onReport(report.readAgeMillis, report.news, servers.position))
         watchOutage()
-        val known = configuration.current?.version ?: 0
-        if (report.configurationVersion > maxOf(known, versionAskedFor)) {
-            versionAskedFor = report.configurationVersion
-            configurations.restart()
+        val isNews = report.configurationVersion > newerHeard
+        newerHeard = maxOf(newerHeard, report.configurationVersion)
+        if (isNews && isBehind) configurations.restart()
+    }
+
+    /**
+     * A read for a version that peers have does not wait, so that one on a connection that has gone
+     * silent is given up and repeated soon.
+     */
+    private fun configurationWaitMillis(): Long {
+        isReadUrgent = isBehind
+        return when {
+            isReadUrgent -> 0
+            relay.isSpared -> SPARED_WAIT_MILLIS
+            else -> CONFIGURATION_WAIT_MILLIS
         }
     }
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowingTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowingTest.kt
@@ -59,7 +59,9 @@
     private val clock = SystemClock
     private val peers = PeerView(InstanceId("self"), DataCentre("z"), clock, log)
     private val relay = ServerListRelay(clock, { false }, readMillis = 800, freshMillis = 1_400)
-    private val following = StoreFollowing(
+    private val following = following(store)
+
+    private fun following(store: PlatformStore) = StoreFollowing(
         store = store,
         configuration = ConfigurationHolder(log),
         directory = BackendDirectory(clock, log),
@@ -70,7 +72,7 @@
         sendReport = {}
     )
 
-    private fun report(sequence: Long, readAgeMillis: Long?) = PeerReport(
+    private fun report(sequence: Long, readAgeMillis: Long?, version: Long = 0) = PeerReport(
         from = "peer",
         dataCentre = "z",
         address = "127.0.0.1:9",
@@ -84,7 +86,7 @@
         known = emptyList(),
         renewalAgeMillis = 100,
         readAgeMillis = readAgeMillis,
-        configurationVersion = 0,
+        configurationVersion = version,
         news = readAgeMillis?.let { ServerNews(0, sequence, emptyList()) },
         centres = emptyList()
     )
@@ -115,7 +117,50 @@
         expectThat(readsBeside(readAgeMillis = 50)).isLessThan(8)
     }
 
+    /** Hangs for good on every read that waits, as on a connection that has gone silent. */
+    private class SilentFeed : ChangeFeed<Configuration> {
+        val waits = ArrayList<Long>()
+
+        override suspend fun snapshot(): Result<ChangeBatch<Configuration>, StoreError> =
+            Ok(ChangeBatch(emptyList(), 0))
+
+        override suspend fun changes(
+            position: Long,
+            waitMillis: Long
+        ): Result<ChangeBatch<Configuration>, StoreError> {
+            waits += waitMillis
+            delay(minOf(waitMillis + SILENT_CALL_MILLIS, PLAY_MILLIS))
+            return Err(StoreError.NoAnswer("silent"))
+        }
+    }
+
+    /**
+     * Guards against an instance that serves by an old configuration for 20 s: the read that a peer's
+     * newer version starts may hang on a silent connection like the one before it.
+     */
+    @Test
+    fun `a version that peers have is asked for again until a read brings it`(): Unit =
+        runBlocking {
+            val feed = SilentFeed()
+            val silent = object : PlatformStore {
+                override val configurations = feed
+                override val backendServers: ChangeFeed<BackendServer> = RefusingFeed()
+                override val duties: DutyGroup get() = error("no duties are used here")
+            }
+            val f = following(silent)
+            coroutineScope {
+                f.launchIn(this)
+                delay(100)
+                f.onPeerReport(report(1, readAgeMillis = 50, version = 23))
+                delay(PLAY_MILLIS / 2)
+                coroutineContext.cancelChildren()
+            }
+            expectThat(feed.waits.drop(1).size).isGreaterThan(2)
+            expectThat(feed.waits.drop(1).max()).isLessThan(1)
+        }
+
     private companion object {
+        const val SILENT_CALL_MILLIS = 200L
         const val PLAY_MILLIS = 3_600L
         const val ROUNDS = 18
     }
