--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardRun.kt
@@ -5,7 +5,6 @@
 import io.greengageport.common.RequestError
 import io.greengageport.common.RunnerId
 import io.greengageport.gateway.model.BackendServer
-import io.greengageport.gateway.model.Repeatability
 import io.greengageport.gateway.port.AnswerHeaders
 import io.greengageport.gateway.port.Dispatch
 import io.greengageport.gateway.state.StallCause
@@ -42,9 +41,9 @@
     private val firstEventTimes = parts.firstEventTimes
     private val service = context.service
     private val selector = if (service.engine == null) plain else chains
-    private val mayGoOnElsewhere = context.route.repeatability != Repeatability.AT_MOST_ONCE
     private val limit =
         AttemptLimit(context.route.repeatability, context.route.maxAttempts)
+    private val times = AttemptTimes(context, limit, firstEventTimes, clock)
 
     /** Servers that failed this request. */
     private val excluded = HashSet<RunnerId>()
@@ -94,8 +93,14 @@
         startedAtMillis = clock.monotonicMillis()
         count(selection, inFlight::add)
         try {
-            val watched = if (mayGoOnElsewhere) selection.members else emptyList()
-            val end = exchange.run(context, dispatch(selection), headMillis(), relay, watched) {
+            val watched = if (times.mayGoOnElsewhere) selection.members else emptyList()
+            val end = exchange.run(
+                context,
+                dispatch(selection),
+                times.headMillis(),
+                relay,
+                watched
+            ) {
                 heed(selection.server, it)
             }
             judge(selection, end, clock.monotonicMillis() - startedAtMillis)
@@ -125,54 +130,17 @@
 
     private fun dispatch(selection: Selection) = Dispatch(
         server = selection.server,
-        remainingMillis = context.deadlineAtMillis - clock.monotonicMillis(),
+        remainingMillis = times.leftMillis,
         organisation = context.organisation?.name?.value,
         priority = context.priority.takeIf { service.engine != null },
         chain = selection.stages,
         resumeAfterEvent = relay?.lastEventId
     )
 
-    /** Time until the head of the answer; shorter where another attempt may follow. */
-    private fun headMillis(): Long {
-        val left = context.deadlineAtMillis - clock.monotonicMillis()
-        if (!mayGoOnAfterThis()) return maxOf(left, 1)
-        val patient = if (relay == null) {
-            maxOf(MIN_HEAD_MILLIS, HEAD_PER_TARGET * context.route.latencyTargetMillis)
-        } else {
-            firstEventMillis()
-        }
-        return minOf(left, patient).coerceAtLeast(1)
-    }
-
-    /** Whether another attempt may follow the one under way, which runs the request. */
-    private fun mayGoOnAfterThis() = mayGoOnElsewhere && limit.runs + 1 < context.route.maxAttempts
-
-    private fun silenceMillis() = (context.patienceMillis * SILENCE_SHARE).toLong()
-
-    /**
-     * Time for which a stream may be silent. Where no other server may go on with it, its caller
-     * alone decides how long to wait.
-     */
-    private fun gapMillis(): Long = if (mayGoOnAfterThis()) {
-        silenceMillis()
-    } else {
-        maxOf(context.deadlineAtMillis - clock.monotonicMillis(), 1)
-    }
-
-    /**
-     * Time until the first event; half of the target if answers usually come sooner, so that
-     * another attempt may still be in time.
-     */
-    private fun firstEventMillis(): Long {
-        val unusual = firstEventTimes.unusualMillis(service.name) ?: return silenceMillis()
-        val soon = (context.route.latencyTargetMillis * FIRST_EVENT_SHARE).toLong()
-        return maxOf(soon, unusual).coerceAtMost(silenceMillis())
-    }
-
     private fun newRelay() = StreamRelay(
         answer = answer,
         endToEnd = EndToEndHeaders::of,
-        gapMillis = ::gapMillis,
+        gapMillis = times::gapMillis,
         firstId = context.caller.lastEventId,
         onEvent = { suspects.progressed(context.id, it) },
         onFirstEvent = {
@@ -292,7 +260,7 @@
             "sends" to limit.sends,
             "runs" to limit.runs,
             "events" to relay?.events,
-            "left_ms" to context.deadlineAtMillis - clock.monotonicMillis()
+            "left_ms" to times.leftMillis
         )
     }
 
@@ -342,7 +310,7 @@
         if (relief == null || service.engine == null) return relief
         return when (error) {
             is RequestError.Overloaded, is RequestError.NoCapacity ->
-                returns.returnMillis(relief, context.deadlineAtMillis - clock.monotonicMillis())
+                returns.returnMillis(relief, times.leftMillis)
 
             else -> relief
         }
@@ -389,18 +357,6 @@
         /** Statuses from here on are failures of the server. */
         const val SERVER_ERRORS = 500
 
-        /** A plain answer that takes longer than this many targets is asked for elsewhere. */
-        const val HEAD_PER_TARGET = 2
-
-        /** Less would repeat requests for usual variations of their work. */
-        const val MIN_HEAD_MILLIS = 150L
-
-        /** Part of a caller's patience after which a silent stream goes on elsewhere. */
-        const val SILENCE_SHARE = 0.45
-
-        /** Part of the target after which a first event that is unusually late is given up. */
-        const val FIRST_EVENT_SHARE = 0.5
-
         /** What an answer that was given up would have taken, in times of the wait for it. */
         const val SLOW_FACTOR = 2
 
