Divide copies at once where fewer than half of the data centres have whole ones

Change: the patient pacing applies while half of the data centres or more have whole copies; else all copies are divided after 1.2 s, as before.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -72,6 +72,7 @@
         val usable = holders.filter { it.id !in out }
         val plan = divisions.paced(
             plan = CopyPlacement(engine, room.toDouble()).plan(usable),
+            isServed = isServed(usable, engine),
             centreOf = { directory.find(it)?.dataCentre },
             isOpen = { centre -> pending.keys.any { directory.find(it)?.dataCentre == centre } }
         )
@@ -91,6 +92,17 @@
         return CardHolder(server.id, server.dataCentre, card, layers)
     }
 
+    /** Whether half of the data centres or more have engines for all layers. */
+    private fun isServed(holders: List<CardHolder>, engine: EngineProfile): Boolean {
+        val centres = holders.groupBy { it.dataCentre }.values
+        val whole = centres.count { group ->
+            (0 until engine.layers).all { layer ->
+                group.any { h -> h.layers?.let { layer in it.from until it.until } == true }
+            }
+        }
+        return 2 * whole >= centres.size
+    }
+
     /**
      * While nothing is placed, waits until the list of engines has stopped growing, since copies
      * that are planned with a part of the engines cross data centres needlessly.
--- a/gateway/src/test/kotlin/io/greengageport/gateway/placement/DivisionPacerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/placement/DivisionPacerTest.kt
@@ -28,8 +28,20 @@
     private val divisions = listOf("b1", "b2", "c1").map { order(it, AssignmentReason.REDIVIDE) }
     private val replacement = order("b3", AssignmentReason.REPLACE)
 
+    private var isServed = true
+
     private fun paced(plan: List<LayerAssignment>) =
-        pacer.paced(plan, { DataCentre(it.value.take(1)) }, { it in open }).map { it.id.value }
+        pacer.paced(plan, isServed, { DataCentre(it.value.take(1)) }, { it in open })
+            .map { it.id.value }
+
+    /** Guards against refusals for seconds while the copies that are left carry all the load. */
+    @Test
+    fun `Where few copies are whole, all others are divided once losses have settled`() {
+        isServed = false
+        expectThat(paced(divisions)).isEqualTo(emptyList())
+        clock.nowMillis += 1_200
+        expectThat(paced(divisions)).isEqualTo(listOf("b1", "b2", "c1"))
+    }
 
     @Test
     fun `Engines that are back after three seconds keep their copies whole`() {
