Log signals and the requests that the end of a process interrupts

Change: lines entry: event=signal and event=stop_repeated, and at the end of a stop a line request: event=interrupted for each request left, with its phase: waiting at no server, at a server, answering, or answered.

--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -64,11 +64,17 @@
         val stopped = CountDownLatch(1)
         Signal.handle(Signal("TERM")) {
             loop.scope.launch {
+                instance.recordSignal("TERM")
                 instance.stop()
                 stopped.countDown()
             }
         }
-        Signal.handle(Signal("HUP")) { loop.scope.launch { instance.reload() } }
+        Signal.handle(Signal("HUP")) {
+            loop.scope.launch {
+                instance.recordSignal("HUP")
+                instance.reload()
+            }
+        }
         stopped.await()
         return ExitCodes.OK
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -257,7 +257,10 @@
      * request is left, or shortly before the platform kills the process.
      */
     public suspend fun stop() {
-        if (isStopping) return
+        if (isStopping) {
+            log.record("entry", "stop_repeated", "in_flight" to router.inFlight)
+            return
+        }
         isStopping = true
         val stopDeadlineMillis = clock.monotonicMillis() + settings.graceMillis - STOP_MARGIN_MILLIS
         val closeAtMillis = clock.monotonicMillis() + BALANCER_NOTICE_MILLIS
@@ -275,6 +278,7 @@
             delay(STOP_CHECK_INTERVAL_MILLIS)
         }
         log.record("entry", "stopped", "in_flight" to router.inFlight)
+        router.logInterrupted()
         listeners.forEach { it.close() }
         log.close()
     }
@@ -287,6 +291,11 @@
         log.record("entry", "reload", "changed" to "nothing")
     }
 
+    /** Logs that the process received the signal [name], for example `TERM`. */
+    public fun recordSignal(name: String) {
+        log.record("entry", "signal", "name" to name, "in_flight" to router.inFlight)
+    }
+
     private fun sendReport(reason: ReportReason) = peerExchange.send(reason)
 
     private fun launchTasks() {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -102,6 +102,7 @@
     private suspend fun attempt(selection: Selection): AttemptEnd {
         startedAtMillis = clock.monotonicMillis()
         updateInFlight(selection, inFlight::add)
+        context.isAtServer = true
         try {
             val monitored = if (timeouts.canContinueElsewhere) selection.members else emptyList()
             val end = exchange.run(
@@ -121,6 +122,7 @@
             recordOutcome(selection, actualEnd, millis)
             return actualEnd
         } finally {
+            context.isAtServer = false
             suspects.recordEnd(context.id)
             updateInFlight(selection, inFlight::remove)
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
@@ -23,6 +23,9 @@
     val organisation: Organisation?,
     val arrivedAtMillis: Long
 ) {
+    /** Whether an attempt of the request is at a backend server. */
+    var isAtServer: Boolean = false
+
     /** The priority of the organisation, or else that of the route; 0 is the most urgent. */
     val priority: Int get() = organisation?.priority ?: route.priority
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
@@ -40,20 +40,24 @@
     private val isReady: () -> Boolean,
     private val random: Random = Random.Default
 ) : CallerRequestHandler {
+    private val activeRequests = LinkedHashSet<ActiveRequest>()
+
     /** Number of requests being handled. */
-    var inFlight: Int = 0
-        private set
+    val inFlight: Int get() = activeRequests.size
 
     override suspend fun handle(head: HttpRequest, body: ByteArray, response: CallerResponse) {
-        inFlight++
+        var active: ActiveRequest? = null
         var isForwarded = false
         try {
             val arrivedAtMillis = clock.monotonicMillis()
             val caller = protocol.parseCallerHeaders(head)
+            active = ActiveRequest(caller.attemptId, arrivedAtMillis, response)
+            activeRequests += active
             awaitReadiness(caller)
             resolve(head, body, caller, arrivedAtMillis).fold(
                 {
                     isForwarded = true
+                    active.context = it
                     forwarder.forward(it, response)
                 },
                 { refuse(it, caller, head, response) }
@@ -63,7 +67,21 @@
             currentCoroutineContext().ensureActive()
             answerUnexpected(e, isForwarded, head, response)
         } finally {
-            inFlight--
+            active?.let { activeRequests -= it }
+        }
+    }
+
+    /** Logs each request whose answer the end of the process will interrupt. */
+    fun logInterrupted() {
+        for (r in activeRequests) {
+            log.record(
+                "request",
+                "interrupted",
+                "request" to r.attemptId,
+                "phase" to r.phase.name.lowercase(),
+                "route" to r.context?.route?.name,
+                "ms" to clock.monotonicMillis() - r.arrivedAtMillis
+            )
         }
     }
 
