Count the memory of a large response until its caller has taken it

Callers of large responses that read slowly got 502, or no answer at all: with 150 of them, 40 ms apart, 115 had none and the instance answered nothing any more, not even its readiness check. Cause: the bound of 16 MiB on buffered responses covered only the time until a response was read from its server. What waited for slow callers was not counted, so the heap ran out (OutOfMemoryError in the log). And a response that exceeded the bound counted as a failure of its server. Change: a response above 64 KiB reserves its memory before it is read, in order of arrival, and holds the reservation until it was sent. While it waits nothing is read, so the connection holds the rest back, and the server is not taken for silent.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -45,21 +45,20 @@
     private val clock: Clock,
     private val chainFailureNotifier: ChainFailureNotifier = ChainFailureNotifier()
 ) {
-    /** Bytes of responses buffered in memory, summed over all running attempts. */
-    private var bufferedBytes = 0L
-
     /**
      * Sends the request of [context] as [dispatch] specifies and returns how the attempt ended.
      *
      * The response head must arrive within [headTimeoutMillis]. The body of a response with status
-     * 2xx goes to [reader] if there is one; other bodies are buffered. If one of [members] becomes
-     * unreachable, the attempt ends unless the response advances within a short time.
+     * 2xx goes to [reader] if there is one; other bodies are buffered, large ones in [memory]. If
+     * one of [members] becomes unreachable, the attempt ends unless the response advances within a
+     * short time.
      * [onResponseHeaders] is called with the headers of the response to this attempt.
      */
     suspend fun run(
         context: RequestContext,
         dispatch: Dispatch,
         headTimeoutMillis: Long,
+        memory: ResponseMemory.Reservation,
         reader: ResponseReader? = null,
         members: List<RunnerId> = emptyList(),
         onResponseHeaders: (ResponseHeaders) -> Unit = {}
@@ -72,12 +71,11 @@
         var isComplete = false
         var isReusable = false
         try {
-            val attempt = Attempt(context, dispatch, lease, reader, onResponseHeaders)
+            val attempt = Attempt(context, dispatch, lease, memory, reader, onResponseHeaders)
             chainFailureNotifier.add(members, attempt)
             val end = try {
                 attempt.run(headTimeoutMillis)
             } finally {
-                bufferedBytes -= attempt.bufferedSize
                 chainFailureNotifier.remove(members, attempt)
             }
             isComplete = attempt.isComplete
@@ -96,6 +94,7 @@
         private val context: RequestContext,
         private val dispatch: Dispatch,
         private val lease: ConnectionPool.Lease,
+        private val memory: ResponseMemory.Reservation,
         private val reader: ResponseReader?,
         private val onResponseHeaders: (ResponseHeaders) -> Unit
     ) : WaitingAttempt {
@@ -113,8 +112,7 @@
         private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
         private var currentResponse: ResponseHeaders? = null
         private val body = ByteArrayOutputStream(0)
-
-        val bufferedSize: Int get() = body.size()
+        private var hasReserved = false
 
         /** Whether the complete response was received. */
         var isComplete = false
@@ -262,20 +260,26 @@
          * Buffers a part of the body. Each part restarts the timeout, because a slow response is
          * valid; the deadline of the request bounds the total time.
          */
-        private fun buffer(part: ByteBuf): PartResult {
-            val size = part.readableBytes()
-            val total = bufferedBytes + size
-            if (body.size() + size > MAX_RESPONSE_BYTES || total > MAX_BUFFERED_BYTES) {
-                return PartResult.Malformed(
-                    "response exceeds $MAX_RESPONSE_BYTES B, or all buffered ones ($total B) " +
-                        "exceed $MAX_BUFFERED_BYTES B"
-                )
+        private suspend fun buffer(part: ByteBuf): PartResult {
+            val total = body.size() + part.readableBytes()
+            if (total > MAX_RESPONSE_BYTES) {
+                return PartResult.Malformed("response exceeds $MAX_RESPONSE_BYTES B")
             }
-            bufferedBytes = total
-            part.readBytes(body, size)
+            if (total > SMALL_RESPONSE_BYTES && !hasReserved) reserveMemory()
+            part.readBytes(body, part.readableBytes())
             return PartResult.Progress(BODY_TIMEOUT_MILLIS)
         }
 
+        /** Waits for memory for the whole response. The server is not silent while it waits. */
+        private suspend fun reserveMemory() {
+            val length = headers[HttpHeaderNames.CONTENT_LENGTH]?.toIntOrNull()
+            silenceTimeout?.cancel()
+            memory.reserve((length ?: MAX_RESPONSE_BYTES).coerceIn(0, MAX_RESPONSE_BYTES).toLong())
+            hasReserved = true
+            restartTimeout(BODY_TIMEOUT_MILLIS)
+            silenceTimeout = scope?.let(::launchSilenceTimeout)
+        }
+
         private fun isSuccess() = status in SUCCESS
 
         /**
@@ -338,8 +342,8 @@
         /** Responses of plain services usually have some KB. */
         const val MAX_RESPONSE_BYTES = 4 * 1_024 * 1_024
 
-        /** Bound on all buffered responses together: a sixth of the heap of an instance. */
-        const val MAX_BUFFERED_BYTES = 16L * 1_024 * 1_024
+        /** Responses up to this size need no reservation, so large ones cannot delay them. */
+        const val SMALL_RESPONSE_BYTES = 64 * 1_024
         val SUCCESS = 200..299
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
@@ -34,6 +34,13 @@
     /** Adds jitter to the retry times of refused callers. */
     val retryAfterJitter = RetryAfterJitter()
 
+    /** Memory for large responses: a sixth of the heap of an instance. */
+    val responseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES)
+
     /** Estimates over all requests. */
     val firstEventTimes = FirstEventTimes()
+
+    private companion object {
+        const val RESPONSE_MEMORY_BYTES = 16L * 1_024 * 1_024
+    }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -39,6 +39,7 @@
     private val launchInBackground = dependencies.launchInBackground
     private val retryAfterJitter = dependencies.retryAfterJitter
     private val firstEventTimes = dependencies.firstEventTimes
+    private val memory = dependencies.responseMemory.Reservation()
     private val service = context.service
     private val selector = if (service.engine == null) plainSelector else chainSelector
     private val limit =
@@ -109,6 +110,7 @@
                 context,
                 newDispatch(selection),
                 timeouts.headTimeoutMillis(),
+                memory,
                 relay,
                 monitored
             ) {
@@ -368,6 +370,9 @@
         recordEnd(outcome)
     }
 
+    /** Releases the memory of the response, once it was sent. */
+    fun release() = memory.close()
+
     /** Sends [error] without any attempt. */
     suspend fun refuse(error: RequestError) {
         sendError(error)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -64,6 +64,7 @@
             } ?: false
             attempts.sendResult(isInTime)
         } finally {
+            attempts.release()
             permit?.release(context.expectedTokens.toLong())
         }
     }
