Let a repeated SIGTERM wait for the stop under way

Callers saw: all requests in flight of a process ended with a closed connection and no answer when it got a second SIGTERM. Cause: GatewayInstance.stop returned at once while a stop was under way, and the signal handler ends the process when any call of it returns. Change: a repeated call waits for the end of the stop under way, so the process ends only after that. Measured: before, GatewaySignalsTest failed in "two SIGTERM" (0.3 s apart) and "SIGTERM, SIGHUP and SIGTERM" with "no answer: connection closed within a line" instead of "answered", and RepeatedStopTest since the first stop was not complete when the second returned. Both pass now. SIGTERM while standard output is blocked passed before too; it had no test.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -53,6 +53,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import kotlin.random.Random
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
@@ -196,6 +197,7 @@
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
+    private val stopped = CompletableDeferred<Unit>()
 
     /** Time on the monotonic clock, in ms, from which new requests are refused. */
     private var acceptsUntilMillis = Long.MAX_VALUE
@@ -254,11 +256,13 @@
      * Shuts down gracefully: readiness fails at once, connections are closed after their next
      * answer, and requests in flight are completed. Requests that arrive after the load balancer
      * has had time to notice are refused, because they might not complete in time. Returns when no
-     * request is left, or shortly before the platform kills the process.
+     * request is left, or shortly before the platform kills the process. If a stop is under way,
+     * waits for its end.
      */
     public suspend fun stop() {
         if (isStopping) {
             log.record("entry", "stop_repeated", "in_flight" to router.inFlight)
+            stopped.await()
             return
         }
         isStopping = true
@@ -281,6 +285,7 @@
         router.logInterrupted()
         listeners.forEach { it.close() }
         log.close()
+        stopped.complete(Unit)
     }
 
     /**
