--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -15,7 +15,6 @@
 import org.tinylog.kotlin.Logger
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
-import sun.misc.Signal
 
 /** Runs an entry instance on the platform until SIGTERM; SIGHUP reloads the settings. */
 @Command(
@@ -23,7 +22,8 @@
     description = ["Runs an entry instance on the platform; SIGTERM starts a graceful shutdown."],
     mixinStandardHelpOptions = true
 )
-internal class GatewayCommand : Callable<Int> {
+internal class GatewayCommand(private val signals: ProcessSignals = ProcessSignals()) :
+    Callable<Int> {
     @Option(
         names = ["--settings"],
         paramLabel = "FILE",
@@ -55,6 +55,7 @@
             ),
             protocol = HttpBackendProtocol()
         )
+        if (!signals.tryOpen()) return ExitCodes.OK
         try {
             instance.start()
         } catch (e: java.io.IOException) {
@@ -62,19 +63,22 @@
             return ExitCodes.FAILED
         }
         val stopped = CountDownLatch(1)
-        Signal.handle(Signal("TERM")) {
-            loop.scope.launch {
-                instance.recordSignal("TERM")
-                instance.stop()
-                stopped.countDown()
+        signals.attach(object : ProcessSignals.Receiver {
+            override fun onStop(signal: String) {
+                loop.scope.launch {
+                    instance.recordSignal(signal)
+                    instance.stop()
+                    stopped.countDown()
+                }
             }
-        }
-        Signal.handle(Signal("HUP")) {
-            loop.scope.launch {
-                instance.recordSignal("HUP")
-                instance.reload()
+
+            override fun onReload(signal: String) {
+                loop.scope.launch {
+                    instance.recordSignal(signal)
+                    instance.reload()
+                }
             }
-        }
+        })
         stopped.await()
         return ExitCodes.OK
     }
--- /dev/null
+++ b/cli/src/main/kotlin/io/greengageport/cli/ProcessSignals.kt
@@ -0,0 +1,85 @@
+package io.greengageport.cli
+
+import java.util.function.IntConsumer
+import sun.misc.Signal
+import sun.misc.SignalHandler
+
+/**
+ * The signals of a process that serves requests: SIGTERM requests a stop, and SIGHUP a reload.
+ *
+ * Until [tryOpen], nothing listens, so a request to stop ends the process at once with
+ * [ExitCodes.OK]. After that, signals go to the receiver of [attach]; those that arrive before it
+ * is attached are kept for it.
+ *
+ * To install the handlers as early as possible, this class loads few others. It has no lambdas and
+ * no string templates, which the JVM links at run time.
+ */
+internal class ProcessSignals(private val exit: IntConsumer = RuntimeExit()) : SignalHandler {
+    /** Receives signals by their names, such as `TERM`. Its functions must not block. */
+    interface Receiver {
+        /** Requests a graceful stop; called once for each signal. */
+        fun onStop(signal: String)
+
+        /** Requests a reload of the settings. */
+        fun onReload(signal: String)
+    }
+
+    private enum class Phase { STARTING, OPEN, ENDED }
+
+    private class RuntimeExit : IntConsumer {
+        override fun accept(code: Int): Unit = Runtime.getRuntime().exit(code)
+    }
+
+    private var phase = Phase.STARTING
+    private var receiver: Receiver? = null
+    private val pending = ArrayList<String>()
+
+    /** Installs the handlers, which replace those of the JVM. */
+    fun install() {
+        Signal.handle(Signal(HANGUP), this)
+        Signal.handle(Signal("TERM"), this)
+    }
+
+    /**
+     * Must be called before the process listens. If it returns false, a stop was requested and the
+     * process is ending.
+     */
+    @Synchronized
+    fun tryOpen(): Boolean {
+        if (phase == Phase.ENDED) return false
+        phase = Phase.OPEN
+        return true
+    }
+
+    /** Passes the signals kept so far, and all later ones, to [receiver]. */
+    @Synchronized
+    fun attach(receiver: Receiver) {
+        this.receiver = receiver
+        for (name in pending) pass(name, receiver)
+        pending.clear()
+    }
+
+    override fun handle(signal: Signal): Unit = onSignal(signal.name)
+
+    /** Handles the signal [name], on any thread. */
+    @Synchronized
+    fun onSignal(name: String) {
+        val attached = receiver
+        if (attached != null) {
+            pass(name, attached)
+        } else if (phase == Phase.STARTING && name != HANGUP) {
+            phase = Phase.ENDED
+            exit.accept(ExitCodes.OK)
+        } else {
+            pending.add(name)
+        }
+    }
+
+    private fun pass(name: String, receiver: Receiver) {
+        if (name == HANGUP) receiver.onReload(name) else receiver.onStop(name)
+    }
+
+    private companion object {
+        const val HANGUP = "HUP"
+    }
+}
