Never look up the name of a server or peer

An entry of another writer with a name instead of an IP address, or a peer or group member with one, made the instance look that name up on its only thread. While the name server does not answer, all requests and connections of the instance wait for seconds; so do its answers to the checks of readiness. "999.1.1.1" was taken for another address, 231.1.1.1.

Listeners still resolve a name, since they do it once at the start. How long a lookup blocks was not measured here: on this machine it fails within some ms.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
@@ -12,18 +12,21 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.resolver.NoopAddressResolverGroup
+import io.netty.util.NetUtil
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 import kotlinx.coroutines.suspendCancellableCoroutine
 
-/** Opens connections to backend servers and to the store. */
+/** Opens connections to backend servers and to the store, which need to have IP addresses. */
 public class HttpConnector(loop: EventLoop) {
     private val bootstrap = Bootstrap()
         .group(loop.group)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.ALLOCATOR, EventLoop.allocator)
         .option(ChannelOption.TCP_NODELAY, true)
+        .resolver(NoopAddressResolverGroup.INSTANCE)
 
     /** Connects to [address]; fails after [timeoutMillis]. */
     public suspend fun connect(
@@ -57,16 +60,14 @@
             .setMaxInitialLineLength(MAX_HEAD_BYTES)
             .setMaxHeaderSize(MAX_HEAD_BYTES)
 
-        private const val IPV4_OCTETS = 4
-
-        /** Returns the socket address of [address]; IPv4 literals need no name lookup. */
+        /**
+         * Returns the socket address of [address], which is unresolved unless the host is an IP
+         * address: the lookup of a name would block the thread.
+         */
         fun socketAddress(address: HostPort): InetSocketAddress {
-            val octets = address.host.split('.').mapNotNull { it.toIntOrNull()?.toByte() }
-            if (octets.size != IPV4_OCTETS) return InetSocketAddress(address.host, address.port)
-            return InetSocketAddress(
-                InetAddress.getByAddress(address.host, octets.toByteArray()),
-                address.port
-            )
+            val bytes = NetUtil.createByteArrayFromIpAddressString(address.host)
+                ?: return InetSocketAddress.createUnresolved(address.host, address.port)
+            return InetSocketAddress(InetAddress.getByAddress(address.host, bytes), address.port)
         }
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
@@ -34,7 +34,7 @@
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(ch: Channel) = initPipeline(ch)
             })
-            .bind(HttpConnector.socketAddress(address))
+            .bind(InetSocketAddress(address.host, address.port))
             .sync()
             .channel()
         serverChannel = channel
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
@@ -15,6 +15,7 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
+import java.net.InetSocketAddress
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.cbor.Cbor
@@ -67,7 +68,7 @@
             )
             .option(ChannelOption.ALLOCATOR, EventLoop.allocator)
             .handler(Receiver())
-            .bind(HttpConnector.socketAddress(address))
+            .bind(InetSocketAddress(address.host, address.port))
             .sync()
             .channel()
     }
