Give up a silent attempt only if another one can replace it

Callers of sound but slow servers saw streams that broke off, or 502: a stream that was silent for 0.9 s, and a repeatable request without a response head in time, lost the connection to its server before it was known that a retry could follow. With an empty retry budget, without another server or chain, or with all sends used up by refusals, nothing followed. Cause: the silence timer reset the connection, and only then were the limit, the servers and the budget consulted. Change: the timer asks a SilencePolicy. It examines the cause as before, and gives the attempt up only if a target is selected and the budget is taken, which the next attempt then uses. Otherwise it decides again every 250 ms, until the server ends, the deadline, or the caller leaves. A chain whose first stage reports a lost stage still ends at once. AttemptLimit.canRetryAfterRun also counts the sends, so an attempt that can have no successor no longer gets the short timeout. The test of a reset after silence in AbandonedRequestTest had one server only, for which giving up was the fault; it has a second one in another zone now, and is as strict.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
@@ -60,6 +60,10 @@
         else -> countedRuns < maxRuns
     }
 
+    /** Returns whether another attempt will be allowed after the current one, if that may run. */
+    fun canRetryAfterRun(): Boolean = repeatability != Repeatability.AT_MOST_ONCE &&
+        sends + 1 < maxSends && countedRuns + 1 < maxRuns
+
     private companion object {
         /** Crashed servers that do not count; the request itself may be the cause of more. */
         const val MAX_UNCOUNTED_SERVERS = 1
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptTimeouts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptTimeouts.kt
@@ -23,7 +23,7 @@
 
     /** Timeout for the response head; shorter if the request can be retried. */
     fun headTimeoutMillis(): Long {
-        if (!canRetryAfterThis()) return maxOf(remainingMillis, 1)
+        if (!limit.canRetryAfterRun()) return maxOf(remainingMillis, 1)
         val retryTimeoutMillis = if (context.route.isStreaming) {
             firstEventTimeoutMillis()
         } else {
@@ -34,11 +34,7 @@
 
     /** Timeout for the next event of a stream. */
     fun eventTimeoutMillis(): Long =
-        if (canRetryAfterThis()) silenceTimeoutMillis() else maxOf(remainingMillis, 1)
-
-    /** Whether the request can be retried after the current attempt, if that attempt may run it. */
-    private fun canRetryAfterThis() =
-        canContinueElsewhere && limit.countedRuns + 1 < context.route.maxAttempts
+        if (limit.canRetryAfterRun()) silenceTimeoutMillis() else maxOf(remainingMillis, 1)
 
     private fun silenceTimeoutMillis() = (context.toleratedSilenceMillis * SILENCE_SHARE).toLong()
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -51,15 +51,17 @@
     /**
      * Sends the request of [context] as [dispatch] specifies and returns how the attempt ended.
      *
-     * The response head must arrive within [headTimeoutMillis]. The body of a response with status
-     * 2xx goes to [reader] if there is one; other bodies are buffered. If one of [members] becomes
-     * unreachable, the attempt ends unless the response advances within a short time.
+     * If the response head does not arrive within [headTimeoutMillis], or the response does not
+     * advance in time, [silencePolicy] decides whether the attempt ends. The body of a response
+     * with status 2xx goes to [reader] if there is one; other bodies are buffered. If one of
+     * [members] becomes unreachable, the response has to advance within a short time.
      * [onResponseHeaders] is called with the headers of the response to this attempt.
      */
     suspend fun run(
         context: RequestContext,
         dispatch: Dispatch,
         headTimeoutMillis: Long,
+        silencePolicy: SilencePolicy,
         reader: ResponseReader? = null,
         members: List<RunnerId> = emptyList(),
         onResponseHeaders: (ResponseHeaders) -> Unit = {}
@@ -72,7 +74,8 @@
         var isComplete = false
         var isReusable = false
         try {
-            val attempt = Attempt(context, dispatch, lease, reader, onResponseHeaders)
+            val attempt =
+                Attempt(context, dispatch, lease, silencePolicy, reader, onResponseHeaders)
             chainFailureNotifier.add(members, attempt)
             val end = try {
                 attempt.run(headTimeoutMillis)
@@ -96,6 +99,7 @@
         private val context: RequestContext,
         private val dispatch: Dispatch,
         private val lease: ConnectionPool.Lease,
+        private val silencePolicy: SilencePolicy,
         private val reader: ResponseReader?,
         private val onResponseHeaders: (ResponseHeaders) -> Unit
     ) : WaitingAttempt {
@@ -147,16 +151,27 @@
             timeoutAtMillis = clock.monotonicMillis() + millis
         }
 
-        /** Closes the connection when the response does not advance in time. */
+        /** Whether the response did not advance in time. */
+        private fun isOverdue() =
+            timeoutAtMillis <= clock.monotonicMillis() && !lease.channel.hasReceived
+
+        /**
+         * Closes the connection when the response does not advance in time and [silencePolicy]
+         * gives up the attempt. Otherwise the attempt goes on, and the policy decides again soon.
+         */
         private fun launchSilenceTimeout(scope: CoroutineScope): Job = scope.launch {
             while (true) {
-                val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
-                if (remainingMillis <= 0) {
+                delay(maxOf(timeoutAtMillis - clock.monotonicMillis(), 1))
+                if (!isOverdue()) continue
+                silencePolicy.examine()
+                // The response may have advanced meanwhile.
+                if (!isOverdue()) continue
+                if (silencePolicy.shouldGiveUp()) {
                     isSilent = true
                     lease.channel.reset()
                     return@launch
                 }
-                delay(remainingMillis)
+                restartTimeout(SILENCE_CHECK_INTERVAL_MILLIS)
             }
         }
 
@@ -332,6 +347,9 @@
          */
         const val STAGE_LOSS_TIMEOUT_MILLIS = 60L
 
+        /** Interval at which it is decided again whether a silent attempt is given up. */
+        const val SILENCE_CHECK_INTERVAL_MILLIS = 250L
+
         /** Timeout for the next part of a buffered response after its head. */
         const val BODY_TIMEOUT_MILLIS = 2_000L
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -51,6 +51,7 @@
     /** Members of chains that stalled for an unknown reason; used only if there are no others. */
     private val avoided = HashSet<RunnerId>()
     private val relay = if (context.route.isStreaming) newRelay() else null
+    private var reservedRetry: ReservedRetry? = null
     private var lastEnd: AttemptEnd? = null
     private var hasSelected = false
     private var startedAtMillis = 0L
@@ -58,8 +59,9 @@
 
     /** Runs attempts until the request is complete, cannot be retried or finds no server. */
     suspend fun runAttempts() {
+        var reserved: Selection? = null
         while (true) {
-            val selection = selectOrWait() ?: return
+            val selection = reserved ?: selectOrWait() ?: return
             hasSelected = true
             if (!canStart(selection)) return
             val end = attempt(selection)
@@ -69,11 +71,19 @@
             if (isFinal(end)) return
             logFailure(selection, end)
             if (!limit.canRetry()) return
-            delaySuspect()
-            if (!budgetAllows(end)) return
+            val isDelayed = delaySuspect()
+            val retry = reservedRetry
+            reservedRetry = null
+            if (retry == null && !budgetAllows(end)) return
+            retry?.let { delay(it.delayMillis) }
+            // After a longer delay the reserved server may no longer be available.
+            reserved = retry?.selection?.takeIf { !isDelayed }
         }
     }
 
+    /** The target of a retry for which budget was taken, and the time to wait before it. */
+    private class ReservedRetry(val selection: Selection, val delayMillis: Long)
+
     /**
      * Selects the target of the next attempt, or returns null if no server is available. A request
      * suspected of crashing servers does not share a server with another such request.
@@ -109,6 +119,7 @@
                 context,
                 newDispatch(selection),
                 timeouts.headTimeoutMillis(),
+                AttemptSilence(selection),
                 relay,
                 monitored
             ) {
@@ -205,36 +216,70 @@
     }
 
     private suspend fun excludeFailed(selection: Selection, end: AttemptEnd.Broken) {
+        // The failure was recorded before the attempt was given up.
+        if (end.isSilent) return
         val first = selection.server.id
-        if (selection.members.size == 1 || !end.isSilent) {
-            if (!end.isSilent) {
-                suspects.recordLostConnection(first)
-                if (timeouts.canContinueElsewhere) {
-                    checkForCrash(first)
-                } else {
-                    launchInBackground { checkForCrash(first) }
-                }
+        suspects.recordLostConnection(first)
+        if (timeouts.canContinueElsewhere) {
+            checkForCrash(first)
+        } else {
+            launchInBackground { checkForCrash(first) }
+        }
+        excluded += first
+        health.recordFailure(service.name, listOf(first))
+    }
+
+    /**
+     * Gives up a silent attempt only if another one can replace it: a server that is only slow
+     * would still complete the response. Without a replacement the attempt ends with its server, at
+     * the deadline or when the caller disconnects, unless its first stage reports that it waits for
+     * a lost stage.
+     */
+    private inner class AttemptSilence(private val selection: Selection) : SilencePolicy {
+        private var examinations = 0
+        private var cause: StallCause? = null
+        private var isLoss = false
+
+        override suspend fun examine() {
+            examinations++
+            if (selection.members.size == 1) return
+            val unreachable = selection.members.filterTo(HashSet(), health::isUnreachable)
+            // Whether a server is unreachable can be known from a slow connection only.
+            if (examinations == 1 && unreachable.isNotEmpty()) {
+                cause = StallCause.Stages(unreachable)
+                return
             }
-            excluded += first
-            health.recordFailure(service.name, listOf(first))
-            return
+            val diagnosed = diagnosis.findCause(selection.server)
+            cause = diagnosed
+            isLoss = diagnosed is StallCause.Stages &&
+                diagnosed.stages.any { it in selection.members }
         }
-        val unreachable = selection.members.filterTo(HashSet(), health::isUnreachable)
-        val cause = if (unreachable.isEmpty()) {
-            diagnosis.findCause(selection.server)
-        } else {
-            StallCause.Stages(unreachable)
+
+        override fun shouldGiveUp(): Boolean {
+            recordSilence(selection, cause, isFirst = examinations == 1)
+            return reserveRetry(shouldLog = examinations == 1) || isLoss
         }
+    }
+
+    /**
+     * Excludes the servers that caused a silence. [cause] is null for a plain server, and [isFirst]
+     * is false if the same silence was recorded before.
+     */
+    private fun recordSilence(selection: Selection, cause: StallCause?, isFirst: Boolean) {
+        val first = selection.server.id
         when (cause) {
+            null -> if (isFirst) {
+                excluded += first
+                health.recordFailure(service.name, listOf(first))
+            }
+
             is StallCause.Stages -> {
-                val stages = cause.stages.filter { it in selection.members }
-                excluded += stages
+                val stages = cause.stages.filter { it in selection.members && excluded.add(it) }
                 stages.forEach(suspects::recordLostConnection)
                 stages.forEach { health.markUnreachable(service.name, it) }
             }
 
-            is StallCause.FirstStage -> {
-                excluded += first
+            is StallCause.FirstStage -> if (excluded.add(first)) {
                 health.markUnreachable(service.name, first)
             }
 
@@ -243,11 +288,25 @@
                 // No stage failed, so the service is slow as a whole. A longer estimate prevents
                 // retries that would slow it down further.
                 val waitedMillis = clock.monotonicMillis() - startedAtMillis
-                firstEventTimes.record(service.name, TIMED_OUT_FACTOR * waitedMillis)
+                if (isFirst) firstEventTimes.record(service.name, TIMED_OUT_FACTOR * waitedMillis)
             }
         }
     }
 
+    /** Selects the target of a retry and takes its budget; returns false if one is missing. */
+    private fun reserveRetry(shouldLog: Boolean): Boolean {
+        if (!limit.canRetryAfterRun() || timeouts.remainingMillis <= 0) return false
+        val isBlocked = suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED ||
+            suspects.findBlockedPart(context.sharedPromptParts) != null
+        if (isBlocked) return false
+        val selection = select() ?: return false
+        reservedRetry = when (val decision = tryRetry(limit.sends + 1, shouldLog)) {
+            is RetryDecision.Allowed -> ReservedRetry(selection, decision.delayMillis)
+            is RetryDecision.Denied -> null
+        }
+        return reservedRetry != null
+    }
+
     /**
      * Finds out whether [server] crashed after a lost connection. Other attempts avoid it from then
      * on, so none of them would notice, and the request that crashed it could crash further ones.
@@ -268,31 +327,37 @@
     private suspend fun budgetAllows(end: AttemptEnd): Boolean {
         // The request was not sent, so the next attempt adds no load and needs no budget.
         if (end is AttemptEnd.NotConnected) return excluded.size <= MAX_UNREACHABLE_SERVERS
-        val rank = RankName(context.priority.toString())
-        val decision = retryBudget(service.name).tryRetry(maxOf(1, limit.sends), rank)
-        return when (decision) {
+        return when (val decision = tryRetry(maxOf(1, limit.sends))) {
             is RetryDecision.Allowed -> {
                 delay(decision.delayMillis)
                 true
             }
 
-            is RetryDecision.Denied -> {
-                log.record("retry", "denied", "request" to context.id, "budget" to decision)
-                false
-            }
+            is RetryDecision.Denied -> false
+        }
+    }
+
+    /** Takes the budget of a retry after [attempts] attempts, if there is enough. */
+    private fun tryRetry(attempts: Int, shouldLog: Boolean = true): RetryDecision {
+        val rank = RankName(context.priority.toString())
+        val decision = retryBudget(service.name).tryRetry(attempts, rank)
+        if (shouldLog && decision is RetryDecision.Denied) {
+            log.record("retry", "denied", "request" to context.id, "budget" to decision)
         }
+        return decision
     }
 
     /**
      * Delays the retry of a request that may have crashed its server. A second crash would break
      * the answers that have just moved to another server; and if a part of the prompt is the cause,
-     * another request with it has often shown that meanwhile.
+     * another request with it has often shown that meanwhile. Returns whether it was delayed.
      */
-    private suspend fun delaySuspect() {
-        if (context.sharedPromptParts.isEmpty() || !isSuspect()) return
+    private suspend fun delaySuspect(): Boolean {
+        if (context.sharedPromptParts.isEmpty() || !isSuspect()) return false
         // A request that will not run again gets its final response at once.
-        if (suspects.findBlockedPart(context.sharedPromptParts) != null) return
+        if (suspects.findBlockedPart(context.sharedPromptParts) != null) return false
         delay(minOf(SUSPECT_DELAY_MILLIS, millisToWaitAsSuspect()))
+        return true
     }
 
     /** Whether the request may have crashed a server, is not blocked, and no answer has begun. */
