Do not take a slow caller for a silent server

Callers that read a stream slowly got it from two servers in turn, and after the last attempt it broke off: while the caller's buffers were full, the relay did not read from the server, but the silence timer of the attempt kept running. A buffered answer is sent after its attempt has ended, so no timer of an attempt runs then.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -161,8 +161,12 @@
          */
         private fun launchSilenceTimeout(scope: CoroutineScope): Job = scope.launch {
             while (true) {
-                delay(maxOf(timeoutAtMillis - clock.monotonicMillis(), 1))
-                if (!isOverdue()) continue
+                val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
+                if (!isOverdue()) {
+                    // Received parts wait while the caller reads slowly.
+                    delay(if (remainingMillis > 0) remainingMillis else PENDING_CHECK_MILLIS)
+                    continue
+                }
                 silencePolicy.examine()
                 // The response may have advanced meanwhile.
                 if (!isOverdue()) continue
@@ -350,6 +354,9 @@
         /** Interval at which it is decided again whether a silent attempt is given up. */
         const val SILENCE_CHECK_INTERVAL_MILLIS = 250L
 
+        /** Interval at which it is checked whether the received parts have been handled. */
+        const val PENDING_CHECK_MILLIS = 20L
+
         /** Timeout for the next part of a buffered response after its head. */
         const val BODY_TIMEOUT_MILLIS = 2_000L
 
