--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -48,10 +48,11 @@
     /**
      * Sends the request of [context] as [dispatch] specifies and returns how the attempt ended.
      *
-     * The response head must arrive within [headTimeoutMillis]. The body of a response with status
-     * 2xx goes to [reader] if there is one; other bodies are buffered, large ones in [memory]. If
-     * one of [members] becomes unreachable, the attempt ends unless the response advances within a
-     * short time.
+     * If the response head does not arrive within [headTimeoutMillis], or the response does not
+     * advance in time, [silencePolicy] decides whether the attempt ends. The body of a response
+     * with status 2xx goes to [reader] if there is one; other bodies are buffered, large ones in
+     * [memory]. If one of [members] becomes unreachable, the response has to advance within a short
+     * time.
      * [onResponseHeaders] is called with the headers of the response to this attempt.
      */
     suspend fun run(
@@ -59,6 +60,7 @@
         dispatch: Dispatch,
         headTimeoutMillis: Long,
         memory: ResponseMemory.Reservation,
+        silencePolicy: SilencePolicy,
         reader: ResponseReader? = null,
         members: List<RunnerId> = emptyList(),
         onResponseHeaders: (ResponseHeaders) -> Unit = {}
@@ -71,7 +73,15 @@
         var isComplete = false
         var isReusable = false
         try {
-            val attempt = Attempt(context, dispatch, lease, memory, reader, onResponseHeaders)
+            val attempt = Attempt(
+                context,
+                dispatch,
+                lease,
+                memory,
+                silencePolicy,
+                reader,
+                onResponseHeaders
+            )
             chainFailureNotifier.add(members, attempt)
             val end = try {
                 attempt.run(headTimeoutMillis)
@@ -95,6 +105,7 @@
         private val dispatch: Dispatch,
         private val lease: ConnectionPool.Lease,
         private val memory: ResponseMemory.Reservation,
+        private val silencePolicy: SilencePolicy,
         private val reader: ResponseReader?,
         private val onResponseHeaders: (ResponseHeaders) -> Unit
     ) : WaitingAttempt {
@@ -145,16 +156,31 @@
             timeoutAtMillis = clock.monotonicMillis() + millis
         }
 
-        /** Closes the connection when the response does not advance in time. */
+        /** Whether the response did not advance in time. */
+        private fun isOverdue() =
+            timeoutAtMillis <= clock.monotonicMillis() && !lease.channel.hasReceived
+
+        /**
+         * Closes the connection when the response does not advance in time and [silencePolicy]
+         * gives up the attempt. Otherwise the attempt goes on, and the policy decides again soon.
+         */
         private fun launchSilenceTimeout(scope: CoroutineScope): Job = scope.launch {
             while (true) {
                 val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
-                if (remainingMillis <= 0) {
+                if (!isOverdue()) {
+                    // Received parts wait while the caller reads slowly.
+                    delay(if (remainingMillis > 0) remainingMillis else PENDING_CHECK_MILLIS)
+                    continue
+                }
+                silencePolicy.examine()
+                // The response may have advanced meanwhile.
+                if (!isOverdue()) continue
+                if (silencePolicy.shouldGiveUp()) {
                     isSilent = true
                     lease.channel.reset()
                     return@launch
                 }
-                delay(remainingMillis)
+                restartTimeout(SILENCE_CHECK_INTERVAL_MILLIS)
             }
         }
 
@@ -336,6 +362,12 @@
          */
         const val STAGE_LOSS_TIMEOUT_MILLIS = 60L
 
+        /** Interval at which it is decided again whether a silent attempt is given up. */
+        const val SILENCE_CHECK_INTERVAL_MILLIS = 250L
+
+        /** Interval at which it is checked whether the received parts have been handled. */
+        const val PENDING_CHECK_MILLIS = 20L
+
         /** Timeout for the next part of a buffered response after its head. */
         const val BODY_TIMEOUT_MILLIS = 2_000L
 
