Listen for callers only once all other ports are bound

Callers would see a reset instead of an answer from a process that starts while its predecessor still holds a port. Cause: the listener for callers was the first to be bound. If the port for readiness or peers was in use, the process ended with 1 and with the requests that it had read since; a stopping process keeps the port for peers until it has ended. Change: the port for callers is bound last. Measured: PortInUseTest failed before in both cases (the port of callers listened: "found true") and passes now. That a process of the users met it is not shown: their platform starts a process only after the end of its predecessor.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -236,10 +236,12 @@
             chainFailureNotifier.notifyUnreachable(id)
         }
         suspects.onUrgentState = { peerExchange.send(ReportReason.CRASH_SUSPECTS) }
+        peerExchange.listen(settings.peerAddress)
+        listenForHealthChecks()
+        // Listens for callers last, because the process ends with the requests that it has read if
+        // another port is in use.
         val limits = { configuration.current?.callerLimits ?: CallerLimits() }
         listen(settings.callerAddress) { limits().maxHeaderBytes }
-        listenForHealthChecks()
-        peerExchange.listen(settings.peerAddress)
         launchTasks()
         log.record(
             "entry",
