Read what has arrived before the timers after a delay of the thread

A process that was stopped and continued, or whose thread was late on a busy machine, judged sound servers silent, failed connects, and could close connections of callers as idle or answer 408, although the bytes were already in its sockets. Cause: an epoll_wait that a stop interrupts returns no events once its timeout is over (the JDK does not wait again), so Netty ran the expired timers first. The same happens to bytes that arrive while the thread handles the events of the poll before. Change: LateThreadIoHandler wraps the handler of the event loop. If a poll ended over 20 ms later than it could wait, it polls once more without waiting. The continuations of what was read are queued before the expired timers, so this holds for every timer of the loop: coroutines, connects and idle connections.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/EventLoop.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/EventLoop.kt
@@ -20,8 +20,9 @@
  * State that is accessed only on this thread needs no locks. The thread must not be blocked.
  */
 public class EventLoop : AutoCloseable {
-    internal val group: IoEventLoopGroup =
-        MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    internal val group: IoEventLoopGroup = NioIoHandler.newFactory().let { nio ->
+        MultiThreadIoEventLoopGroup(1) { LateThreadIoHandler(nio.newHandler(it)) }
+    }
 
     private val executor = group.next()
 
