Extend a silence timeout that fired late

A server whose machine was paused together with the instance was judged silent as soon as both went on: its stream was resumed at another server, which costs retry budget and counts as a failure of the server. Cause: the timer compared the time only. When the thread was late, nobody knows whether the server was silent meanwhile. Change: a silence timeout that fires over 100 ms late is extended by 250 ms once.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -167,6 +167,11 @@
                     delay(if (remainingMillis > 0) remainingMillis else PENDING_CHECK_MILLIS)
                     continue
                 }
+                if (-remainingMillis > LATE_MILLIS) {
+                    // The thread was late, perhaps with the whole machine, which is no silence.
+                    restartTimeout(SILENCE_CHECK_INTERVAL_MILLIS)
+                    continue
+                }
                 silencePolicy.examine()
                 // The response may have advanced meanwhile.
                 if (!isOverdue()) continue
@@ -354,6 +359,9 @@
         /** Interval at which it is decided again whether a silent attempt is given up. */
         const val SILENCE_CHECK_INTERVAL_MILLIS = 250L
 
+        /** Delay of a timer that shows that the thread was late. */
+        const val LATE_MILLIS = 100L
+
         /** Interval at which it is checked whether the received parts have been handled. */
         const val PENDING_CHECK_MILLIS = 20L
 
