Read the answer of a server that closes during a long body

Callers got 502 although their server had given a whole answer: it answered before it had read a long body, and closed or reset the connection. Cause: the write of the rest of the body failed, and Netty then closes the channel (AUTO_CLOSE) with the answer unread in the socket. Change: connections to servers and to the store are no longer closed by a failed write; the next read returns what has arrived and then the end. isFlushed is false after a failed write, so such a connection is not reused. Measured: RequestBodiesTest got 502 instead of 200 before. Its other tests passed before, too: bodies in parts with a length, in chunks, with trailers, empty and of exactly MaxBodyBytes; 100-continue; a configuration that lowers MaxBodyBytes and the idle timeout while a body arrives; and a server that answers early and keeps the connection, on which no other request follows.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -44,9 +44,9 @@
     /** Whether received parts are waiting to be taken. */
     public val hasReceived: Boolean get() = received.isNotEmpty()
 
-    /** Whether all written data was passed to the operating system. */
+    /** Whether all written data was passed to the operating system; false after a failed write. */
     public val isFlushed: Boolean
-        get() = (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L) == 0L
+        get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() == 0L
 
     /**
      * Waits for the next part and returns it, or null if the connection is closed. The calling code
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
@@ -24,6 +24,9 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.ALLOCATOR, EventLoop.allocator)
         .option(ChannelOption.TCP_NODELAY, true)
+        // A peer may answer and close before it has read a long body. A write that fails then must
+        // not close the connection before the answer is read; the next read closes it.
+        .option(ChannelOption.AUTO_CLOSE, false)
 
     /** Connects to [address]; fails after [timeoutMillis]. */
     public suspend fun connect(
