Deliver the last answer before a connection closes

Callers lost answers that were complete in the process. A connection that was idle by its state was closed with bytes of its last answer still in the outbound buffer, and a stop did not count connections with such bytes, so the process ended before they were sent. A caller that was still sending a refused body got a reset: closing a socket with unread input makes the system reset it, which destroys the answer on its way.

A connection counts as active for a stop until it is closed. An idle connection without such an answer is closed without lingering, since a request that crosses the close must stay unread.

Before the change, `An idle connection delivers its last answer to a slow caller before it closes` failed: the answer had no last chunk.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -16,6 +16,7 @@
 import io.greengageport.gateway.forward.PlainSelector
 import io.greengageport.gateway.forward.RequestForwarder
 import io.greengageport.gateway.forward.RequestRouter
+import io.greengageport.gateway.http.ConnectionCloser
 import io.greengageport.gateway.http.ConnectionPool
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
@@ -194,6 +195,7 @@
     /** Start time on the wall clock, which tells this incarnation from earlier ones. */
     private val startedAtMillis = clock.wallMillis()
     private val connections = HashSet<CallerConnection>()
+    private val closer = ConnectionCloser(clock)
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
 
@@ -271,7 +273,7 @@
             val now = clock.monotonicMillis()
             if (now >= closeAtMillis) connections.toList().forEach { it.closeIfIdle() }
             if (now >= closeAtMillis && router.inFlight == 0 &&
-                connections.none { it.hasPendingRequest }
+                connections.none { it.isActive }
             ) {
                 break
             }
@@ -333,7 +335,8 @@
                 marker = marker,
                 limits = { configuration.current?.callerLimits ?: CallerLimits() },
                 isStopping = { isStopping },
-                handler = handler
+                handler = handler,
+                closer = closer
             )
             if (handler === router) connections += connection
             loop.scope.launch { connection.run() }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway.forward
 
 import io.greengageport.gateway.http.ArrivalMarker
+import io.greengageport.gateway.http.ConnectionCloser
 import io.greengageport.gateway.http.HttpChannel
 import io.greengageport.gateway.model.CallerLimits
 import io.netty.buffer.Unpooled
@@ -40,28 +41,44 @@
     private val marker: ArrivalMarker,
     private val limits: () -> CallerLimits,
     private val isStopping: () -> Boolean,
-    private val handler: CallerRequestHandler
+    private val handler: CallerRequestHandler,
+    private val closer: ConnectionCloser
 ) {
+    /** Whether an answer tells the caller that the connection ends. */
+    private var isAnswered = false
+
     /** Whether a request is being read or handled. */
-    var isBusy: Boolean = false
-        private set
+    private var isBusy = false
+
+    private var isClosing = false
 
-    /** Whether a request is being read or handled, or a part of one has arrived. */
-    val hasPendingRequest: Boolean
-        get() = !channel.isClosed && (isBusy || channel.hasReceived || marker.hasArrived)
+    /** Whether bytes arrived that belong to no request that was read. */
+    private val hasUnreadInput get() = channel.hasReceived || marker.hasArrived
 
-    /** Handles requests until the connection closes. */
+    /**
+     * Whether a request is being read or handled, a part of one has arrived, or an answer has not
+     * been sent to its end.
+     */
+    val isActive: Boolean
+        get() = !channel.isClosed &&
+            (isBusy || isClosing || hasUnreadInput || channel.unsentBytes > 0)
+
+    /** Handles requests until the connection is closed. */
     suspend fun run() {
         try {
             while (handleNext()) isBusy = false
         } finally {
-            channel.closeWhenFlushed()
+            isClosing = true
+            closer.close(channel, isAnswered)
         }
     }
 
-    /** Closes the connection unless a request is being handled or has begun to arrive. */
+    /**
+     * Closes the connection unless a request is being handled or has begun to arrive. Answers that
+     * the caller has not taken are sent first.
+     */
     fun closeIfIdle() {
-        if (!isBusy && !channel.hasReceived && !marker.hasArrived) channel.close()
+        if (!isBusy && !hasUnreadInput) channel.endInput()
     }
 
     private suspend fun handleNext(): Boolean {
@@ -80,6 +97,7 @@
         }
         val body = readBody(head, response) ?: return false
         handleRequest(head, body, response)
+        isAnswered = response.endsConnection || !response.isComplete
         return response.isComplete && !response.endsConnection
     }
 
@@ -196,6 +214,7 @@
     }
 
     private suspend fun refuse(status: Int) {
+        isAnswered = true
         val response = CallerResponse(channel, isLast = { true })
         response.respond(status, DefaultHttpHeaders(), ByteArray(0))
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -1,12 +1,13 @@
 package io.greengageport.gateway.http
 
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelException
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler.Sharable
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
@@ -44,21 +45,28 @@
     /** Whether received parts are waiting to be taken. */
     public val hasReceived: Boolean get() = received.isNotEmpty()
 
+    /** Number of written bytes that were not passed to the operating system yet. */
+    public val unsentBytes: Long
+        get() {
+            val buffer = channel.unsafe().outboundBuffer() ?: return 0
+            // The total counts a partly sent part in full.
+            return buffer.totalPendingWriteBytes() - buffer.currentProgress()
+        }
+
     /** Whether all written data was passed to the operating system. */
     public val isFlushed: Boolean
         get() = (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L) == 0L
 
+    private var isInputEnded = false
+
     /**
      * Waits for the next part and returns it, or null if the connection is closed. The calling code
      * must release the part.
      */
     public suspend fun receive(): HttpObject? {
         while (received.isEmpty()) {
-            if (isClosed) return null
-            suspendCancellableCoroutine { c ->
-                receiver = c
-                c.invokeOnCancellation { if (receiver === c) receiver = null }
-            }
+            if (isClosed || isInputEnded) return null
+            awaitEvent()
         }
         val part = received.removeFirst()
         if (received.size < READ_AHEAD && !channel.config().isAutoRead && !isClosed) {
@@ -67,6 +75,32 @@
         return part
     }
 
+    /** Makes [receive] return null as soon as it would have to wait. */
+    public fun endInput() {
+        isInputEnded = true
+        resumeReceiver()
+    }
+
+    /** Reads and drops all further bytes from the peer, and the parts not yet received. */
+    public fun discardInput() {
+        while (received.isNotEmpty()) ReferenceCountUtil.release(received.removeFirst())
+        if (isClosed) return
+        channel.pipeline().addFirst(InputDiscarder)
+        channel.config().isAutoRead = true
+    }
+
+    /** Tells the peer that no further bytes follow; the connection stays open for input. */
+    public fun shutDownOutput() {
+        (channel as DuplexChannel).shutdownOutput().addListener {
+            if (!it.isSuccess) channel.close()
+        }
+    }
+
+    /** Waits until the connection is closed. */
+    public suspend fun awaitClosed() {
+        while (!isClosed) awaitEvent()
+    }
+
     /** Queues a part for [flush]. */
     public fun write(part: Any): ChannelFuture = channel.write(part)
 
@@ -113,12 +147,6 @@
         close()
     }
 
-    /** Closes the connection after all written parts were sent. */
-    public fun closeWhenFlushed() {
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener { channel.close() }
-    }
-
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
         if (msg !is HttpObject || isClosed) {
             ReferenceCountUtil.release(msg)
@@ -152,6 +180,12 @@
         ctx.close()
     }
 
+    /** Waits for a part, the end of the input or the close of the connection. */
+    private suspend fun awaitEvent() = suspendCancellableCoroutine { c ->
+        receiver = c
+        c.invokeOnCancellation { if (receiver === c) receiver = null }
+    }
+
     private fun resumeReceiver() {
         val c = receiver ?: return
         receiver = null
@@ -164,6 +198,14 @@
         c.resume(Unit)
     }
 
+    /** Releases all bytes before they reach the HTTP decoder. */
+    @Sharable
+    private object InputDiscarder : ChannelInboundHandlerAdapter() {
+        override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
+            ReferenceCountUtil.release(msg)
+        }
+    }
+
     public companion object {
         /**
          * Maximum number of parts that are read ahead. With chunks of up to 8 KiB, a connection
