Answer every request before a planned stop ends

Callers saw their connection end without an answer at the end of the grace period: the stop waited for requests until 0.3 s before it and then ended the process, whatever state they were in. Requests that waited for admission or a retry, although no server had them and another instance could have served them, were lost like those at a silent server; a process that was paused beyond its deadline answered nobody, and a new connection could be closed before its first request arrived.

StopSequence now has phases that follow the signal. When the instance accepts no more, requests that no server has got are refused (503, not run, Retry-After 0.05). 0.8 s before the end of the grace period all other requests without an answer get one: 503 if they certainly did not run, else 502 with execution unknown; 0.5 s before it, streams are broken off. Then the accept queue is emptied, the listener closes, and last requests are refused, also those whose body is incomplete. Each phase has a minimum duration, so that it works after its time too. The release of the duties no longer comes before the loop of the stop (it could take 0.7 s, the timeout of a call to the store), and the log is closed off the event loop, which it blocked for up to 0.5 s.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -54,8 +54,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import kotlin.random.Random
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 
 /**
  * An entry instance of the gateway: serves callers, follows the configuration and the list of
@@ -196,6 +198,8 @@
     private val startedAtMillis = clock.wallMillis()
     private val connections = HashSet<CallerConnection>()
     private val closer = ConnectionCloser(clock)
+
+    /** The listener for callers is the first. */
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
 
@@ -256,33 +260,32 @@
      * Shuts down gracefully: readiness fails at once, connections are closed after their next
      * answer, and requests in flight are completed. Requests that arrive after the load balancer
      * has had time to notice are refused, because they might not complete in time. Returns when no
-     * request is left, or shortly before the platform kills the process.
+     * request is left, or shortly before the platform kills the process, which it does a grace
+     * period after [signalledAtMillis] on the monotonic clock.
      */
-    public suspend fun stop() {
+    public suspend fun stop(signalledAtMillis: Long = clock.monotonicMillis()) {
         if (isStopping) {
             log.record("entry", "stop_repeated", "in_flight" to router.inFlight)
             return
         }
         isStopping = true
-        val stopDeadlineMillis = clock.monotonicMillis() + settings.graceMillis - STOP_MARGIN_MILLIS
-        val closeAtMillis = clock.monotonicMillis() + BALANCER_NOTICE_MILLIS
-        acceptsUntilMillis = closeAtMillis
+        val sequence = StopSequence(
+            router = router,
+            connections = connections,
+            listener = listeners.first(),
+            log = log,
+            clock = clock,
+            signalledAtMillis = signalledAtMillis,
+            graceMillis = settings.graceMillis
+        )
+        acceptsUntilMillis = sequence.acceptsUntilMillis
         log.record("entry", "stopping", "in_flight" to router.inFlight)
-        dutyLease.leave()
-        while (clock.monotonicMillis() < stopDeadlineMillis) {
-            val now = clock.monotonicMillis()
-            if (now >= closeAtMillis) connections.toList().forEach { it.closeIfIdle() }
-            if (now >= closeAtMillis && router.inFlight == 0 &&
-                connections.none { it.isActive }
-            ) {
-                break
-            }
-            delay(STOP_CHECK_INTERVAL_MILLIS)
-        }
-        log.record("entry", "stopped", "in_flight" to router.inFlight)
-        router.logInterrupted()
+        // A store that does not answer must not delay the stop.
+        loop.scope.launch { dutyLease.leave() }
+        sequence.run()
         listeners.forEach { it.close() }
-        log.close()
+        // Closing the log waits for its writer, and connections may still linger.
+        withContext(Dispatchers.IO) { log.close() }
     }
 
     /**
@@ -336,7 +339,8 @@
                 limits = { configuration.current?.callerLimits ?: CallerLimits() },
                 isStopping = { isStopping },
                 handler = handler,
-                closer = closer
+                closer = closer,
+                clock = clock
             )
             if (handler === router) connections += connection
             loop.scope.launch { connection.run() }
@@ -444,16 +448,6 @@
 
         /** A timer that fires later than this shows that the thread or the process was blocked. */
         const val LOGGED_DELAY_MILLIS = 200L
-
-        /**
-         * The platform checks readiness once a second and stops sending connections after two
-         * failures.
-         */
-        const val BALANCER_NOTICE_MILLIS = 2_800L
-        const val STOP_CHECK_INTERVAL_MILLIS = 50L
-
-        /** Time by which a stop completes before the platform kills the process. */
-        const val STOP_MARGIN_MILLIS = 300L
         const val METRICS_PATH = "/metrics"
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
--- /dev/null
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -0,0 +1,106 @@
+package io.greengageport.gateway
+
+import io.greengageport.common.Clock
+import io.greengageport.gateway.forward.ActiveRequest.Phase
+import io.greengageport.gateway.forward.CallerConnection
+import io.greengageport.gateway.forward.RequestRouter
+import io.greengageport.gateway.http.HttpListener
+import io.greengageport.gateway.logging.DecisionLog
+import kotlinx.coroutines.delay
+
+/**
+ * The phases of a planned stop. Times are on the monotonic clock, in ms; the grace period counts
+ * from [signalledAtMillis], since the platform counts it from its signal.
+ *
+ * 1. Until [acceptsUntilMillis], requests are served while the load balancer learns that the
+ *    instance is not ready.
+ * 2. Then new requests are refused, and so are those that no server has got yet: another instance
+ *    has more time for them. Idle connections are closed. The phase ends when no request is left.
+ * 3. [ANSWER_MARGIN_MILLIS] before the end of the grace period, the requests that no answer has
+ *    begun for are answered, and [BREAK_MARGIN_MILLIS] before it, the answers that have begun are
+ *    broken off.
+ * 4. The listener closes, the last connections send what they have, and close.
+ *
+ * The last phases have a minimum duration, so that a process that was paused beyond its deadline
+ * still answers.
+ */
+internal class StopSequence(
+    private val router: RequestRouter,
+    private val connections: Set<CallerConnection>,
+    private val listener: HttpListener,
+    private val log: DecisionLog,
+    private val clock: Clock,
+    private val signalledAtMillis: Long,
+    private val graceMillis: Long
+) {
+    private val answerAtMillis = signalledAtMillis + graceMillis - ANSWER_MARGIN_MILLIS
+    private val breakAtMillis = signalledAtMillis + graceMillis - BREAK_MARGIN_MILLIS
+    private val endAtMillis = signalledAtMillis + graceMillis - END_MARGIN_MILLIS
+
+    /** Time from which new requests are refused. */
+    val acceptsUntilMillis: Long =
+        minOf(signalledAtMillis + BALANCER_NOTICE_MILLIS, answerAtMillis)
+
+    /** Returns when every request has its answer, or shortly before the grace period ends. */
+    suspend fun run() {
+        while (clock.monotonicMillis() < acceptsUntilMillis) delay(CHECK_INTERVAL_MILLIS)
+        router.interrupt { it.phase == Phase.WAITING && it.context?.wasAtServer != true }
+        awaitRequests(answerAtMillis) { isBusy() }
+        router.interrupt { it.phase == Phase.WAITING || it.phase == Phase.AT_SERVER }
+        awaitRequests(breakAtMillis) { isBusy() }
+        router.interrupt { it.phase == Phase.ANSWERING }
+        closeAll()
+    }
+
+    private fun isBusy() = router.inFlight > 0 || connections.any { it.isActive }
+
+    /** Closes idle connections until [condition] is false, or until [untilMillis]. */
+    private suspend fun awaitRequests(untilMillis: Long, condition: () -> Boolean) {
+        // Answers of the phase before are written, and connections that wait are accepted.
+        delay(CHECK_INTERVAL_MILLIS)
+        while (condition() && clock.monotonicMillis() < untilMillis) {
+            connections.toList().forEach { it.closeIfIdle() }
+            delay(CHECK_INTERVAL_MILLIS)
+        }
+    }
+
+    private suspend fun closeAll() {
+        listener.closeWhenAllAccepted()
+        val earliestEndMillis = clock.monotonicMillis() + MIN_CLOSE_MILLIS
+        val untilMillis = maxOf(endAtMillis, earliestEndMillis)
+        // Unread requests of connections that were just accepted are read first.
+        awaitRequests(minOf(earliestEndMillis, untilMillis)) { connections.isNotEmpty() }
+        connections.toList().forEach { it.endInput() }
+        awaitRequests(untilMillis) { connections.isNotEmpty() }
+        log.record(
+            "entry",
+            "stopped",
+            "in_flight" to router.inFlight,
+            "connections" to connections.size,
+            "unsent_bytes" to connections.sumOf { it.unsentBytes },
+            "ms" to clock.monotonicMillis() - signalledAtMillis
+        )
+        connections.toList().forEach { it.abort() }
+    }
+
+    private companion object {
+        /**
+         * The platform checks readiness once a second and stops sending connections after two
+         * failures.
+         */
+        const val BALANCER_NOTICE_MILLIS = 2_800L
+        const val CHECK_INTERVAL_MILLIS = 20L
+
+        /** Leaves time for the answers to be sent, also if the thread is delayed by 100 ms. */
+        const val ANSWER_MARGIN_MILLIS = 800L
+
+        /** Answers that have begun get more time, since nothing but their end is sent later. */
+        const val BREAK_MARGIN_MILLIS = 500L
+
+        /** Time for the end of the process, before the platform kills it. */
+        const val END_MARGIN_MILLIS = 200L
+
+        /** Time to read and refuse the requests of connections that were accepted last. */
+        const val MIN_CLOSE_MILLIS = 200L
+    }
+}
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ActiveRequest.kt
@@ -1,5 +1,9 @@
 package io.greengageport.gateway.forward
 
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+
 /**
  * A request that was read completely and has not ended. Its [phase] tells what the end of the
  * process would cost its caller.
@@ -9,17 +13,43 @@
     val arrivedAtMillis: Long,
     private val response: CallerResponse
 ) {
+    private var work: Deferred<Result<Unit>>? = null
+
     /** The request with its route, or null until the route is resolved. */
     var context: RequestContext? = null
 
+    /** Whether [interrupt] has ended the work on the request. */
+    var isInterrupted: Boolean = false
+        private set
+
+    /** Whether a backend server may have run the request. */
+    val mayHaveRun: Boolean get() = context?.mayHaveRun == true
+
     val phase: Phase
         get() = when {
-            response.isComplete -> Phase.ANSWERED
+            response.isWritten -> Phase.ANSWERED
             response.isStarted -> Phase.ANSWERING
             context?.isAtServer == true -> Phase.AT_SERVER
             else -> Phase.WAITING
         }
 
+    /** Runs [block]; returns early, when its work has ended, after [interrupt]. */
+    suspend fun run(block: suspend () -> Unit) = coroutineScope {
+        val deferred = async { runCatching { block() } }
+        work = deferred
+        deferred.join()
+        if (!isInterrupted) deferred.await().getOrThrow()
+    }
+
+    /** Ends the work on the request; returns false if it has ended before. */
+    fun interrupt(): Boolean {
+        val running = work?.takeIf { it.isActive } ?: return false
+        isInterrupted = true
+        context?.isInterrupted = true
+        running.cancel()
+        return true
+    }
+
     /** How far a request has come. */
     enum class Phase {
         /** At no backend server: it waits for the configuration, for admission or for a retry. */
@@ -31,7 +61,7 @@
         /** The answer has begun. */
         ANSWERING,
 
-        /** The answer was sent to its end. */
+        /** The answer was written to its end. */
         ANSWERED
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -1,5 +1,7 @@
 package io.greengageport.gateway.forward
 
+import io.greengageport.common.Clock
+import io.greengageport.common.RequestError
 import io.greengageport.gateway.http.ArrivalMarker
 import io.greengageport.gateway.http.ConnectionCloser
 import io.greengageport.gateway.http.HttpChannel
@@ -42,8 +44,12 @@
     private val limits: () -> CallerLimits,
     private val isStopping: () -> Boolean,
     private val handler: CallerRequestHandler,
-    private val closer: ConnectionCloser
+    private val closer: ConnectionCloser,
+    private val clock: Clock
 ) {
+    private val openedAtMillis = clock.monotonicMillis()
+    private var hasServed = false
+
     /** Whether an answer tells the caller that the connection ends. */
     private var isAnswered = false
 
@@ -63,10 +69,16 @@
         get() = !channel.isClosed &&
             (isBusy || isClosing || hasUnreadInput || channel.unsentBytes > 0)
 
+    /** Number of bytes of answers that the caller has not taken. */
+    val unsentBytes: Long get() = channel.unsentBytes
+
     /** Handles requests until the connection is closed. */
     suspend fun run() {
         try {
-            while (handleNext()) isBusy = false
+            while (handleNext()) {
+                isBusy = false
+                hasServed = true
+            }
         } finally {
             isClosing = true
             closer.close(channel, isAnswered)
@@ -75,12 +87,21 @@
 
     /**
      * Closes the connection unless a request is being handled or has begun to arrive. Answers that
-     * the caller has not taken are sent first.
+     * the caller has not taken are sent first. A new connection stays open until its first request
+     * has had time to arrive.
      */
     fun closeIfIdle() {
-        if (!isBusy && !hasUnreadInput) channel.endInput()
+        val isNew = !hasServed &&
+            clock.monotonicMillis() - openedAtMillis < FIRST_REQUEST_MILLIS
+        if (!isBusy && !hasUnreadInput && !isNew) channel.endInput()
     }
 
+    /** Stops waiting for requests, and for the rest of a body, whose request is then refused. */
+    fun endInput() = channel.endInput()
+
+    /** Closes the connection at once; what was not sent is lost. */
+    fun abort() = channel.close()
+
     private suspend fun handleNext(): Boolean {
         marker.hasArrived = channel.hasReceived
         val head = awaitHead() ?: return false
@@ -176,7 +197,11 @@
                 refuse(REQUEST_TIMEOUT)
                 return null
             }
-            val content = part.value as? HttpContent ?: return null
+            val content = part.value as? HttpContent
+            if (content == null) {
+                if (!channel.isClosed) refuseIncomplete(response)
+                return null
+            }
             try {
                 content.content().readBytes(body, content.content().readableBytes())
                 if (body.size() > limits.maxBodyBytes) {
@@ -213,6 +238,17 @@
         }
     }
 
+    /** Refuses a request whose body has not arrived before the end of the process. */
+    private suspend fun refuseIncomplete(response: CallerResponse) {
+        isAnswered = true
+        response.refuse(
+            RequestError.NotServing(
+                "the instance is stopping",
+                RequestRouter.STOPPING_RETRY_MILLIS
+            )
+        )
+    }
+
     private suspend fun refuse(status: Int) {
         isAnswered = true
         val response = CallerResponse(channel, isLast = { true })
@@ -228,6 +264,9 @@
     private companion object {
         /** Interval at which timeouts for a request head are checked. */
         const val HEAD_CHECK_INTERVAL_MILLIS = 500L
+
+        /** Time from the accept of a connection until its first request has usually arrived. */
+        const val FIRST_REQUEST_MILLIS = 300L
         const val BAD_REQUEST = 400
         val REQUEST_TIMEOUT = HttpResponseStatus.REQUEST_TIMEOUT.code()
         val TOO_LARGE = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerResponse.kt
@@ -31,6 +31,10 @@
     var isStarted: Boolean = false
         private set
 
+    /** Whether the response was written to its end; its last bytes may wait for the caller. */
+    var isWritten: Boolean = false
+        private set
+
     /** Whether the response was sent to its end. */
     var isComplete: Boolean = false
         private set
@@ -56,6 +60,7 @@
         )
         if (!isHeadRequest) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         channel.write(response)
+        isWritten = true
         isComplete = channel.flush()
     }
 
@@ -99,6 +104,7 @@
     /** Ends a streamed response. */
     suspend fun finish() {
         channel.write(LastHttpContent.EMPTY_LAST_CONTENT)
+        isWritten = true
         isComplete = channel.flush()
     }
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -65,6 +65,7 @@
             val end = attempt(selection)
             lastEnd = end
             limit.recordEnd(end)
+            context.mayHaveRun = limit.hasPossiblyRun
             observer.onAttempt(service.name, end)
             if (isFinal(end)) return
             logFailure(selection, end)
@@ -103,6 +104,7 @@
         startedAtMillis = clock.monotonicMillis()
         updateInFlight(selection, inFlight::add)
         context.isAtServer = true
+        context.mayHaveRun = true
         try {
             val monitored = if (timeouts.canContinueElsewhere) selection.members else emptyList()
             val end = exchange.run(
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
@@ -25,6 +25,20 @@
 ) {
     /** Whether an attempt of the request is at a backend server. */
     var isAtServer: Boolean = false
+        set(value) {
+            field = value
+            wasAtServer = wasAtServer || value
+        }
+
+    /** Whether an attempt of the request is or was at a backend server. */
+    var wasAtServer: Boolean = false
+        private set
+
+    /** Whether the request may have run, in the current attempt or an earlier one. */
+    var mayHaveRun: Boolean = false
+
+    /** Whether the end of the process has ended the work on the request. */
+    var isInterrupted: Boolean = false
 
     /** The priority of the organisation, or else that of the route; 0 is the most urgent. */
     val priority: Int get() = organisation?.priority ?: route.priority
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -39,11 +39,18 @@
         try {
             admitAndRun(attempts, context)
         } catch (e: Throwable) {
-            // The job is cancelled only when the caller disconnects. A CancellationException can
-            // also come from an await that was cancelled elsewhere, while the caller still waits.
-            val isCallerGone = !currentCoroutineContext().isActive
+            // The job is cancelled when the caller disconnects or the process ends. A
+            // CancellationException can also come from an await that was cancelled elsewhere,
+            // while the caller still waits.
+            val isCancelled = !currentCoroutineContext().isActive
             if (!response.isComplete) {
-                attempts.recordEnd(if (isCallerGone) "caller_gone" else "unexpected_error")
+                attempts.recordEnd(
+                    when {
+                        context.isInterrupted -> "interrupted"
+                        isCancelled -> "caller_gone"
+                        else -> "unexpected_error"
+                    }
+                )
             }
             throw e
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
@@ -47,44 +47,63 @@
 
     override suspend fun handle(head: HttpRequest, body: ByteArray, response: CallerResponse) {
         var active: ActiveRequest? = null
-        var isForwarded = false
         try {
             val arrivedAtMillis = clock.monotonicMillis()
             val caller = protocol.parseCallerHeaders(head)
-            active = ActiveRequest(caller.attemptId, arrivedAtMillis, response)
-            activeRequests += active
-            awaitReadiness(caller)
-            resolve(head, body, caller, arrivedAtMillis).fold(
-                {
-                    isForwarded = true
-                    active.context = it
-                    forwarder.forward(it, response)
-                },
-                { refuse(it, caller, head, response) }
-            )
+            val request = ActiveRequest(caller.attemptId, arrivedAtMillis, response)
+            active = request
+            activeRequests += request
+            request.run {
+                awaitReadiness(caller)
+                resolve(head, body, caller, arrivedAtMillis).fold(
+                    {
+                        request.context = it
+                        forwarder.forward(it, response)
+                    },
+                    { refuse(it, caller, head, response) }
+                )
+            }
+            if (request.isInterrupted) answerInterrupted(request, response)
         } catch (e: Throwable) {
             // The request is cancelled if its caller has disconnected, so there is none to answer.
             currentCoroutineContext().ensureActive()
-            answerUnexpected(e, isForwarded, head, response)
+            answerUnexpected(e, active?.context != null, head, response)
         } finally {
             active?.let { activeRequests -= it }
         }
     }
 
-    /** Logs each request whose answer the end of the process will interrupt. */
-    fun logInterrupted() {
-        for (r in activeRequests) {
+    /**
+     * Ends the work on the requests that [condition] selects, because the process ends, and logs
+     * each. Those whose answer has not begun are answered; other answers stay incomplete.
+     */
+    fun interrupt(condition: (ActiveRequest) -> Boolean) {
+        for (r in activeRequests.filter(condition)) {
+            val phase = r.phase
+            if (!r.interrupt()) continue
             log.record(
                 "request",
                 "interrupted",
                 "request" to r.attemptId,
-                "phase" to r.phase.name.lowercase(),
+                "phase" to phase.name.lowercase(),
+                "may_have_run" to r.mayHaveRun,
                 "route" to r.context?.route?.name,
                 "ms" to clock.monotonicMillis() - r.arrivedAtMillis
             )
         }
     }
 
+    private suspend fun answerInterrupted(request: ActiveRequest, response: CallerResponse) {
+        if (response.isStarted) return
+        response.refuse(
+            if (request.mayHaveRun) {
+                RequestError.BackendFailed("the instance is stopping", Execution.UNKNOWN)
+            } else {
+                RequestError.NotServing("the instance is stopping", STOPPING_RETRY_MILLIS)
+            }
+        )
+    }
+
     private suspend fun refuse(
         error: RequestError,
         caller: CallerHeaders,
@@ -186,21 +205,21 @@
     private fun organisationOf(config: Configuration, caller: CallerHeaders): Organisation? =
         caller.apiKey?.let { config.organisationsByKey?.get(it) }
 
-    private companion object {
+    companion object {
         /** Twice the time that a start takes under load, counted from the first request. */
-        const val MAX_READINESS_WAIT_MILLIS = 1_000L
+        private const val MAX_READINESS_WAIT_MILLIS = 1_000L
 
         /** A request waits for at most a quarter of its deadline. */
-        const val READINESS_WAIT_DIVISOR = 4
-        const val READINESS_CHECK_INTERVAL_MILLIS = 20L
+        private const val READINESS_WAIT_DIVISOR = 4
+        private const val READINESS_CHECK_INTERVAL_MILLIS = 20L
 
         /** Enough to tell where an unexpected error comes from within one line of the log. */
-        const val LOGGED_FRAMES = 5
+        private const val LOGGED_FRAMES = 5
 
         /** A new instance loads the configuration within about a second. */
-        const val RETRY_MILLIS = 1_000L
+        private const val RETRY_MILLIS = 1_000L
 
-        /** A retry reaches another instance. */
+        /** Time in ms after which to retry at a stop; the retry reaches another instance. */
         const val STOPPING_RETRY_MILLIS = 50L
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import java.net.InetSocketAddress
+import kotlinx.coroutines.delay
 
 /** Accepts HTTP/1.1 connections at an address and passes each to [onConnection]. */
 public class HttpListener(
@@ -17,6 +18,7 @@
     private val onConnection: (HttpChannel, ArrivalMarker) -> Unit
 ) : AutoCloseable {
     private var serverChannel: Channel? = null
+    private var accepted = 0L
 
     /**
      * Listens at [address] and returns the bound address, which has the actual port if that of
@@ -45,7 +47,24 @@
         serverChannel?.close()
     }
 
+    /**
+     * Closes the listener once the connections that the system has accepted are accepted by the
+     * process too; the system resets the others. New connections can delay that for up to
+     * [MAX_ACCEPT_ROUNDS] rounds of the event loop.
+     */
+    public suspend fun closeWhenAllAccepted() {
+        var previous = -1L
+        var rounds = 0
+        while (accepted != previous && rounds < MAX_ACCEPT_ROUNDS) {
+            previous = accepted
+            rounds++
+            delay(ACCEPT_ROUND_MILLIS)
+        }
+        close()
+    }
+
     private fun initPipeline(channel: Channel) {
+        accepted++
         val limit = maxHeaderBytes()
         val decoding = HttpDecoderConfig()
             .setMaxInitialLineLength(limit)
@@ -62,5 +81,7 @@
          * wait seconds before they resend their SYN.
          */
         const val BACKLOG = 1_024
+        const val ACCEPT_ROUND_MILLIS = 1L
+        const val MAX_ACCEPT_ROUNDS = 100
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/ClosingConnectionTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/ClosingConnectionTest.kt
@@ -59,7 +59,8 @@
                     response.finish()
                     written.complete(channel)
                 },
-                closer = ConnectionCloser(SystemClock)
+                closer = ConnectionCloser(SystemClock),
+                clock = SystemClock
             )
             connection.complete(caller)
             service.complete(loop.scope.launch { caller.run() })
