Start no attempt that the end of the instance would cut off

A request that a server rejected late in a stop was sent to another server although the stop ended before that could answer: its caller got 502, or a Retry-After of a second, where another instance could have served the request at once.

A stopping instance starts an attempt only if the time that it usually needs is left: twice the latency target of the route, for streams the silence that callers tolerate, 2 s at most. Otherwise the request is refused with 503 and Retry-After 0.05, or answered with 502 if an earlier attempt may have run. A stream that has begun is resumed in any case.

`that a server rejects shortly before the end is not sent to another one` failed before: the Retry-After was not 0.05, after both servers had got the request. It passes now.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -143,6 +143,7 @@
             observer = MetricsObserver(metrics, clock),
             log = log,
             clock = clock,
+            answersUntilMillis = { answersUntilMillis },
             launchInBackground = { work -> loop.scope.launch { work() } }
         )
     )
@@ -206,6 +207,9 @@
     /** Time on the monotonic clock, in ms, from which new requests are refused. */
     private var acceptsUntilMillis = Long.MAX_VALUE
 
+    /** Time on the monotonic clock, in ms, by which requests must have ended. */
+    private var answersUntilMillis = Long.MAX_VALUE
+
     /** The servers that peers had reported as unreachable up to their last report. */
     private var previouslyUnreachable = emptySet<RunnerId>()
 
@@ -279,6 +283,7 @@
             graceMillis = settings.graceMillis
         )
         acceptsUntilMillis = sequence.acceptsUntilMillis
+        answersUntilMillis = sequence.answerAtMillis
         log.record("entry", "stopping", "in_flight" to router.inFlight)
         // A store that does not answer must not delay the stop.
         loop.scope.launch { dutyLease.leave() }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -33,7 +33,8 @@
     private val signalledAtMillis: Long,
     private val graceMillis: Long
 ) {
-    private val answerAtMillis = signalledAtMillis + graceMillis - ANSWER_MARGIN_MILLIS
+    /** Time at which the requests that no answer has begun for are answered. */
+    val answerAtMillis: Long = signalledAtMillis + graceMillis - ANSWER_MARGIN_MILLIS
     private val breakAtMillis = signalledAtMillis + graceMillis - BREAK_MARGIN_MILLIS
     private val endAtMillis = signalledAtMillis + graceMillis - END_MARGIN_MILLIS
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
@@ -28,6 +28,8 @@
     val observer: ForwardObserver,
     val log: DecisionLog,
     val clock: Clock,
+    /** Time on the monotonic clock, in ms, by which requests must have ended. */
+    val answersUntilMillis: () -> Long = { Long.MAX_VALUE },
     /** Launches work that the request does not wait for. */
     val launchInBackground: (suspend () -> Unit) -> Unit
 ) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -36,6 +36,7 @@
     private val observer = dependencies.observer
     private val log = dependencies.log
     private val clock = dependencies.clock
+    private val answersUntilMillis = dependencies.answersUntilMillis
     private val launchInBackground = dependencies.launchInBackground
     private val retryAfterJitter = dependencies.retryAfterJitter
     private val firstEventTimes = dependencies.firstEventTimes
@@ -61,6 +62,7 @@
         while (true) {
             val selection = selectOrWait() ?: return
             hasSelected = true
+            if (!hasTimeForAttempt()) return
             if (!canStart(selection)) return
             val end = attempt(selection)
             lastEnd = end
@@ -98,6 +100,20 @@
         events = ::answerEvents
     )
 
+    /**
+     * Whether an attempt can end before the instance does. A stream that has begun is resumed in
+     * any case, since its caller loses nothing by it.
+     */
+    private fun hasTimeForAttempt(): Boolean {
+        val neededMillis = if (context.route.isStreaming) {
+            context.toleratedSilenceMillis
+        } else {
+            PLAIN_TARGET_FACTOR * context.route.latencyTargetMillis
+        }
+        return response.isStarted ||
+            clock.monotonicMillis() + minOf(neededMillis, MAX_NEEDED_MILLIS) <= answersUntilMillis()
+    }
+
     private fun answerEvents(): Int = relay?.events ?: 0
 
     private suspend fun attempt(selection: Selection): AttemptEnd {
@@ -420,6 +436,11 @@
         // A request without a response at the deadline may have run.
         !isInTime && hasSelected -> RequestError.DeadlineExceeded(Execution.UNKNOWN)
 
+        !hasTimeForAttempt() -> RequestError.NotServing(
+            "the instance is stopping",
+            RequestRouter.STOPPING_RETRY_MILLIS
+        )
+
         else -> RequestError.NoCapacity(
             "no backend server accepted the request",
             noCapacityRetryMillis()
@@ -446,6 +467,15 @@
         /** Lowest status code of server errors. */
         const val MIN_SERVER_ERROR = 500
 
+        /** Multiple of the latency target in which a plain request usually ends. */
+        const val PLAIN_TARGET_FACTOR = 2
+
+        /**
+         * Limit of the time that an attempt at a stop needs to be allowed; services that are slower
+         * are still served while the load balancer sends their requests.
+         */
+        const val MAX_NEEDED_MILLIS = 2_000L
+
         /** Estimated time to first event of a timed-out attempt, as a multiple of its wait. */
         const val TIMED_OUT_FACTOR = 2
 
