Answer requests that were sent ahead before closing at a stop

A caller that sends its next request without waiting for the answer before it lost that request at a stop: the first answer said Connection: close, and the requests behind it, which the process had already read, were dropped with the connection.

While input is unread, an answer of a stopping instance does not close the connection; the last one does. What arrived while a request was handled also counts as the begin of the next request now, so that its head has the header timeout and an idle close does not hit it.

`with several requests at once answers all of them before it closes` failed before: one answer in place of three. It passes now, as do the tests of callers' connections and malformed input in platform/.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -103,12 +103,12 @@
     fun abort() = channel.close()
 
     private suspend fun handleNext(): Boolean {
-        marker.hasArrived = channel.hasReceived
         val head = awaitHead() ?: return false
         isBusy = true
         val response = CallerResponse(
             channel = channel,
-            isLast = { isStopping() || !HttpUtil.isKeepAlive(head) },
+            // Requests that the caller sent without waiting for this answer are answered too.
+            isLast = { (isStopping() && !hasUnreadInput) || !HttpUtil.isKeepAlive(head) },
             isHeadRequest = head.method() == HttpMethod.HEAD
         )
         val failure = head.decoderResult().cause()
@@ -117,6 +117,7 @@
             return false
         }
         val body = readBody(head, response) ?: return false
+        marker.hasArrived = channel.hasReceived
         handleRequest(head, body, response)
         isAnswered = response.endsConnection || !response.isComplete
         return response.isComplete && !response.endsConnection
