--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -16,6 +16,7 @@
 import io.greengageport.gateway.forward.PlainSelector
 import io.greengageport.gateway.forward.RequestForwarder
 import io.greengageport.gateway.forward.RequestRouter
+import io.greengageport.gateway.http.ConnectionCloser
 import io.greengageport.gateway.http.ConnectionPool
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
@@ -54,8 +55,10 @@
 import io.netty.handler.codec.http.HttpRequest
 import kotlin.random.Random
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 
 /**
  * An entry instance of the gateway: serves callers, follows the configuration and the list of
@@ -141,6 +144,7 @@
             observer = MetricsObserver(metrics, clock),
             log = log,
             clock = clock,
+            answersUntilMillis = { answersUntilMillis },
             launchInBackground = { work -> loop.scope.launch { work() } }
         )
     )
@@ -195,6 +199,7 @@
     /** Start time on the wall clock, which tells this incarnation from earlier ones. */
     private val startedAtMillis = clock.wallMillis()
     private val connections = HashSet<CallerConnection>()
+    private val closer = ConnectionCloser(clock)
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
     private val stopped = CompletableDeferred<Unit>()
@@ -202,6 +207,9 @@
     /** Time on the monotonic clock, in ms, from which new requests are refused. */
     private var acceptsUntilMillis = Long.MAX_VALUE
 
+    /** Time on the monotonic clock, in ms, by which requests must have ended. */
+    private var answersUntilMillis = Long.MAX_VALUE
+
     /** The servers that peers had reported as unreachable up to their last report. */
     private var previouslyUnreachable = emptySet<RunnerId>()
 
@@ -258,36 +266,40 @@
      * Shuts down gracefully: readiness fails at once, connections are closed after their next
      * answer, and requests in flight are completed. Requests that arrive after the load balancer
      * has had time to notice are refused, because they might not complete in time. Returns when no
-     * request is left, or shortly before the platform kills the process. If a stop is under way,
+     * request is left, or shortly before the platform kills the process, which it does a grace
+     * period after [signalledAtMillis] on the monotonic clock. If a stop is under way,
      * waits for its end.
      */
-    public suspend fun stop() {
+    public suspend fun stop(signalledAtMillis: Long = clock.monotonicMillis()) {
         if (isStopping) {
             log.record("entry", "stop_repeated", "in_flight" to router.inFlight)
             stopped.await()
             return
         }
         isStopping = true
-        val stopDeadlineMillis = clock.monotonicMillis() + settings.graceMillis - STOP_MARGIN_MILLIS
-        val closeAtMillis = clock.monotonicMillis() + BALANCER_NOTICE_MILLIS
-        acceptsUntilMillis = closeAtMillis
+        val sequence = StopSequence(
+            router = router,
+            connections = connections,
+            // Callers' connections are accepted by the last listener, see start().
+            listener = listeners.last(),
+            log = log,
+            clock = clock,
+            signalledAtMillis = signalledAtMillis,
+            graceMillis = settings.graceMillis
+        )
+        acceptsUntilMillis = sequence.acceptsUntilMillis
+        answersUntilMillis = sequence.answerAtMillis
         log.record("entry", "stopping", "in_flight" to router.inFlight)
-        dutyLease.leave()
-        while (clock.monotonicMillis() < stopDeadlineMillis) {
-            val now = clock.monotonicMillis()
-            if (now >= closeAtMillis) connections.toList().forEach { it.closeIfIdle() }
-            if (now >= closeAtMillis && router.inFlight == 0 &&
-                connections.none { it.hasPendingRequest }
-            ) {
-                break
-            }
-            delay(STOP_CHECK_INTERVAL_MILLIS)
+        // A store that does not answer must not delay the stop.
+        loop.scope.launch { dutyLease.leave() }
+        try {
+            sequence.run()
+            listeners.forEach { it.close() }
+            // Closing the log waits for its writer, and connections may still linger.
+            withContext(Dispatchers.IO) { log.close() }
+        } finally {
+            stopped.complete(Unit)
         }
-        log.record("entry", "stopped", "in_flight" to router.inFlight)
-        router.logInterrupted()
-        listeners.forEach { it.close() }
-        log.close()
-        stopped.complete(Unit)
     }
 
     /**
@@ -340,7 +352,9 @@
                 marker = marker,
                 limits = { configuration.current?.callerLimits ?: CallerLimits() },
                 isStopping = { isStopping },
-                handler = handler
+                handler = handler,
+                closer = closer,
+                clock = clock
             )
             if (handler === router) connections += connection
             loop.scope.launch { connection.run() }
@@ -448,16 +462,6 @@
 
         /** A timer that fires later than this shows that the thread or the process was blocked. */
         const val LOGGED_DELAY_MILLIS = 200L
-
-        /**
-         * The platform checks readiness once a second and stops sending connections after two
-         * failures.
-         */
-        const val BALANCER_NOTICE_MILLIS = 2_800L
-        const val STOP_CHECK_INTERVAL_MILLIS = 50L
-
-        /** Time by which a stop completes before the platform kills the process. */
-        const val STOP_MARGIN_MILLIS = 300L
         const val METRICS_PATH = "/metrics"
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
