Continue a stream only with events that follow its last one

A caller whose stream broke off found bytes of another kind in it, or a stream that looked complete before its last event, when the next server answered with success but not with the rest of the stream: a text with another content type, an event without id such as that of an error, or status 204 or 206. A stream whose last event had no id was begun again, so that its events arrived twice.

Now a continuation has the status and content type of the stream, and events without id pass in it only after the first new one. After an event without id the stream is not continued. A continuation that has no place ends the attempt as broken; the stream goes on at another server or stays incomplete.

Refusals, errors, a head without events, and an event that is cut off were handled before; their tests stay.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -225,12 +225,10 @@
                 if (responseHeaders.attemptId == null || !responseHeaders.hasDigest) {
                     return AttemptEnd.Broken("$address: response without attempt id or digest")
                 }
-                restartTimeout(
-                    reader?.onHead(status, headers, responseHeaders) ?: BODY_TIMEOUT_MILLIS
-                )
-            } else {
-                restartTimeout(BODY_TIMEOUT_MILLIS)
+                val result = reader?.onHead(status, headers, responseHeaders)
+                if (result != null) return handleResult(result)
             }
+            restartTimeout(BODY_TIMEOUT_MILLIS)
             return null
         }
 
@@ -242,12 +240,7 @@
                 } else {
                     buffer(part.content())
                 }
-                when (end) {
-                    is PartResult.Progress -> restartTimeout(end.timeoutMillis)
-                    is PartResult.NoProgress -> Unit
-                    is PartResult.Malformed -> return AttemptEnd.Broken("$address: ${end.reason}")
-                    is PartResult.CallerGone -> return AttemptEnd.CallerGone
-                }
+                handleResult(end)?.let { return it }
             }
             if (part !is LastHttpContent) return null
             val responseHeaders = currentResponse
@@ -258,6 +251,17 @@
             return completeEnd(responseHeaders)
         }
 
+        /** Applies the [result] of a part; returns the end of the attempt if it cannot go on. */
+        private fun handleResult(result: PartResult): AttemptEnd? {
+            when (result) {
+                is PartResult.Progress -> restartTimeout(result.timeoutMillis)
+                is PartResult.NoProgress -> Unit
+                is PartResult.Malformed -> return AttemptEnd.Broken("$address: ${result.reason}")
+                is PartResult.CallerGone -> return AttemptEnd.CallerGone
+            }
+            return null
+        }
+
         /**
          * Buffers a part of the body. Each part restarts the timeout, because a slow response is
          * valid; the deadline of the request bounds the total time.
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/EventFramer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/EventFramer.kt
@@ -8,16 +8,19 @@
  *
  * Incomplete events are held back: a backend server may stop in the middle of an event, and the
  * response then resumes with a complete event of another server. Events with an id up to [lastId]
- * are dropped, so that none is delivered twice. Events without an id always pass. The bytes of an
- * event are not changed.
+ * are dropped, so that none is delivered twice. Events without an id pass, except in a response
+ * that [isContinuation] of another one, before its first event with a new id: nothing tells whether
+ * the caller has such an event already. The bytes of an event are not changed.
  */
-internal class EventFramer(lastId: Long?) {
+internal class EventFramer(lastId: Long?, private val isContinuation: Boolean = false) {
     private var eventBytes = ByteArray(INITIAL_BYTES)
     private var size = 0
     private var isLineEmpty = true
     private var isSkippingLine = false
     private var idPosition = ID_START
     private var eventId = NO_ID
+    private var hasField = false
+    private var hasNewId = false
 
     /** The highest event id so far, or null if no event had one. */
     var lastId: Long? = lastId
@@ -31,13 +34,21 @@
     var isTooLong: Boolean = false
         private set
 
+    /** Whether an event came that has no place in a continuation; further bytes are ignored. */
+    var isMisplaced: Boolean = false
+        private set
+
+    /** Whether an event without an id has passed since the last one with an id. */
+    var endsWithoutId: Boolean = false
+        private set
+
     /** Whether bytes of an incomplete event are held back. */
     val isWithinEvent: Boolean get() = size > 0
 
     /** Consumes [input] and returns the events that it completes, or null if there are none. */
     fun feed(input: ByteBuf): ByteBuf? {
         var complete: ByteBuf? = null
-        while (input.isReadable && !isTooLong) {
+        while (input.isReadable && !isTooLong && !isMisplaced) {
             val b = input.readByte()
             appendByte(b)
             if (b == CARRIAGE_RETURN) continue
@@ -74,6 +85,7 @@
 
     /** Parses the next byte of a line that may be an id field such as `id: 12`. */
     private fun parseLineByte(b: Byte) {
+        if (isLineEmpty && b != COMMENT) hasField = true
         isLineEmpty = false
         if (isSkippingLine) return
         val c = b.toInt().toChar()
@@ -97,13 +109,21 @@
     private fun endEvent(): ByteBuf? {
         val length = size
         val completedId = eventId
+        val isUnnumbered = hasField && completedId == NO_ID
         size = 0
         eventId = NO_ID
+        hasField = false
         val last = lastId
         if (completedId != NO_ID) {
             if (last != null && completedId <= last) return null
             lastId = completedId
+            hasNewId = true
+        }
+        if (isUnnumbered && isContinuation && !hasNewId) {
+            isMisplaced = true
+            return null
         }
+        endsWithoutId = isUnnumbered || endsWithoutId && completedId == NO_ID
         events++
         return Unpooled.wrappedBuffer(eventBytes.copyOf(length))
     }
@@ -114,6 +134,7 @@
         /** Events usually have a few hundred bytes. */
         const val MAX_EVENT_BYTES = 65_536
         const val LINE_FEED = '\n'.code.toByte()
+        const val COMMENT = ':'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_PREFIX = "id:"
         const val ID_START = 0
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -68,7 +68,7 @@
             observer.onAttempt(service.name, end)
             if (isFinal(end)) return
             logFailure(selection, end)
-            if (!limit.canRetry()) return
+            if (!limit.canRetry() || relay?.canContinue == false) return
             delaySuspect()
             if (!budgetAllows(end)) return
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ResponseReader.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ResponseReader.kt
@@ -6,11 +6,8 @@
 
 /** Consumes the response of a backend server as it arrives. */
 internal interface ResponseReader {
-    /**
-     * Handles the status line and headers. Returns the time in ms within which the first part of
-     * the body must arrive.
-     */
-    fun onHead(status: Int, headers: HttpHeaders, responseHeaders: ResponseHeaders): Long
+    /** Handles the status line and headers. */
+    fun onHead(status: Int, headers: HttpHeaders, responseHeaders: ResponseHeaders): PartResult
 
     /** Handles the next part of the body. Does not release [part]; the calling code does that. */
     suspend fun onPart(part: ByteBuf): PartResult
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/StreamRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/StreamRelay.kt
@@ -2,6 +2,7 @@
 
 import io.greengageport.gateway.port.ResponseHeaders
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 
 /**
@@ -20,6 +21,7 @@
 ) : ResponseReader {
     private var framer = EventFramer(resumeAfterId)
     private var status = 0
+    private var contentType: String? = null
     private var headers: HttpHeaders? = null
 
     /** The event after which another server would resume, or null if there is none. */
@@ -28,15 +30,34 @@
     /** Whether an event was sent to the caller. */
     val hasEvents: Boolean get() = response.isStarted
 
+    /**
+     * Whether another server can continue the response: its caller has received no event yet, or
+     * the id of the last one is known.
+     */
+    val canContinue: Boolean get() = !response.isStarted || !framer.endsWithoutId
+
     /** Number of parts with new events that were relayed over all attempts. */
     var events = 0
         private set
 
-    override fun onHead(status: Int, headers: HttpHeaders, responseHeaders: ResponseHeaders): Long {
+    /**
+     * Starts a new attempt. Once the response has started, only a stream with the same status and
+     * content type continues it; anything else is, for example, the text of an error.
+     */
+    override fun onHead(
+        status: Int,
+        headers: HttpHeaders,
+        responseHeaders: ResponseHeaders
+    ): PartResult {
+        val contentType = mediaType(headers)
+        if (response.isStarted && (status != this.status || contentType != this.contentType)) {
+            return PartResult.Malformed("response $status is no continuation of the stream")
+        }
         this.status = status
+        this.contentType = contentType
         this.headers = headers
-        framer = EventFramer(framer.lastId)
-        return eventTimeoutMillis()
+        framer = EventFramer(framer.lastId, response.isStarted && framer.lastId != null)
+        return PartResult.Progress(eventTimeoutMillis())
     }
 
     /**
@@ -47,6 +68,7 @@
         val previousId = framer.lastId
         val completeEvents = framer.feed(part)
         if (framer.isTooLong) return PartResult.Malformed("event exceeds the size limit")
+        if (framer.isMisplaced) return PartResult.Malformed("event without id in a continuation")
         if (completeEvents == null) return PartResult.NoProgress
         if (!response.isStarted) {
             onFirstEvent()
@@ -74,6 +96,10 @@
         return true
     }
 
+    /** The content type in [headers] without its parameters, or null if there is none. */
+    private fun mediaType(headers: HttpHeaders): String? =
+        headers[HttpHeaderNames.CONTENT_TYPE]?.substringBefore(';')?.trim()?.lowercase()
+
     private companion object {
         /** Number of events to report; a request that crashes servers does so at its start. */
         const val OBSERVED_EVENTS = 4
