Relay events whose id exceeds a Long

The id of an event wrapped around beyond 2^63, so that a valid event looked older than the one before and was dropped: the caller missed a piece of its stream. Such an id now counts as none, and the event passes unchanged.

Before, StreamContinuationTest failed: the event with id 2^64 + 1 was missing between those with ids 1 and 3.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/EventFramer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/EventFramer.kt
@@ -97,7 +97,7 @@
                 isSkippingLine = true
             }
 
-            c in '0'..'9' -> eventId = eventId * DECIMAL + (c - '0')
+            c in '0'..'9' && eventId < MAX_ID -> eventId = eventId * DECIMAL + (c - '0')
 
             c != ' ' -> {
                 eventId = NO_ID
@@ -123,7 +123,7 @@
             isMisplaced = true
             return null
         }
-        endsWithoutId = isUnnumbered || endsWithoutId && completedId == NO_ID
+        endsWithoutId = isUnnumbered || (endsWithoutId && completedId == NO_ID)
         events++
         return Unpooled.wrappedBuffer(eventBytes.copyOf(length))
     }
@@ -140,5 +140,8 @@
         const val ID_START = 0
         const val NO_ID = -1L
         const val DECIMAL = 10
+
+        /** Ids from here on may exceed a Long with one more digit, and count as no ids. */
+        const val MAX_ID = Long.MAX_VALUE / DECIMAL
     }
 }
