Send a request once more to a server on a new connection

A server that had refused a request because of another server, and wrote that refusal once more when the request came again over the same kept connection, made the gateway tell the caller "not run, try again" while the server ran the request: the id of the attempt is the same, so the copy was taken for the answer. Each address that a request has been sent to is now remembered, and a further attempt there opens a connection, on which only its own answer can come. Requests that may run once always did so; the test covers both kinds.

Before, RepeatedRefusalTest failed for the idempotent request with "found {"code":"no_backend_server","execution":"not_run"}" instead of "done".

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -65,7 +65,11 @@
         onResponseHeaders: (ResponseHeaders) -> Unit = {}
     ): AttemptEnd {
         val address = dispatch.server.address
-        val shouldBeNew = context.route.repeatability == Repeatability.AT_MOST_ONCE
+        // On a connection that has carried the request before, the answer to that attempt could
+        // come once more, and its id would match.
+        val isFirstContact = context.contactedServers.add(address)
+        val shouldBeNew =
+            !isFirstContact || context.route.repeatability == Repeatability.AT_MOST_ONCE
         val connectTimeoutMillis = minOf(CONNECT_TIMEOUT_MILLIS, headTimeoutMillis)
         val lease = pool.acquire(address, connectTimeoutMillis, shouldBeNew)
             .getOrElse { return AttemptEnd.NotConnected(it.reason) }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestContext.kt
@@ -1,5 +1,6 @@
 package io.greengageport.gateway.forward
 
+import io.greengageport.common.HostPort
 import io.greengageport.common.OrganisationName
 import io.greengageport.common.RequestId
 import io.greengageport.gateway.model.Organisation
@@ -26,6 +27,9 @@
     /** Whether an attempt of the request is at a backend server. */
     var isAtServer: Boolean = false
 
+    /** Addresses to which a connection was opened or taken for an attempt of the request. */
+    val contactedServers: MutableSet<HostPort> = HashSet()
+
     /** The priority of the organisation, or else that of the route; 0 is the most urgent. */
     val priority: Int get() = organisation?.priority ?: route.priority
 
