Retry at the same server after other bytes on a kept connection

A caller got backend_failed although its only server was sound: bytes that a faulty server sends after a complete response reached the next request, which took the kept connection before they arrived. They were not used for it, but the attempt counted as a failure of the server, which was then excluded.

The end of such an attempt now says that the connection was stale. The server is avoided instead of excluded: it is used again, on a new connection, if there is no other one. Only requests that may be repeated use kept connections, so nothing runs twice that must not.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
@@ -26,9 +26,14 @@
 
     /**
      * The connection closed early, timed out ([isSilent]) or carried an invalid response. The
-     * request may have run.
+     * request may have run. [isStaleConnection] tells that a kept connection carried other bytes
+     * before the response, so that the server may still answer on another connection.
      */
-    data class Broken(val reason: String, val isSilent: Boolean = false) : AttemptEnd
+    data class Broken(
+        val reason: String,
+        val isSilent: Boolean = false,
+        val isStaleConnection: Boolean = false
+    ) : AttemptEnd
 
     /** The caller closed its connection before the response was complete. */
     data object CallerGone : AttemptEnd
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -193,7 +193,10 @@
                 val part = lease.channel.receive() ?: return brokenEnd()
                 try {
                     if (part.decoderResult().isFailure) {
-                        return AttemptEnd.Broken("$address: ${part.decoderResult().cause()}")
+                        return AttemptEnd.Broken(
+                            "$address: ${part.decoderResult().cause()}",
+                            isStaleConnection = lease.isReused && currentResponse == null
+                        )
                     }
                     if (part is HttpResponse) handleHead(part)?.let { return it }
                     if (part is HttpContent) handleContent(part)?.let { return it }
@@ -212,7 +215,8 @@
             if (responseHeaders.attemptId == null && lease.isReused) {
                 // It may be a duplicate of the response to an earlier request.
                 return AttemptEnd.Broken(
-                    "$address: response without attempt id on a reused connection"
+                    "$address: response without attempt id on a reused connection",
+                    isStaleConnection = true
                 )
             }
             isIgnored = responseHeaders.attemptId != null &&
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -48,7 +48,10 @@
     /** Servers that must not receive this request again. */
     private val excluded = HashSet<RunnerId>()
 
-    /** Members of chains that stalled for an unknown reason; used only if there are no others. */
+    /**
+     * Members of chains that stalled for an unknown reason, and servers with stale connections;
+     * used only if there are no others.
+     */
     private val avoided = HashSet<RunnerId>()
     private val relay = if (context.route.isStreaming) newRelay() else null
     private var lastEnd: AttemptEnd? = null
@@ -206,6 +209,11 @@
 
     private suspend fun excludeFailed(selection: Selection, end: AttemptEnd.Broken) {
         val first = selection.server.id
+        if (end.isStaleConnection) {
+            avoided += first
+            health.recordFailure(service.name, listOf(first))
+            return
+        }
         if (selection.members.size == 1 || !end.isSilent) {
             if (!end.isSilent) {
                 suspects.recordLostConnection(first)
