--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
@@ -13,7 +13,7 @@
 internal class AttemptLimit(
     private val repeatability: Repeatability,
     private val maxRuns: Int,
-    private val maxSends: Int = maxRuns + EXTRA_SENDS
+    private val maxSends: Int = minOf(maxRuns, Int.MAX_VALUE - EXTRA_SENDS) + EXTRA_SENDS
 ) {
     /** Number of attempts in which the request may have run. */
     var runs: Int = 0
--- a/gateway/src/main/kotlin/io/greengageport/gateway/model/Route.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/model/Route.kt
@@ -33,7 +33,8 @@
     }
 
     /**
-     * Returns the service for a request, selected by weight. [fraction] is a random number from 0
+     * Returns the service for a request, selected by weight; the last one if no weight is positive.
+     * [fraction] is a random number from 0
      * (inclusive) to 1 (exclusive).
      */
     public fun selectService(fraction: Double): ServiceName {
@@ -43,7 +44,7 @@
             remaining -= t.weight
             if (remaining < 0) return t.service
         }
-        return targets.last { it.weight > 0 }.service
+        return (targets.lastOrNull { it.weight > 0 } ?: targets.last()).service
     }
 }
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/AttemptLimitTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/AttemptLimitTest.kt
@@ -29,6 +29,13 @@
         return limit
     }
 
+    /** Guards against an overflow, after which no request is retried. */
+    @Test
+    fun `The largest number of runs allows retries`() {
+        val limit = after(Repeatability.IDEMPOTENT, Int.MAX_VALUE, broken, refused)
+        expectThat(limit.canRetry()).isTrue()
+    }
+
     @Nested
     inner class `A request that must run at most once` {
         @Test
