--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -1,6 +1,7 @@
 package io.greengageport.cli
 
 import com.github.michaelbull.result.getOrElse
+import io.greengageport.common.SystemClock
 import io.greengageport.gateway.GatewayInstance
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
@@ -65,10 +66,15 @@
         val stopped = CountDownLatch(1)
         signals.attach(object : ProcessSignals.Receiver {
             override fun onStop(signal: String) {
+                // The platform counts the grace period from the signal, and the thread may be busy.
+                val signalledAtMillis = SystemClock.monotonicMillis()
                 loop.scope.launch {
-                    instance.recordSignal(signal)
-                    instance.stop()
-                    stopped.countDown()
+                    try {
+                        instance.recordSignal(signal)
+                        instance.stop(signalledAtMillis)
+                    } finally {
+                        stopped.countDown()
+                    }
                 }
             }
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -66,7 +66,11 @@
         onResponseHeaders: (ResponseHeaders) -> Unit = {}
     ): AttemptEnd {
         val address = dispatch.server.address
-        val shouldBeNew = context.route.repeatability == Repeatability.AT_MOST_ONCE
+        // On a connection that has carried the request before, the answer to that attempt could
+        // come once more, and its id would match.
+        val isFirstContact = context.contactedServers.add(address)
+        val shouldBeNew =
+            !isFirstContact || context.route.repeatability == Repeatability.AT_MOST_ONCE
         val connectTimeoutMillis = minOf(CONNECT_TIMEOUT_MILLIS, headTimeoutMillis)
         val lease = pool.acquire(address, connectTimeoutMillis, shouldBeNew)
             .getOrElse { return AttemptEnd.NotConnected(it.reason) }
@@ -218,7 +222,10 @@
                 val part = lease.channel.receive() ?: return brokenEnd()
                 try {
                     if (part.decoderResult().isFailure) {
-                        return AttemptEnd.Broken("$address: ${part.decoderResult().cause()}")
+                        return AttemptEnd.Broken(
+                            "$address: ${part.decoderResult().cause()}",
+                            isStaleConnection = lease.isReused && currentResponse == null
+                        )
                     }
                     if (part is HttpResponse) handleHead(part)?.let { return it }
                     if (part is HttpContent) handleContent(part)?.let { return it }
@@ -237,7 +244,8 @@
             if (responseHeaders.attemptId == null && lease.isReused) {
                 // It may be a duplicate of the response to an earlier request.
                 return AttemptEnd.Broken(
-                    "$address: response without attempt id on a reused connection"
+                    "$address: response without attempt id on a reused connection",
+                    isStaleConnection = true
                 )
             }
             isIgnored = responseHeaders.attemptId != null &&
@@ -254,12 +262,10 @@
                 if (responseHeaders.attemptId == null || !responseHeaders.hasDigest) {
                     return AttemptEnd.Broken("$address: response without attempt id or digest")
                 }
-                restartTimeout(
-                    reader?.onHead(status, headers, responseHeaders) ?: BODY_TIMEOUT_MILLIS
-                )
-            } else {
-                restartTimeout(BODY_TIMEOUT_MILLIS)
+                val result = reader?.onHead(status, headers, responseHeaders)
+                if (result != null) return handleResult(result)
             }
+            restartTimeout(BODY_TIMEOUT_MILLIS)
             return null
         }
 
@@ -271,12 +277,7 @@
                 } else {
                     buffer(part.content())
                 }
-                when (end) {
-                    is PartResult.Progress -> restartTimeout(end.timeoutMillis)
-                    is PartResult.NoProgress -> Unit
-                    is PartResult.Malformed -> return AttemptEnd.Broken("$address: ${end.reason}")
-                    is PartResult.CallerGone -> return AttemptEnd.CallerGone
-                }
+                handleResult(end)?.let { return it }
             }
             if (part !is LastHttpContent) return null
             val responseHeaders = currentResponse
@@ -287,6 +288,17 @@
             return completeEnd(responseHeaders)
         }
 
+        /** Applies the [result] of a part; returns the end of the attempt if it cannot go on. */
+        private fun handleResult(result: PartResult): AttemptEnd? {
+            when (result) {
+                is PartResult.Progress -> restartTimeout(result.timeoutMillis)
+                is PartResult.NoProgress -> Unit
+                is PartResult.Malformed -> return AttemptEnd.Broken("$address: ${result.reason}")
+                is PartResult.CallerGone -> return AttemptEnd.CallerGone
+            }
+            return null
+        }
+
         /**
          * Buffers a part of the body. Each part restarts the timeout, because a slow response is
          * valid; the deadline of the request bounds the total time.
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -50,7 +50,10 @@
     /** Servers that must not receive this request again. */
     private val excluded = HashSet<RunnerId>()
 
-    /** Members of chains that stalled for an unknown reason; used only if there are no others. */
+    /**
+     * Members of chains that stalled for an unknown reason, and servers with stale connections;
+     * used only if there are no others.
+     */
     private val avoided = HashSet<RunnerId>()
     private val relay = if (context.route.isStreaming) newRelay() else null
     private var reservedRetry: ReservedRetry? = null
@@ -74,7 +77,7 @@
             observer.onAttempt(service.name, end)
             if (isFinal(end)) return
             logFailure(selection, end)
-            if (!limit.canRetry()) return
+            if (!limit.canRetry() || relay?.canContinue == false) return
             val isDelayed = delaySuspect()
             val retry = reservedRetry
             reservedRetry = null
@@ -239,6 +242,11 @@
         // The failure was recorded before the attempt was given up.
         if (end.isSilent) return
         val first = selection.server.id
+        if (end.isStaleConnection) {
+            avoided += first
+            health.recordFailure(service.name, listOf(first))
+            return
+        }
         suspects.recordLostConnection(first)
         if (timeouts.canContinueElsewhere) {
             checkForCrash(first)
@@ -315,7 +323,8 @@
 
     /** Selects the target of a retry and takes its budget; returns false if one is missing. */
     private fun reserveRetry(shouldLog: Boolean): Boolean {
-        if (!limit.canRetryAfterRun() || timeouts.remainingMillis <= 0) return false
+        if (!limit.canRetryAfterRun() || relay?.canContinue == false) return false
+        if (timeouts.remainingMillis <= 0 || !hasTimeForAttempt()) return false
         val isBlocked = suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED ||
             suspects.findBlockedPart(context.sharedPromptParts) != null
         if (isBlocked) return false
