Stop gracefully on SIGINT

Callers saw: SIGINT ended a gateway with status 130 after 0.02 s, and the connections of all requests in flight were closed without an answer. Cause: only SIGTERM and SIGHUP were handled; for SIGINT, the handler of the JVM applied. Change: SIGINT is handled like SIGTERM, also beside it and while the process starts.

--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -16,10 +16,10 @@
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 
-/** Runs an entry instance on the platform until SIGTERM; SIGHUP reloads the settings. */
+/** Runs an entry instance on the platform until SIGTERM or SIGINT; SIGHUP requests a reload. */
 @Command(
     name = "gateway",
-    description = ["Runs an entry instance on the platform; SIGTERM starts a graceful shutdown."],
+    description = ["Runs an entry instance on the platform; SIGTERM stops it gracefully."],
     mixinStandardHelpOptions = true
 )
 internal class GatewayCommand(private val signals: ProcessSignals = ProcessSignals()) :
--- a/cli/src/main/kotlin/io/greengageport/cli/ProcessSignals.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/ProcessSignals.kt
@@ -5,7 +5,8 @@
 import sun.misc.SignalHandler
 
 /**
- * The signals of a process that serves requests: SIGTERM requests a stop, and SIGHUP a reload.
+ * The signals of a process that serves requests: SIGTERM and SIGINT request a stop, and SIGHUP a
+ * reload.
  *
  * Until [tryOpen], nothing listens, so a request to stop ends the process at once with
  * [ExitCodes.OK]. After that, signals go to the receiver of [attach]; those that arrive before it
@@ -34,10 +35,14 @@
     private var receiver: Receiver? = null
     private val pending = ArrayList<String>()
 
-    /** Installs the handlers, which replace those of the JVM. */
+    /**
+     * Installs the handlers, which replace those of the JVM. A signal that the process was started
+     * to ignore, as `nohup` does with SIGHUP, is still ignored.
+     */
     fun install() {
         Signal.handle(Signal(HANGUP), this)
         Signal.handle(Signal("TERM"), this)
+        Signal.handle(Signal("INT"), this)
     }
 
     /**
--- a/cli/src/test/kotlin/io/greengageport/cli/ProcessSignalsTest.kt
+++ b/cli/src/test/kotlin/io/greengageport/cli/ProcessSignalsTest.kt
@@ -2,6 +2,8 @@
 
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -25,9 +27,10 @@
 
     @Nested
     inner class `Before the process listens` {
-        @Test
-        fun `a request to stop ends it with 0, and it does not listen`() {
-            signals.onSignal("TERM")
+        @ParameterizedTest
+        @ValueSource(strings = ["TERM", "INT"])
+        fun `a request to stop ends it with 0, and it does not listen`(name: String) {
+            signals.onSignal(name)
             expectThat(exitCodes).isEqualTo(arrayListOf(0))
             expectThat(signals.tryOpen()).isFalse()
         }
@@ -53,12 +56,12 @@
         @Test
         fun `signals are kept for the receiver, in order`() {
             signals.tryOpen()
-            listOf("HUP", "TERM", "HUP").forEach(signals::onSignal)
+            listOf("HUP", "TERM", "INT").forEach(signals::onSignal)
             signals.attach(receiver)
             signals.onSignal("TERM")
             expectThat(exitCodes).isEmpty()
             expectThat(received)
-                .isEqualTo(arrayListOf("reload HUP", "stop TERM", "reload HUP", "stop TERM"))
+                .isEqualTo(arrayListOf("reload HUP", "stop TERM", "stop INT", "stop TERM"))
         }
     }
 }
