Accept all waiting connections as the listener closes

At the end of a stop, callers that had just connected got a reset: closing the listener makes the system reset the connections in its accept queue, and the process accepted them only in rounds of the event loop, between which new ones arrived.

The listener now accepts everything in the queue and closes in one step on the event loop, so that what it accepted is served or refused by the last phase of the stop, and later callers are told by the system that nobody listens. Connections that the system accepts within that step are still reset; their requests were not read.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -66,7 +66,7 @@
     }
 
     private suspend fun closeAll() {
-        listener.closeWhenAllAccepted()
+        listener.acceptAllAndClose()
         val earliestEndMillis = clock.monotonicMillis() + MIN_CLOSE_MILLIS
         val untilMillis = maxOf(endAtMillis, earliestEndMillis)
         // Unread requests of connections that were just accepted are read first.
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
@@ -5,11 +5,11 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.nio.AbstractNioChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import java.net.InetSocketAddress
-import kotlinx.coroutines.delay
 
 /** Accepts HTTP/1.1 connections at an address and passes each to [onConnection]. */
 public class HttpListener(
@@ -18,7 +18,6 @@
     private val onConnection: (HttpChannel, ArrivalMarker) -> Unit
 ) : AutoCloseable {
     private var serverChannel: Channel? = null
-    private var accepted = 0L
 
     /**
      * Listens at [address] and returns the bound address, which has the actual port if that of
@@ -48,23 +47,17 @@
     }
 
     /**
-     * Closes the listener once the connections that the system has accepted are accepted by the
-     * process too; the system resets the others. New connections can delay that for up to
-     * [MAX_ACCEPT_ROUNDS] rounds of the event loop.
+     * Accepts the connections that the system has accepted and closes the listener. The system
+     * resets those that it accepts in between.
      */
-    public suspend fun closeWhenAllAccepted() {
-        var previous = -1L
-        var rounds = 0
-        while (accepted != previous && rounds < MAX_ACCEPT_ROUNDS) {
-            previous = accepted
-            rounds++
-            delay(ACCEPT_ROUND_MILLIS)
-        }
-        close()
+    public fun acceptAllAndClose() {
+        val channel = serverChannel ?: return
+        channel.config().setOption(ChannelOption.MAX_MESSAGES_PER_READ, BACKLOG)
+        (channel.unsafe() as AbstractNioChannel.NioUnsafe).read()
+        channel.close()
     }
 
     private fun initPipeline(channel: Channel) {
-        accepted++
         val limit = maxHeaderBytes()
         val decoding = HttpDecoderConfig()
             .setMaxInitialLineLength(limit)
@@ -81,7 +74,5 @@
          * wait seconds before they resend their SYN.
          */
         const val BACKLOG = 1_024
-        const val ACCEPT_ROUND_MILLIS = 1L
-        const val MAX_ACCEPT_ROUNDS = 100
     }
 }
