Wait for the log at the end of a stop without blocking

The stop now polls the writer from a coroutine, within the same limit. GatewayStopTest and DecisionLogTest pass; no test shows the block, because with the new order of the stop no answer is left when the log closes.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -54,10 +54,8 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import kotlin.random.Random
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withContext
 
 /**
  * An entry instance of the gateway: serves callers, follows the configuration and the list of
@@ -289,8 +287,7 @@
         loop.scope.launch { dutyLease.leave() }
         sequence.run()
         listeners.forEach { it.close() }
-        // Closing the log waits for its writer, and connections may still linger.
-        withContext(Dispatchers.IO) { log.close() }
+        log.closeSuspending()
     }
 
     /**
--- a/gateway/src/main/kotlin/io/greengageport/gateway/logging/DecisionLog.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/logging/DecisionLog.kt
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
 
 /**
@@ -59,6 +61,15 @@
         writer.join(CLOSE_TIMEOUT_MILLIS)
     }
 
+    /** Like [close], but does not block the calling thread. */
+    public suspend fun closeSuspending() {
+        isClosing = true
+        writer.interrupt()
+        withTimeoutOrNull(CLOSE_TIMEOUT_MILLIS) {
+            while (writer.isAlive) delay(CLOSE_CHECK_INTERVAL_MILLIS)
+        }
+    }
+
     /**
      * Counts a line of [part] against its rate limit; returns false if the line has to be omitted.
      */
@@ -115,6 +126,7 @@
         const val QUEUE_LINES = 4_096
         const val DEFAULT_LINES_PER_SECOND = 300
         const val CLOSE_TIMEOUT_MILLIS = 500L
+        const val CLOSE_CHECK_INTERVAL_MILLIS = 5L
         const val NANOS_PER_SECOND = 1_000_000_000L
     }
 }
