Ignore reports of peers from the future

A report with a negative age of a read made the list of servers count as fresh for as long, so that the instance read it no more than every 30 s; a summary with one hid all later summaries of its data centre, and its number of instances stayed.

Ages must not be negative, and changes lie within their delta. No instance is known to send such reports. Before, ServerListRelayTest failed with "Expect that true: is equal to false" and PeerViewTest with "found 1002" instances instead of 6.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -125,8 +125,12 @@
         return true
     }
 
-    /** Keeps [summary] if it is newer than the last one of its data centre, unless that is ours. */
+    /**
+     * Keeps [summary] if it is newer than the last one of its data centre, unless that is ours or
+     * the age is not valid: a summary from the future would hide all later ones.
+     */
     private fun acceptSummary(summary: DataCentreSummary) {
+        if (summary.ageMillis !in 0..SUMMARY_EXPIRY_MILLIS) return
         val centre = DataCentre(summary.dataCentre)
         val computedAtMillis = clock.monotonicMillis() - summary.ageMillis
         if (centre != ownCentre &&
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -181,6 +181,8 @@
         position: Long?
     ): DeltaOutcome {
         if (ageMillis == null || delta == null || position == null) return DeltaOutcome.UpToDate
+        // A read from the future would count as fresh for as long.
+        if (ageMillis < 0) return DeltaOutcome.UpToDate
         val readAtMillis = clock.monotonicMillis() - ageMillis
         val known = keepLatest(sender, Read(delta, readAtMillis))
         if (delta.from > position) return DeltaOutcome.Gap
@@ -189,9 +191,9 @@
             maxOf(freshUntilMillis, minOf(readAtMillis, known.atMillis) + freshnessMillis)
         if (delta.until <= position) return DeltaOutcome.UpToDate
         return DeltaOutcome.Applicable(
-            delta.changes.filter {
-                it.position >= position
-            }.mapNotNull(::decodeChange),
+            // A change with a later position would hide the next changes of its server.
+            delta.changes.filter { it.position in position until delta.until }
+                .mapNotNull(::decodeChange),
             delta.until
         )
     }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -98,6 +98,27 @@
         }
     }
 
+    /** Guards against a summary from the future, beside which all true ones look outdated. */
+    @Test
+    fun `a summary with a negative age does not hide the next one`() {
+        fun summary(ageMillis: Long, instances: Int) = DataCentreSummary(
+            dataCentre = "y",
+            ageMillis = ageMillis,
+            instances = instances,
+            load = emptyList(),
+            requestsByService = emptyMap(),
+            retries = emptyMap(),
+            unreachable = emptyList(),
+            renewalAgeMillis = null
+        )
+        for ((i, age) in listOf(-1L, -1_000_000_000, Long.MIN_VALUE, Long.MAX_VALUE).withIndex()) {
+            val odd = report("a", 1L + i, 3, centres = listOf(summary(age, instances = 1_000)))
+            view.onReport(odd, address)
+        }
+        view.onReport(report("a", 9, 3, centres = listOf(summary(0, instances = 4))), address)
+        expectThat(view.liveInstanceCount).isEqualTo(6)
+    }
+
     @Test
     fun `a peer mentioned by another one counts once it reports itself`() {
         val far = KnownPeer("far", "z", "127.0.0.1:10")
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -34,6 +34,16 @@
             expectThat(relay.pauseMillis).isEqualTo(30_000)
         }
 
+        /** Guards against an instance that never reads the list again and misses later changes. */
+        @Test
+        fun `does not believe a read from the future or changes beyond its end`() {
+            relay.onReport(reader, ageMillis = -1_000_000_000, delta(1, 5), position = 5)
+            expectThat(relay.hasFreshPeerRead).isEqualTo(false)
+            val change = ServerChange("x", Long.MAX_VALUE, null)
+            expectThat(relay.onReport(reader, ageMillis = 0, delta(1, 9, change), position = 5))
+                .isEqualTo(DeltaOutcome.Applicable(emptyList(), until = 9))
+        }
+
         @Test
         fun `reads at the short interval once the reader goes silent`() {
             relay.onReport(reader, ageMillis = 100, delta(1, 5), position = 5)
