Reset callers that take no byte of a response for ten seconds

Callers that stop reading kept the memory of large responses for good: four of them hold all of it, and from then on every other large response waited for its deadline. Cause: flush waited for the caller without a limit. Connections that close had one already (10 s). Change: the same limit applies to every wait for a peer that takes no byte; one that takes some is never cut.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionCloser.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionCloser.kt
@@ -40,7 +40,7 @@
             if (connection.unsentBytes != unsent) {
                 unsent = connection.unsentBytes
                 progressAtMillis = now
-            } else if (now - progressAtMillis >= STALL_MILLIS) {
+            } else if (now - progressAtMillis >= HttpChannel.STALL_MILLIS) {
                 return false
             }
         }
@@ -61,9 +61,6 @@
     private companion object {
         const val FLUSH_CHECK_INTERVAL_MILLIS = 20L
 
-        /** A caller that takes no byte for this long does not read the answer any more. */
-        const val STALL_MILLIS = 10_000L
-
         /** Several round trips, in which a caller reads its answer and closes. */
         const val LINGER_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -14,6 +14,7 @@
 import kotlin.coroutines.resume
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
 
 /**
@@ -106,19 +107,30 @@
 
     /**
      * Sends the written parts and suspends while the peer does not read. Returns false if the
-     * connection is closed.
+     * connection is closed. Resets it if the peer takes no byte for [STALL_MILLIS], because what
+     * waits for such a peer holds memory that others need.
      */
     public suspend fun flush(): Boolean {
         channel.flush()
         while (!isClosed && !channel.isWritable) {
-            suspendCancellableCoroutine { c ->
-                writer = c
-                c.invokeOnCancellation { if (writer === c) writer = null }
+            val unsent = unsentBytes
+            val isInTime = withTimeoutOrNull(STALL_MILLIS) { awaitWritable() } != null
+            if (!isInTime && !isClosed && unsentBytes == unsent) {
+                Logger.warn("gateway: peer takes no bytes, resetting ${channel.remoteAddress()}")
+                reset()
+                return false
             }
         }
         return !isClosed
     }
 
+    private suspend fun awaitWritable() {
+        suspendCancellableCoroutine { c ->
+            writer = c
+            c.invokeOnCancellation { if (writer === c) writer = null }
+        }
+    }
+
     /** Sends the written parts without waiting for the peer. */
     public fun flushNow() {
         channel.flush()
@@ -212,5 +224,8 @@
          * with a slow receiver holds at most 256 KiB.
          */
         public const val READ_AHEAD: Int = 32
+
+        /** A peer that takes no byte for this long, in ms, does not read any more. */
+        public const val STALL_MILLIS: Long = 10_000
     }
 }
