Stop an instance of `run` gracefully from the first connection on

Callers saw: a request that an instance of `run` had read right before SIGTERM ended with a reset connection, up to 0.1 to 0.2 s after it began to listen, and SIGHUP ended the instance (after its drain, with 129). Cause: the shutdown hook was added only after the instance listened and had joined its peers; until then, and for SIGHUP, the handlers of the JVM applied. Change: `run` uses ProcessSignals too. All signals join one drain, SIGHUP is logged and has no effect, and the exit codes of SIGTERM and SIGINT stay 143 and 130. Repeated SIGTERM lost nothing before either, since the hook waited for the drain.

--- a/cli/src/main/kotlin/io/greengageport/cli/Main.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/Main.kt
@@ -9,7 +9,8 @@
  * refers to nothing else that has to be loaded first, such as the command line.
  */
 public fun main(args: Array<String>) {
-    val signals = ProcessSignals()
-    if (args.isNotEmpty() && args[0] == GATEWAY) signals.install()
+    val command = if (args.isNotEmpty()) args[0] else ""
+    val signals = ProcessSignals(reportsStopSignal = command == RUN)
+    if (command == RUN || command == GATEWAY) signals.install()
     exitProcess(execute(args, signals))
 }
--- a/cli/src/main/kotlin/io/greengageport/cli/ProcessSignals.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/ProcessSignals.kt
@@ -8,14 +8,17 @@
  * The signals of a process that serves requests: SIGTERM and SIGINT request a stop, and SIGHUP a
  * reload.
  *
- * Until [tryOpen], nothing listens, so a request to stop ends the process at once with
- * [ExitCodes.OK]. After that, signals go to the receiver of [attach]; those that arrive before it
- * is attached are kept for it.
+ * Until [tryOpen], nothing listens, so a request to stop ends the process at once with [exitCode].
+ * After that, signals go to the receiver of [attach]; those that arrive before it is attached are
+ * kept for it.
  *
  * To install the handlers as early as possible, this class loads few others. It has no lambdas and
  * no string templates, which the JVM links at run time.
  */
-internal class ProcessSignals(private val exit: IntConsumer = RuntimeExit()) : SignalHandler {
+internal class ProcessSignals(
+    private val reportsStopSignal: Boolean = false,
+    private val exit: IntConsumer = RuntimeExit()
+) : SignalHandler {
     /** Receives signals by their names, such as `TERM`. Its functions must not block. */
     interface Receiver {
         /** Requests a graceful stop; called once for each signal. */
@@ -33,8 +36,20 @@
 
     private var phase = Phase.STARTING
     private var receiver: Receiver? = null
+    private var stopSignal: String? = null
     private val pending = ArrayList<String>()
 
+    /**
+     * The exit code after a graceful stop: [ExitCodes.OK], or if stop signals are reported, 128
+     * plus the number of the first signal that requested the stop.
+     */
+    val exitCode: Int
+        @Synchronized get() {
+            val name = stopSignal
+            if (!reportsStopSignal || name == null) return ExitCodes.OK
+            return SIGNAL_CODES + Signal(name).number
+        }
+
     /**
      * Installs the handlers, which replace those of the JVM. A signal that the process was started
      * to ignore, as `nohup` does with SIGHUP, is still ignored.
@@ -69,12 +84,13 @@
     /** Handles the signal [name], on any thread. */
     @Synchronized
     fun onSignal(name: String) {
+        if (name != HANGUP && stopSignal == null) stopSignal = name
         val attached = receiver
         if (attached != null) {
             pass(name, attached)
         } else if (phase == Phase.STARTING && name != HANGUP) {
             phase = Phase.ENDED
-            exit.accept(ExitCodes.OK)
+            exit.accept(exitCode)
         } else {
             pending.add(name)
         }
@@ -86,5 +102,6 @@
 
     private companion object {
         const val HANGUP = "HUP"
+        const val SIGNAL_CODES = 128
     }
 }
--- a/cli/src/main/kotlin/io/greengageport/cli/Program.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/Program.kt
@@ -71,13 +71,18 @@
 
 /** Runs the command line [args] and returns the exit code; [signals] are those of the process. */
 internal fun execute(args: Array<String>, signals: ProcessSignals): Int {
-    // Gateways start often and on slow machines. Building only their command shortens the startup.
-    if (args.firstOrNull() == GATEWAY) {
-        val command = commandLine(GatewayCommand(signals)).setCommandName("greengageport $GATEWAY")
-        return command.execute(*args.drop(1).toTypedArray())
+    // Instances start often and on slow machines. Building only their command shortens the startup.
+    val command = when (args.firstOrNull()) {
+        GATEWAY -> GatewayCommand(signals)
+        RUN -> RunCommand(signals)
+        else -> return commandLine().execute(*args)
     }
-    return commandLine().execute(*args)
+    return commandLine(command).setCommandName("greengageport ${args[0]}")
+        .execute(*args.drop(1).toTypedArray())
 }
 
 /** The name of [GatewayCommand]. */
 internal const val GATEWAY = "gateway"
+
+/** The name of [RunCommand]. */
+internal const val RUN = "run"
--- a/cli/src/main/kotlin/io/greengageport/cli/RunCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/RunCommand.kt
@@ -7,20 +7,22 @@
 import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.Callable
-import java.util.concurrent.CountDownLatch
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.tinylog.kotlin.Logger
 import picocli.CommandLine.Command
 import picocli.CommandLine.Parameters
 
-/** Runs an entry instance until SIGTERM, which starts a graceful shutdown. */
+/** Runs an entry instance until SIGTERM, SIGINT or a drain; SIGHUP has no effect. */
 @Command(
     name = "run",
     description = ["Runs an entry instance; SIGTERM starts a graceful shutdown."],
     mixinStandardHelpOptions = true
 )
-internal class RunCommand : Callable<Int> {
+internal class RunCommand(private val signals: ProcessSignals = ProcessSignals()) : Callable<Int> {
     @Parameters(paramLabel = "FILE", description = ["The instance's settings file (YAML)."])
     lateinit var file: Path
 
@@ -29,6 +31,7 @@
             System.err.println(describe(it))
             return ExitCodes.BAD_FILE
         }
+        if (!signals.tryOpen()) return signals.exitCode
         val instance = EntryInstance(config)
         val addresses = try {
             runBlocking { instance.start() }.getOrElse {
@@ -43,19 +46,30 @@
         }
         println("listening ${addresses.callers} admin ${addresses.admin} peers ${addresses.peers}")
         System.out.flush()
-        val stopped = CountDownLatch(1)
-        Runtime.getRuntime().addShutdownHook(
-            Thread {
-                runBlocking { instance.drain() }
-                stopped.await()
-            }
-        )
-        runBlocking { instance.awaitDrained() }
+        runBlocking {
+            signals.attach(receiver(instance))
+            instance.awaitDrained()
+        }
         instance.close()
-        stopped.countDown()
-        return ExitCodes.OK
+        return signals.exitCode
     }
 
+    private fun CoroutineScope.receiver(instance: EntryInstance) =
+        object : ProcessSignals.Receiver {
+            override fun onStop(signal: String) {
+                launch(Dispatchers.Default) {
+                    Logger.info("entry: received SIG$signal")
+                    instance.drain()
+                }
+            }
+
+            override fun onReload(signal: String) {
+                launch(Dispatchers.Default) {
+                    Logger.info("entry: received SIG$signal, which has no effect")
+                }
+            }
+        }
+
     private fun cannotListen(config: InstanceConfig, e: Exception): Int {
         val l = config.listen
         val reason = generateSequence<Throwable>(e) { it.cause }.last().message
--- a/cli/src/test/kotlin/io/greengageport/cli/ProcessSignalsTest.kt
+++ b/cli/src/test/kotlin/io/greengageport/cli/ProcessSignalsTest.kt
@@ -14,7 +14,7 @@
 class ProcessSignalsTest {
     private val exitCodes = ArrayList<Int>()
     private val received = ArrayList<String>()
-    private val signals = ProcessSignals { exitCodes += it }
+    private val signals = ProcessSignals(exit = { exitCodes += it })
     private val receiver = object : ProcessSignals.Receiver {
         override fun onStop(signal: String) {
             received += "stop $signal"
@@ -64,4 +64,17 @@
                 .isEqualTo(arrayListOf("reload HUP", "stop TERM", "stop INT", "stop TERM"))
         }
     }
+
+    @Nested
+    inner class `If the stop signal is reported` {
+        @Test
+        fun `the exit code is that of the first one`() {
+            val reporting = ProcessSignals(reportsStopSignal = true, exit = { exitCodes += it })
+            reporting.tryOpen()
+            reporting.attach(receiver)
+            expectThat(reporting.exitCode).isEqualTo(0)
+            listOf("HUP", "TERM", "INT").forEach(reporting::onSignal)
+            expectThat(reporting.exitCode).isEqualTo(143)
+        }
+    }
 }
