Log errors of connections without blocking the thread

Nobody would get an answer from an instance whose standard output is not read: an error of a connection, a report that cannot be read and a failed coroutine were written by the only thread itself, which then waits for the reader for good. Cause: four places used the logger directly; all other lines pass through the bounded queue of DecisionLog. Change: the event loop holds the log, and these places use it (events of the part connection, coroutine_failed, unreadable_report). The instance uses the same log. Found by reading.

--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -54,7 +54,7 @@
                 settings.id,
                 MemberAddress(settings.peerAddress, settings.dataCentre)
             ),
-            protocol = HttpBackendProtocol()
+            protocol = HttpBackendProtocol(loop.log)
         )
         if (!signals.tryOpen()) return ExitCodes.OK
         try {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -21,7 +21,6 @@
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
 import io.greengageport.gateway.http.HttpListener
-import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.model.CallerLimits
 import io.greengageport.gateway.peer.DataCentreSummary
 import io.greengageport.gateway.peer.PeerExchange
@@ -72,7 +71,7 @@
     private val protocol: BackendProtocol,
     private val clock: Clock = SystemClock
 ) {
-    private val log = DecisionLog()
+    private val log = loop.log
     private val metrics = GatewayMetrics()
     private val configuration = ConfigurationHolder(log)
     private val directory = BackendDirectory(clock, log)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/EventLoop.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/EventLoop.kt
@@ -1,5 +1,6 @@
 package io.greengageport.gateway.http
 
+import io.greengageport.gateway.logging.DecisionLog
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.PooledByteBufAllocator
 import io.netty.channel.IoEventLoopGroup
@@ -11,7 +12,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
-import org.tinylog.kotlin.Logger
 
 /**
  * The single thread on which an instance handles its sockets and runs its coroutines.
@@ -19,7 +19,10 @@
  * Entry instances have less than one core each, so a second thread would only add context switches.
  * State that is accessed only on this thread needs no locks. The thread must not be blocked.
  */
-public class EventLoop : AutoCloseable {
+public class EventLoop(
+    /** Takes lines without blocking the thread. */
+    public val log: DecisionLog = DecisionLog()
+) : AutoCloseable {
     internal val group: IoEventLoopGroup = NioIoHandler.newFactory().let { nio ->
         MultiThreadIoEventLoopGroup(1) { LateThreadIoHandler(nio.newHandler(it)) }
     }
@@ -32,7 +35,12 @@
     /** The scope of all coroutines that run until the instance stops. */
     public val scope: CoroutineScope = CoroutineScope(
         dispatcher + SupervisorJob() + CoroutineExceptionHandler { _, e ->
-            Logger.error(e, "gateway: coroutine failed with an unexpected error and has stopped")
+            log.record(
+                "entry",
+                "coroutine_failed",
+                "error" to e,
+                "at" to e.stackTrace.take(LOGGED_FRAMES).joinToString(" < ")
+            )
         }
     )
 
@@ -44,6 +52,9 @@
     internal companion object {
         private const val PAGE_BYTES = 8_192
 
+        /** Enough to tell where an unexpected error comes from within one line of the log. */
+        private const val LOGGED_FRAMES = 5
+
         /** Chunks of 8 KiB << 4 = 128 KiB, because instances have only some 300 MB of memory. */
         private const val CHUNK_ORDER = 4
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -1,5 +1,6 @@
 package io.greengageport.gateway.http
 
+import io.greengageport.gateway.logging.DecisionLog
 import io.netty.channel.Channel
 import io.netty.channel.ChannelException
 import io.netty.channel.ChannelFuture
@@ -15,7 +16,6 @@
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
-import org.tinylog.kotlin.Logger
 
 /**
  * Coroutine interface to an HTTP/1.1 connection: receives and writes message parts one by one, with
@@ -24,7 +24,8 @@
  * It reads ahead by at most [READ_AHEAD] parts, so that a close by the peer is detected while no
  * coroutine receives. Must be used on the thread of the event loop only.
  */
-public class HttpChannel(private val channel: Channel) : ChannelInboundHandlerAdapter() {
+public class HttpChannel(private val channel: Channel, private val log: DecisionLog) :
+    ChannelInboundHandlerAdapter() {
     private val received = ArrayDeque<HttpObject>()
     private var receiver: CancellableContinuation<Unit>? = null
     private var writer: CancellableContinuation<Unit>? = null
@@ -116,7 +117,7 @@
             val unsent = unsentBytes
             val isInTime = withTimeoutOrNull(STALL_MILLIS) { awaitWritable() } != null
             if (!isInTime && !isClosed && unsentBytes == unsent) {
-                Logger.warn("gateway: peer takes no bytes, resetting ${channel.remoteAddress()}")
+                recordEvent("stalled", "unsent_bytes" to unsent)
                 reset()
                 return false
             }
@@ -153,7 +154,7 @@
                 channel.config().setOption(ChannelOption.SO_LINGER, 0)
             } catch (e: ChannelException) {
                 // Some systems refuse the option once the peer has closed the connection.
-                Logger.warn(e, "gateway: closing ${channel.remoteAddress()} without a reset")
+                recordEvent("reset_refused", "error" to e)
             }
         }
         close()
@@ -187,7 +188,7 @@
         failure = failure ?: cause
         // Resets are normal; other exceptions mean invalid data from the peer or a bug.
         if (cause !is IOException) {
-            Logger.warn(cause, "gateway: error, closing connection to ${channel.remoteAddress()}")
+            recordEvent("failed", "error" to cause, "at" to cause.stackTrace.firstOrNull())
         }
         ctx.close()
     }
@@ -198,6 +199,10 @@
         c.invokeOnCancellation { if (receiver === c) receiver = null }
     }
 
+    /** A line written by this thread could block it while the output is not read. */
+    private fun recordEvent(event: String, vararg fields: Pair<String, Any?>) =
+        log.record("connection", event, "peer" to channel.remoteAddress(), *fields)
+
     private fun resumeReceiver() {
         val c = receiver ?: return
         receiver = null
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
@@ -20,7 +20,7 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 
 /** Opens connections to backend servers and to the store, which need to have IP addresses. */
-public class HttpConnector(loop: EventLoop) {
+public class HttpConnector(private val loop: EventLoop) {
     private val bootstrap = Bootstrap()
         .group(loop.group)
         .channel(NioSocketChannel::class.java)
@@ -41,7 +41,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt())
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(ch: Channel) {
-                    connection = HttpChannel(ch)
+                    connection = HttpChannel(ch, loop.log)
                     ch.pipeline().addLast(HttpClientCodec(decoding, false, false), connection)
                 }
             })
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
@@ -63,7 +63,7 @@
             .setMaxInitialLineLength(limit)
             .setMaxHeaderSize(limit)
         val marker = ArrivalMarker()
-        val connection = HttpChannel(channel)
+        val connection = HttpChannel(channel, loop.log)
         channel.pipeline().addLast(marker, HttpServerCodec(decoding), connection)
         onConnection(connection, marker)
     }
