Answer a request that arrives while a connection closes

Callers that send a request ahead, while they still take a large answer, saw their connection end without an answer to it. At a stop (or after the idle timeout) the input of an idle connection ends, and the connection closes once its last answer is sent, which takes as long as a slow caller reads. A request that arrived meanwhile was read and dropped with the connection.

PipelinedRequestAtCloseTest failed before with `ends with "second", found "0"`: the bytes ended with the last chunk of the first answer. Now the connection looks for such requests after its last byte is sent and answers them before it closes.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -75,16 +75,23 @@
     /** Handles requests until the connection is closed. */
     suspend fun run() {
         try {
-            while (handleNext()) {
-                isBusy = false
-                hasServed = true
-            }
+            do {
+                handleRequests()
+                // A caller can send a request while it still takes the answer before it.
+            } while (!isAnswered && closer.awaitFlushed(channel) && channel.hasReceived)
         } finally {
             isClosing = true
             closer.close(channel, isAnswered)
         }
     }
 
+    private suspend fun handleRequests() {
+        while (handleNext()) {
+            isBusy = false
+            hasServed = true
+        }
+    }
+
     /**
      * Closes the connection unless a request is being handled or has begun to arrive. Answers that
      * the caller has not taken are sent first. A new connection stays open until its first request
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionCloser.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionCloser.kt
@@ -29,8 +29,11 @@
         }
     }
 
-    /** Returns false if the connection closed, or the caller took nothing for a long time. */
-    private suspend fun awaitFlushed(connection: HttpChannel): Boolean {
+    /**
+     * Waits until what was written to [connection] is sent. Returns false if the connection closed,
+     * or the caller took nothing for [STALL_MILLIS].
+     */
+    public suspend fun awaitFlushed(connection: HttpChannel): Boolean {
         connection.flushNow()
         var unsent = connection.unsentBytes
         var progressAtMillis = clock.monotonicMillis()
