Close connections that take nothing of a large response

Four callers that stopped reading their responses of 4 MB made all other responses over 64 KB end with 504, for as long as their connections stayed open. Since large responses hold their memory until their caller has taken them, and sending a response has no deadline, such callers held all of it; admission permits are held in the same way.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerResponse.kt
@@ -61,7 +61,8 @@
         if (!isHeadRequest) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         channel.write(response)
         isWritten = true
-        isComplete = channel.flush()
+        // The memory of a large response is reserved until its caller has taken it.
+        isComplete = channel.flushUnlessStalled(STALL_MILLIS)
     }
 
     /**
@@ -119,4 +120,9 @@
         if (endsConnection) copy.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         return copy
     }
+
+    private companion object {
+        /** A caller that takes no byte for this long does not read the response any more. */
+        const val STALL_MILLIS = 10_000L
+    }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -14,6 +14,7 @@
 import kotlin.coroutines.resume
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
 
 /**
@@ -109,12 +110,23 @@
      * connection is closed.
      */
     public suspend fun flush(): Boolean {
+        channel.flush()
+        while (!isClosed && !channel.isWritable) awaitWriterEvent()
+        return !isClosed
+    }
+
+    /** Like [flush], but closes the connection when the peer takes no byte for [stallMillis]. */
+    public suspend fun flushUnlessStalled(stallMillis: Long): Boolean {
         channel.flush()
         while (!isClosed && !channel.isWritable) {
-            suspendCancellableCoroutine { c ->
-                writer = c
-                c.invokeOnCancellation { if (writer === c) writer = null }
-            }
+            val unsent = unsentBytes
+            val isResumed = withTimeoutOrNull(stallMillis) { awaitWriterEvent() } != null
+            if (isResumed || isClosed || unsentBytes != unsent) continue
+            Logger.warn(
+                "gateway: closing connection to ${channel.remoteAddress()}, which has taken " +
+                    "none of $unsent B for $stallMillis ms"
+            )
+            close()
         }
         return !isClosed
     }
@@ -186,6 +198,12 @@
         c.invokeOnCancellation { if (receiver === c) receiver = null }
     }
 
+    /** Waits until the connection is writable or closed. */
+    private suspend fun awaitWriterEvent() = suspendCancellableCoroutine { c ->
+        writer = c
+        c.invokeOnCancellation { if (writer === c) writer = null }
+    }
+
     private fun resumeReceiver() {
         val c = receiver ?: return
         receiver = null
