Decide once whether a silent attempt is given up

A stream could end without its rest although a retry had been reserved for it. The decision to give up an attempt reports a lost stage, and the report goes to all attempts through that stage, the one that decides included. That started another timeout for it, which decided again before the closed connection was noticed: the second decision took the retry budget once more, and if the budget was used up, it dropped the reservation.

SilenceDecidedTwiceTest failed before with "Expect that 3: is equal to 1" decisions. Giving up now cancels that timeout, and later reports start none. The test passes, and so do SlowServersTest, StreamContinuationTest and RepeatedRefusalTest. That a caller loses its stream this way follows from the code; no run has shown it.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -150,6 +150,7 @@
 
         override fun onStageUnreachable() {
             val attemptScope = scope ?: return
+            if (isSilent) return
             timeoutAtMillis =
                 minOf(timeoutAtMillis, clock.monotonicMillis() + STAGE_LOSS_TIMEOUT_MILLIS)
             silenceTimeout?.cancel()
@@ -186,6 +187,8 @@
                 if (!isOverdue()) continue
                 if (silencePolicy.shouldGiveUp()) {
                     isSilent = true
+                    // The decision may have notified this attempt too, which starts a new timeout.
+                    silenceTimeout?.cancel()
                     lease.channel.reset()
                     return@launch
                 }
