Space out the decisions about a silent attempt

An attempt that nothing can replace was examined every 250 ms, and each examination of a chain asks its first stage for a report, which the platform charges. Change: the interval doubles from 250 ms to 2 s.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -167,9 +167,11 @@
 
         /**
          * Closes the connection when the response does not advance in time and [silencePolicy]
-         * gives up the attempt. Otherwise the attempt goes on, and the policy decides again soon.
+         * gives up the attempt. Otherwise the attempt goes on, and the policy decides again, less
+         * and less often, because each decision about a chain asks its first stage for a report.
          */
         private fun launchSilenceTimeout(scope: CoroutineScope): Job = scope.launch {
+            var checkIntervalMillis = SILENCE_CHECK_INTERVAL_MILLIS
             while (true) {
                 val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
                 if (!isOverdue()) {
@@ -192,7 +194,8 @@
                     lease.channel.reset()
                     return@launch
                 }
-                restartTimeout(SILENCE_CHECK_INTERVAL_MILLIS)
+                restartTimeout(checkIntervalMillis)
+                checkIntervalMillis = minOf(2 * checkIntervalMillis, MAX_CHECK_INTERVAL_MILLIS)
             }
         }
 
@@ -382,8 +385,9 @@
          */
         const val STAGE_LOSS_TIMEOUT_MILLIS = 60L
 
-        /** Interval at which it is decided again whether a silent attempt is given up. */
+        /** First interval after which it is decided again whether a silent attempt is given up. */
         const val SILENCE_CHECK_INTERVAL_MILLIS = 250L
+        const val MAX_CHECK_INTERVAL_MILLIS = 2_000L
 
         /** Delay of a timer that shows that the thread was late. */
         const val LATE_MILLIS = 100L
