--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
@@ -17,6 +17,9 @@
 
     /** The instances of this system and the duties assigned to them. */
     public val duties: DutyGroup
+
+    /** The epoch of the store's history, as its responses state it. */
+    public val epoch: StoreEpoch
 }
 
 /** A table of the store, read once as a snapshot and then followed through its changes. */
--- /dev/null
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/StoreEpoch.kt
@@ -0,0 +1,25 @@
+package io.greengageport.gateway.port
+
+/**
+ * The epoch of the store's history.
+ *
+ * The store starts a new epoch when it is restored from an older copy. It then has lost its latest
+ * records and gives out their offsets again, so offsets are comparable only within an epoch.
+ */
+public class StoreEpoch {
+    /** The latest epoch that a response showed; 0 before the first one that states its epoch. */
+    public var current: Long = 0
+        private set
+
+    /** Called with the previous epoch when a response shows that a new one has started. */
+    public var onRestored: (previous: Long) -> Unit = {}
+
+    /** Records that a response belongs to [epoch]; returns false if it is outdated. */
+    public fun observe(epoch: Long): Boolean {
+        val previous = current
+        if (epoch <= previous) return epoch == previous
+        current = epoch
+        if (previous > 0) onRestored(previous)
+        return true
+    }
+}
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -128,7 +128,8 @@
                         "store",
                         "snapshot",
                         "table" to name,
-                        "entries" to batch.changes.size
+                        "entries" to batch.changes.size,
+                        "end" to batch.nextPosition
                     )
                     consumer.onSnapshot(batch.changes, batch.nextPosition)
                 } else if (batch.changes.isNotEmpty()) {
@@ -159,7 +160,13 @@
         consecutiveFailures = 0
         val sinceMillis = failingSinceMillis ?: return
         failingSinceMillis = null
-        log.record("store", "regained", "table" to name, "down_ms" to now - sinceMillis)
+        log.record(
+            "store",
+            "regained",
+            "table" to name,
+            "down_ms" to now - sinceMillis,
+            "position" to position
+        )
         consumer.onRecovered(now - sinceMillis)
     }
 
@@ -167,7 +174,7 @@
         consecutiveFailures++
         if (failingSinceMillis != null) return
         failingSinceMillis = clock.monotonicMillis()
-        log.record("store", "lost", "table" to name, "error" to error)
+        log.record("store", "lost", "table" to name, "error" to error, "position" to position)
     }
 
     private fun backoffMillis(): Long {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
@@ -22,7 +22,7 @@
  * report when the store has recovered.
  */
 internal class StoreFollower(
-    store: PlatformStore,
+    private val store: PlatformStore,
     private val configuration: ConfigurationHolder,
     private val directory: BackendDirectory,
     private val relay: ServerListRelay,
@@ -78,6 +78,7 @@
     /** Follows both tables until [scope] is cancelled. */
     fun launchIn(scope: CoroutineScope) {
         directory.onStoreRecovered = configurations::restartRead
+        store.epoch.onRestored = ::onStoreRestored
         scope.launchSupervised("configurations", log) { configurations.run() }
         scope.launchSupervised("servers", log) { servers.run() }
     }
@@ -124,6 +125,18 @@
         requestDueReport()
     }
 
+    private fun onStoreRestored(previousEpoch: Long) {
+        log.record(
+            "store",
+            "restored",
+            "epoch" to store.epoch.current,
+            "previous" to previousEpoch,
+            "configuration_version" to configuration.current?.version,
+            "configurations_position" to configurations.position,
+            "servers_position" to servers.position
+        )
+    }
+
     private fun requestDueReport() {
         if (!relay.isReportDue) return
         relay.onReportRequested()
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/QueuedReportTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/QueuedReportTest.kt
@@ -15,6 +15,7 @@
 import io.greengageport.gateway.port.DutyGroup
 import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.gateway.port.PlatformStore
+import io.greengageport.gateway.port.StoreEpoch
 import io.greengageport.gateway.port.StoreError
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.ConfigurationHolder
@@ -110,6 +111,7 @@
         override val configurations: ChangeFeed<Configuration> = EmptyFeed()
         override val backendServers: ChangeFeed<BackendServer> = EmptyFeed()
         override val duties: DutyGroup get() = error("duties are not used in this test")
+        override val epoch = StoreEpoch()
     }
 
     /**
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
@@ -18,6 +18,7 @@
 import io.greengageport.gateway.port.ChangeFeed
 import io.greengageport.gateway.port.DutyGroup
 import io.greengageport.gateway.port.PlatformStore
+import io.greengageport.gateway.port.StoreEpoch
 import io.greengageport.gateway.port.StoreError
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -54,6 +55,7 @@
         override val configurations: ChangeFeed<Configuration> = RefusingFeed()
         override val backendServers: ChangeFeed<BackendServer> = servers
         override val duties: DutyGroup get() = error("duties are not used in this test")
+        override val epoch = StoreEpoch()
     }
     private val log = RecordedLog().log
     private val clock = SystemClock
@@ -152,6 +154,7 @@
                 override val configurations = feed
                 override val backendServers: ChangeFeed<BackendServer> = RefusingFeed()
                 override val duties: DutyGroup get() = error("duties are not used in this test")
+                override val epoch = StoreEpoch()
             }
             val silentFollower = follower(silent)
             coroutineScope {
