--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -147,6 +147,10 @@
                 if (error is StoreError.HistoryLost) {
                     log.record("store", "history_lost", "table" to name, "position" to position)
                     position = null
+                    // The store answers, so the snapshot waits neither for the pause nor for the
+                    // backoff of earlier failures.
+                    consecutiveFailures = 0
+                    isReadRequested = true
                 } else {
                     onFailure(error)
                 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -13,7 +13,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.yield
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -92,6 +94,46 @@
         ).isEqualTo(listOf("snapshot", "from 4", "snapshot", "from 9"))
     }
 
+    /**
+     * Guards against an instance that uses an old table for seconds after a loss of the history: it
+     * waited for the pause between reads, or for the backoff of earlier failures.
+     */
+    @Nested
+    inner class `The snapshot after a lost history` {
+        private fun readUntilSnapshot(failures: Int): Unit = runBlocking {
+            val refusals = List(failures) { Err(StoreError.Refused(503)) }
+            val feed = ScriptedFeed(
+                ArrayDeque(
+                    listOf(batch(4, "a")) + refusals + Err(StoreError.HistoryLost) + batch(2, "b")
+                )
+            )
+            val follower = FeedFollower(
+                name = "test",
+                feed = feed,
+                consumer = consumer,
+                clock = clock,
+                log = RecordedLog().log,
+                waitMillis = { 0 },
+                pauseMillis = { LONG_MILLIS },
+                maxBackoffMillis = { LONG_MILLIS }
+            )
+            repeat(1 + failures) { follower.readOnce() }
+            val job = launch { follower.run() }
+            withTimeout(MAX_READ_MILLIS) { while ("snapshot b" !in consumer.received) delay(5) }
+            job.cancel()
+        }
+
+        @Test
+        fun `is read without the pause between reads`() {
+            readUntilSnapshot(failures = 0)
+        }
+
+        @Test
+        fun `is read without the backoff of earlier failures`() {
+            readUntilSnapshot(failures = 10)
+        }
+    }
+
     @Test
     fun `a failed read is retried from the same position and the recovery is reported`() {
         val failure = Err(StoreError.NoResponse("reset"))
@@ -158,5 +200,9 @@
     private companion object {
         const val REFUSALS = 1_000
         const val OUTAGE_MILLIS = 1_500L
+        const val LONG_MILLIS = 60_000L
+
+        /** Time within which a configuration must be in force. */
+        const val MAX_READ_MILLIS = 2_000L
     }
 }
