Order positions of the store by the epoch of its history

What callers see: a configuration that was acknowledged after a restore is not in force; keys that it adds are refused with 401 until the read's wait is over, 2.5 to 20 s, and longer if no record follows.

Cause: positions were bare offsets, and a loss was noticed only if the table ended before the position. A store that is restored from an older copy gives offsets out again, so a reader at position 3 waits behind the records that were written again up to offset 3. The class of fault: a number of one epoch of the store is compared with one of another.

Positions are now EpochNumbers, the epoch in the high bits: every position after a restore is higher than those before it.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
@@ -22,14 +22,20 @@
     public val epoch: StoreEpoch
 }
 
-/** A table of the store, read once as a snapshot and then followed through its changes. */
+/**
+ * A table of the store, read once as a snapshot and then followed through its changes.
+ *
+ * Positions are [EpochNumber]s: all positions after a restore of the store are higher than those
+ * before it.
+ */
 public interface ChangeFeed<T> {
     /** Reads all current entries and the position that follows them. */
     public suspend fun snapshot(): Result<ChangeBatch<T>, StoreError>
 
     /**
      * Reads the changes from [position] on (long poll). Returns as soon as there is a change, and
-     * with an empty batch after [waitMillis].
+     * with an empty batch after [waitMillis]. Fails with [StoreError.HistoryLost] if [position] is
+     * of an earlier epoch.
      */
     public suspend fun changes(position: Long, waitMillis: Long): Result<ChangeBatch<T>, StoreError>
 }
@@ -98,7 +104,10 @@
     /** The store states that it did not execute the call: it is down or over its rate limit. */
     public data class Refused(val status: Int) : StoreError
 
-    /** The requested changes are no longer retained; a snapshot must be read instead. */
+    /**
+     * The requested changes are no longer retained, or their position is of an earlier epoch; a
+     * snapshot must be read instead.
+     */
     public data object HistoryLost : StoreError
 
     /** The response does not conform to the format. */
