Read both tables anew as soon as a call shows a restore

What callers see: an old configuration or an old list of servers until a read times out, up to 20 s for an instance whose peers read the list.

Cause: only the read itself noticed that its position was lost, and it may wait on its connection for a record at an offset that does not come. The renewals of the duties, once a second, see the new epoch first.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -7,6 +7,7 @@
 import io.greengageport.gateway.port.Change
 import io.greengageport.gateway.port.ChangeBatch
 import io.greengageport.gateway.port.ChangeFeed
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.port.StoreError
 import kotlin.random.Random
 import kotlinx.coroutines.Job
@@ -129,7 +130,7 @@
                         "snapshot",
                         "table" to name,
                         "entries" to batch.changes.size,
-                        "end" to batch.nextPosition
+                        "end" to EpochNumber.describe(batch.nextPosition)
                     )
                     consumer.onSnapshot(batch.changes, batch.nextPosition)
                 } else if (batch.changes.isNotEmpty()) {
@@ -145,7 +146,12 @@
             },
             { error ->
                 if (error is StoreError.HistoryLost) {
-                    log.record("store", "history_lost", "table" to name, "position" to position)
+                    log.record(
+                        "store",
+                        "history_lost",
+                        "table" to name,
+                        "position" to position?.let(EpochNumber::describe)
+                    )
                     position = null
                     // The store answers, so the snapshot waits neither for the pause nor for the
                     // backoff of earlier failures.
@@ -169,7 +175,7 @@
             "regained",
             "table" to name,
             "down_ms" to now - sinceMillis,
-            "position" to position
+            "position" to position?.let(EpochNumber::describe)
         )
         consumer.onRecovered(now - sinceMillis)
     }
@@ -178,7 +184,13 @@
         consecutiveFailures++
         if (failingSinceMillis != null) return
         failingSinceMillis = clock.monotonicMillis()
-        log.record("store", "lost", "table" to name, "error" to error, "position" to position)
+        log.record(
+            "store",
+            "lost",
+            "table" to name,
+            "error" to error,
+            "position" to position?.let(EpochNumber::describe)
+        )
     }
 
     private fun backoffMillis(): Long {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
@@ -9,6 +9,7 @@
 import io.greengageport.gateway.peer.PeerView
 import io.greengageport.gateway.peer.ReportReason
 import io.greengageport.gateway.peer.ServerListRelay
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.port.PlatformStore
 import kotlinx.coroutines.CoroutineScope
 
@@ -125,6 +126,10 @@
         requestDueReport()
     }
 
+    /**
+     * Starts the reads anew, since those that wait for changes may wait behind records that the
+     * store has lost. Their positions are of an earlier epoch, so both tables are read as a whole.
+     */
     private fun onStoreRestored(previousEpoch: Long) {
         log.record(
             "store",
@@ -132,9 +137,11 @@
             "epoch" to store.epoch.current,
             "previous" to previousEpoch,
             "configuration_version" to configuration.current?.version,
-            "configurations_position" to configurations.position,
-            "servers_position" to servers.position
+            "configurations_position" to configurations.position?.let(EpochNumber::describe),
+            "servers_position" to servers.position?.let(EpochNumber::describe)
         )
+        configurations.restartRead()
+        servers.restartRead()
     }
 
     private fun requestDueReport() {
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
@@ -20,12 +20,14 @@
 import io.greengageport.gateway.port.PlatformStore
 import io.greengageport.gateway.port.StoreEpoch
 import io.greengageport.gateway.port.StoreError
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 
@@ -168,6 +170,50 @@
             expectThat(feed.requestedWaitsMillis.drop(1).max()).isLessThan(1)
         }
 
+    /** Never returns changes, like a read that waits behind records that the store has lost. */
+    private class WaitingFeed<T> : ChangeFeed<T> {
+        var snapshots = 0
+
+        override suspend fun snapshot(): Result<ChangeBatch<T>, StoreError> {
+            snapshots++
+            return Ok(ChangeBatch(emptyList(), 0))
+        }
+
+        override suspend fun changes(
+            position: Long,
+            waitMillis: Long
+        ): Result<ChangeBatch<T>, StoreError> =
+            if (snapshots == 1 && waits++ > 0) Err(StoreError.HistoryLost) else awaitCancellation()
+
+        private var waits = 0
+    }
+
+    /**
+     * Guards against an instance that uses an old table until its read times out: another call
+     * shows that the store was restored, while the read waits on its connection.
+     */
+    @Test
+    fun `both tables are read anew as soon as any call shows a restore`(): Unit = runBlocking {
+        val waitingConfigurations = WaitingFeed<Configuration>()
+        val waitingServers = WaitingFeed<BackendServer>()
+        val restored = object : PlatformStore {
+            override val configurations = waitingConfigurations
+            override val backendServers = waitingServers
+            override val duties: DutyGroup get() = error("duties are not used in this test")
+            override val epoch = StoreEpoch()
+        }
+        restored.epoch.observe(1)
+        coroutineScope {
+            follower(restored).launchIn(this)
+            delay(1_000)
+            restored.epoch.observe(2)
+            delay(500)
+            coroutineContext.cancelChildren()
+        }
+        expectThat(listOf(waitingConfigurations.snapshots, waitingServers.snapshots))
+            .isEqualTo(listOf(2, 2))
+    }
+
     private companion object {
         const val SILENT_CALL_MILLIS = 200L
         const val RUN_MILLIS = 3_600L
