Let the first read after a failure be answered at once

The first read after a failure was a long poll, so an instance whose peers read the list noticed the return of the store only when a record was written or after 20 s: until then the store counted as failing there, and the read waited behind its old position.

A read after a failure now asks for no wait. The new test of FeedFollowerTest sees waits of 500, 500 and 500 ms on the code before, and of 500, 0 and 500 ms with the change.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -116,7 +116,9 @@
     internal suspend fun readOnce() {
         isReadRequested = false
         val from = position
-        val result = if (from == null) feed.snapshot() else feed.changes(from, waitMillis())
+        // After a failure a read is answered at once, which shows whether the store has recovered.
+        val allowedWaitMillis = if (isFailing) 0 else waitMillis()
+        val result = if (from == null) feed.snapshot() else feed.changes(from, allowedWaitMillis)
         handle(result, from)
     }
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -27,6 +27,7 @@
     private class ScriptedFeed(val answers: ArrayDeque<Result<ChangeBatch<String>, StoreError>>) :
         ChangeFeed<String> {
         val calls: MutableList<String> = ArrayList()
+        val waitsMillis: MutableList<Long> = ArrayList()
 
         override suspend fun snapshot(): Result<ChangeBatch<String>, StoreError> {
             calls += "snapshot"
@@ -38,6 +39,7 @@
             waitMillis: Long
         ): Result<ChangeBatch<String>, StoreError> {
             calls += "from $position"
+            waitsMillis += waitMillis
             return answers.removeFirst()
         }
     }
@@ -145,6 +147,21 @@
             .isEqualTo(listOf("snapshot a", "regained after 200", "changes b"))
     }
 
+    /**
+     * Guards against a recovery that is noticed only after a wait of 20 s, because no record is
+     * written.
+     */
+    @Test
+    fun `the first read after a failure does not wait for changes`() {
+        val feed = ScriptedFeed(
+            ArrayDeque(listOf(batch(4, "a"), Err(StoreError.Refused(503)), batch(4), batch(4)))
+        )
+        val follower =
+            FeedFollower("test", feed, consumer, clock, RecordedLog().log, { 500 }, { 0 })
+        runBlocking { repeat(4) { follower.readOnce() } }
+        expectThat(feed.waitsMillis.toList()).isEqualTo(listOf(500L, 0L, 500L))
+    }
+
     @Test
     fun `a hanging read is replaced on restart`() {
         var reads = 0
