Keep a leaving server out of use across a restore of the store

What callers see: requests go to a server that has announced that it is leaving, and fail when it stops.

Cause: BackendDirectory took the newest entry as the truth.

A start of a server that an entry shows as leaving is now kept in leavingStarts, as for answers; a server never becomes ready again within one start, so an entry that says so is outdated, whatever its source.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -11,8 +11,9 @@
 /**
  * The backend servers known from the store's list.
  *
- * A server is leaving when its entry says so or when one of its answers does. What an answer said
- * applies until the server restarts, even if the store still lists the server as ready.
+ * A server is leaving when its entry says so or when one of its answers does. It stays leaving until
+ * it restarts, even if the store lists it as ready: an answer may precede the entry, and a store
+ * that was restored from an older copy has the entry from before.
  *
  * Entries that expired during an outage of the store reappear within about two seconds of its
  * recovery. A removal that is read during that time therefore takes effect only after
@@ -33,7 +34,7 @@
     /** The last snapshot covers all changes before this position, including removals. */
     private var snapshotEnd = 0L
 
-    /** The start of each server that announced in an answer that it is leaving. */
+    /** The start of each server that announced in its entry or in an answer that it is leaving. */
     private val leavingStarts = HashMap<RunnerId, LeavingStart>()
 
     private class LeavingStart(val startedAtMillis: Long, val announcedAtMillis: Long)
@@ -88,8 +89,8 @@
      * (wall clock, in ms), because one of its answers said so.
      */
     public fun onLeaving(id: RunnerId, startedAtMillis: Long) {
-        if (leavingStarts[id]?.startedAtMillis == startedAtMillis) return
-        leavingStarts[id] = LeavingStart(startedAtMillis, clock.monotonicMillis())
+        if (isLeavingStart(id, startedAtMillis)) return
+        rememberLeaving(id, startedAtMillis)
         log.record("servers", "leaving", "id" to id, "started_at" to startedAtMillis)
         servers[id]?.let(::put)
     }
@@ -137,8 +138,9 @@
             log.record("servers", "older_start_ignored", "id" to entry.id)
             return
         }
-        val isLeavingStart = leavingStarts[entry.id]?.startedAtMillis == entry.startedAtMillis
-        val server = if (isLeavingStart) entry.copy(isLeaving = true) else entry
+        if (entry.isLeaving) rememberLeaving(entry.id, entry.startedAtMillis)
+        val isLeaving = isLeavingStart(entry.id, entry.startedAtMillis)
+        val server = if (isLeaving) entry.copy(isLeaving = true) else entry
         removeAtMillis.remove(server.id)
         if (previous == server) return
         servers[server.id] = server
@@ -157,6 +159,13 @@
         onChanged(server.id, previous, server)
     }
 
+    private fun isLeavingStart(id: RunnerId, startedAtMillis: Long) =
+        leavingStarts[id]?.startedAtMillis == startedAtMillis
+
+    private fun rememberLeaving(id: RunnerId, startedAtMillis: Long) {
+        leavingStarts[id] = LeavingStart(startedAtMillis, clock.monotonicMillis())
+    }
+
     private fun remove(id: RunnerId) {
         val server = servers[id] ?: return
         if (!server.isLeaving && clock.monotonicMillis() < graceEndMillis) {
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -6,6 +6,7 @@
 import io.greengageport.gateway.RecordedLog
 import io.greengageport.gateway.SteppedClock
 import io.greengageport.gateway.port.Change
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.server
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -164,6 +165,40 @@
         }
     }
 
+    @Nested
+    inner class `After a restore of the store` {
+        private val leaving = listOf(put("x", isLeaving = true), put("y"))
+
+        /** Guards against work for a server whose notice was lost with the last records. */
+        @Test
+        fun `a server that was leaving stays leaving although the copy lists it as ready`() {
+            directory.onSnapshot(listOf(put("x"), put("y")), end = position(1, 2))
+            directory.onChanges(leaving)
+            directory.onSnapshot(listOf(put("x"), put("y")), end = position(2, 2))
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+        }
+
+        /** Guards against a peer that has read the copy, and against an entry that expired. */
+        @Test
+        fun `a server that was leaving stays leaving whatever source shows it as ready`() {
+            directory.onSnapshot(leaving, end = position(1, 2))
+            directory.onPeerChanges(listOf(Change.Put("x", server("x"), position(2, 2))))
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+            directory.onChanges(listOf(Change.Removed("x", position(2, 3))))
+            directory.onChanges(listOf(Change.Put("x", server("x"), position(2, 4))))
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+        }
+
+        @Test
+        fun `a server that was leaving gets work after a restart`() {
+            directory.onSnapshot(leaving, end = position(1, 2))
+            directory.onSnapshot(listOf(put("x", startedAt = 6)), end = position(2, 1))
+            expectThat(usableIds()).isEqualTo(listOf("x"))
+        }
+    }
+
+    private fun position(epoch: Long, offset: Long) = EpochNumber.of(epoch, offset)
+
     @Test
     fun `is not loaded before the first snapshot`() {
         expectThat(directory.isLoaded).isFalse()
