Keep what is known of a server when a restored store lists an older entry

What callers see: after a restore, requests take paths through layers that their servers have replaced since the copy, and are rejected; it lasts until the servers write their entries again, about two seconds.

Cause: the entries of the copy replaced newer ones of the same start.

The check is a read of its own, because reports of peers contain only changes of the reader's directory. The sequence is no change by itself, and reports of peers are as before.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -7,6 +7,7 @@
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.model.BackendServer
 import io.greengageport.gateway.port.Change
+import io.greengageport.gateway.port.EpochNumber
 
 /**
  * The backend servers known from the store's list.
@@ -18,6 +19,10 @@
  * Entries that expired during an outage of the store reappear within about two seconds of its
  * recovery. A removal that is read during that time therefore takes effect only after
  * [GRACE_MILLIS].
+ *
+ * A store that was restored from an older copy lists servers as they were before. An entry that may
+ * be older than what is known shows only that the server is listed. It takes effect if a snapshot
+ * still has it after [CONFIRMATION_MILLIS].
  */
 public class BackendDirectory(private val clock: Clock, private val log: DecisionLog) :
     FeedConsumer<BackendServer> {
@@ -37,6 +42,16 @@
     /** The start of each server that announced in its entry or in an answer that it is leaving. */
     private val leavingStarts = HashMap<RunnerId, LeavingStart>()
 
+    /** Entries that are possibly older than what is known of their servers, by server. */
+    private val unconfirmed = HashMap<RunnerId, UnconfirmedEntry>()
+
+    private class UnconfirmedEntry(
+        val entry: BackendServer,
+        val epoch: Long,
+        val dueAtMillis: Long,
+        var isCheckRequested: Boolean = false
+    )
+
     private class LeavingStart(val startedAtMillis: Long, val announcedAtMillis: Long)
 
     /** Whether a snapshot of the store's list has been read. */
@@ -67,11 +82,14 @@
     override fun onSnapshot(entries: List<Change<BackendServer>>, end: Long) {
         val present = entries.filterIsInstance<Change.Put<BackendServer>>()
             .mapTo(HashSet()) { RunnerId(it.key) }
+        val isRestored =
+            isLoaded && EpochNumber.epochOf(end) > EpochNumber.epochOf(snapshotEnd)
+        snapshotEnd = end
         // A snapshot may follow a loss of the store's history, after which positions restart.
         positions.clear()
+        unconfirmed.keys.retainAll(present)
         for (id in servers.keys.toList()) if (id !in present) remove(id)
-        onChanges(entries)
-        snapshotEnd = end
+        for (change in entries) apply(change, isRestored)
         isLoaded = true
     }
 
@@ -92,27 +110,36 @@
         if (isLeavingStart(id, startedAtMillis)) return
         rememberLeaving(id, startedAtMillis)
         log.record("servers", "leaving", "id" to id, "started_at" to startedAtMillis)
-        servers[id]?.let(::put)
+        servers[id]?.let(::update)
     }
 
     override fun onChanges(changes: List<Change<BackendServer>>) {
-        for (change in changes) {
-            val id = RunnerId(change.key)
-            if (change.position < position(id)) continue
-            positions[id] = change.position
-            when (change) {
-                is Change.Put -> put(change.value)
-
-                is Change.Removed -> remove(id)
-
-                is Change.Unreadable -> {
-                    log.record("servers", "unreadable", "id" to change.key, "why" to change.reason)
-                    remove(id)
-                }
+        for (change in changes) apply(change, isFromCopy = false)
+    }
+
+    /** Applies [change]; [isFromCopy] if it is of the first snapshot after a restore. */
+    private fun apply(change: Change<BackendServer>, isFromCopy: Boolean) {
+        val id = RunnerId(change.key)
+        if (change.position < position(id)) return
+        positions[id] = change.position
+        when (change) {
+            is Change.Put -> put(change.value, isFromCopy)
+
+            is Change.Removed -> remove(id)
+
+            is Change.Unreadable -> {
+                log.record("servers", "unreadable", "id" to change.key, "why" to change.reason)
+                remove(id)
             }
         }
     }
 
+    /**
+     * Called when entries that are possibly outdated have been listed for long enough. A snapshot
+     * shows whether they still are; what peers report does not contain all changes of them.
+     */
+    public var onConfirmationDue: () -> Unit = {}
+
     /** Called when the store answers again after an outage. */
     public var onStoreRecovered: () -> Unit = {}
 
@@ -129,20 +156,65 @@
         val now = clock.monotonicMillis()
         val due = removeAtMillis.filterValues { it <= now }.keys.toList()
         for (id in due) drop(id)
+        requestDueConfirmation(now)
         leavingStarts.values.removeIf { now - it.announcedAtMillis > LEAVING_RETENTION_MILLIS }
     }
 
-    private fun put(entry: BackendServer) {
+    private fun put(entry: BackendServer, isFromCopy: Boolean) {
         val previous = servers[entry.id]
         if (previous != null && entry.startedAtMillis < previous.startedAtMillis) {
             log.record("servers", "older_start_ignored", "id" to entry.id)
             return
         }
         if (entry.isLeaving) rememberLeaving(entry.id, entry.startedAtMillis)
+        removeAtMillis.remove(entry.id)
+        if (isDoubtful(entry, previous, isFromCopy) && !isConfirmed(entry)) {
+            // The notice of a doubtful entry is true, since no server withdraws it.
+            previous?.let(::update)
+            return
+        }
+        unconfirmed.remove(entry.id)
+        update(entry)
+    }
+
+    /** Whether [entry] may be older than what is known of its server. */
+    private fun isDoubtful(
+        entry: BackendServer,
+        previous: BackendServer?,
+        isFromCopy: Boolean
+    ): Boolean {
+        if (previous == null || entry.hasSameContent(previous)) return false
+        return entry.isOlderThan(previous) ?: (isFromCopy && !entry.isLeaving)
+    }
+
+    /**
+     * Whether the list has had the doubtful [entry] for [CONFIRMATION_MILLIS] in this epoch. If the
+     * entry was not known as doubtful before, its time starts now.
+     */
+    private fun isConfirmed(entry: BackendServer): Boolean {
+        val epoch = EpochNumber.epochOf(snapshotEnd)
+        val now = clock.monotonicMillis()
+        val known = unconfirmed[entry.id]
+        if (known?.epoch == epoch && known.entry == entry) return now >= known.dueAtMillis
+        unconfirmed[entry.id] = UnconfirmedEntry(entry, epoch, now + CONFIRMATION_MILLIS)
+        log.record(
+            "servers",
+            "older_entry_deferred",
+            "id" to entry.id,
+            "sequence" to entry.sequence,
+            "known" to servers[entry.id]?.sequence
+        )
+        return false
+    }
+
+    private fun update(entry: BackendServer) {
+        val previous = servers[entry.id]
         val isLeaving = isLeavingStart(entry.id, entry.startedAtMillis)
         val server = if (isLeaving) entry.copy(isLeaving = true) else entry
-        removeAtMillis.remove(server.id)
-        if (previous == server) return
+        if (previous != null && previous.hasSameContent(server)) {
+            if (server.sequence != null) servers[server.id] = server
+            return
+        }
         servers[server.id] = server
         log.record(
             "servers",
@@ -159,6 +231,13 @@
         onChanged(server.id, previous, server)
     }
 
+    private fun requestDueConfirmation(now: Long) {
+        val due = unconfirmed.values.filter { !it.isCheckRequested && it.dueAtMillis <= now }
+        if (due.isEmpty()) return
+        due.forEach { it.isCheckRequested = true }
+        onConfirmationDue()
+    }
+
     private fun isLeavingStart(id: RunnerId, startedAtMillis: Long) =
         leavingStarts[id]?.startedAtMillis == startedAtMillis
 
@@ -167,6 +246,7 @@
     }
 
     private fun remove(id: RunnerId) {
+        unconfirmed.remove(id)
         val server = servers[id] ?: return
         if (!server.isLeaving && clock.monotonicMillis() < graceEndMillis) {
             removeAtMillis.getOrPut(id) { graceEndMillis }
@@ -189,6 +269,12 @@
          */
         const val GRACE_MILLIS = 2_500L
 
+        /**
+         * The store removes the entry of a silent server after 3.6 s, and entries that were lost
+         * reappear within two seconds.
+         */
+        const val CONFIRMATION_MILLIS = 6_000L
+
         /**
          * A leaving server stops within a minute, but its entry may outlive it during an outage.
          */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -59,6 +59,7 @@
     public var position: Long? = null
         private set
     private var isReadRequested = false
+    private var isSnapshotRequested = false
     private var failingSinceMillis: Long? = null
     private var consecutiveFailures = 0
 
@@ -97,6 +98,15 @@
         position = position?.let { maxOf(it, until) }
     }
 
+    /**
+     * Ends the pause before the next read and reads a snapshot then. Until it is read, changes from
+     * peers still extend the known position.
+     */
+    public fun requestSnapshot() {
+        isSnapshotRequested = true
+        isReadRequested = true
+    }
+
     /** Ends the pause before the next read. */
     public fun requestRead() {
         isReadRequested = true
@@ -115,11 +125,16 @@
     /** Reads once and passes the result to the consumer. */
     internal suspend fun readOnce() {
         isReadRequested = false
+        val known = position
+        // Changes from peers that arrive while a snapshot is read are possibly not part of it.
+        if (isSnapshotRequested) position = null
         val from = position
         // After a failure a read is answered at once, which shows whether the store has recovered.
         val allowedWaitMillis = if (isFailing) 0 else waitMillis()
         val result = if (from == null) feed.snapshot() else feed.changes(from, allowedWaitMillis)
         handle(result, from)
+        if (from != null) return
+        if (result.isOk) isSnapshotRequested = false else position = known
     }
 
     private fun handle(result: Result<ChangeBatch<T>, StoreError>, from: Long?) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
@@ -78,6 +78,7 @@
 
     /** Follows both tables until [scope] is cancelled. */
     fun launchIn(scope: CoroutineScope) {
+        directory.onConfirmationDue = servers::requestSnapshot
         directory.onStoreRecovered = configurations::restartRead
         store.epoch.onRestored = ::onStoreRestored
         scope.launchSupervised("configurations", log) { configurations.run() }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/Fixtures.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/Fixtures.kt
@@ -99,7 +99,8 @@
     port: Int = 1,
     isLeaving: Boolean = false,
     startedAtMillis: Long = 5,
-    layers: LayerRange? = null
+    layers: LayerRange? = null,
+    sequence: Long? = null
 ): BackendServer = BackendServer(
     id = RunnerId(id),
     service = service,
@@ -109,5 +110,6 @@
     isLeaving = isLeaving,
     startedAtMillis = startedAtMillis,
     accelerator = if (service == MODEL) "accelerator" else null,
-    layers = layers
+    layers = layers,
+    sequence = sequence
 )
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway.state
 
 import io.greengageport.common.HostPort
+import io.greengageport.common.LayerRange
 import io.greengageport.common.RunnerId
 import io.greengageport.gateway.PLAIN
 import io.greengageport.gateway.RecordedLog
@@ -197,6 +198,81 @@
         }
     }
 
+    /** An entry of x with layers up to [layersEnd], or without layers. */
+    private fun entry(sequence: Long?, layersEnd: Int? = null, isLeaving: Boolean = false) =
+        Change.Put(
+            "x",
+            server(
+                "x",
+                isLeaving = isLeaving,
+                layers = layersEnd?.let { LayerRange(0, it) },
+                sequence = sequence
+            )
+        )
+
+    private fun layersEnd() = directory.find(RunnerId("x"))?.layers?.until
+
+    @Nested
+    inner class `An entry of a restored store that is older than the known one` {
+        /** Guards against paths through layers that the server has replaced since the copy. */
+        @Test
+        fun `does not change what is known of the server`() {
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(1, 1))
+            directory.onChanges(listOf(entry(5, layersEnd = 20)))
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(2, 1))
+            expectThat(layersEnd()).isEqualTo(20)
+            directory.onChanges(listOf(entry(4, layersEnd = 15)))
+            expectThat(layersEnd()).isEqualTo(20)
+            directory.onChanges(listOf(entry(6, layersEnd = 30)))
+            expectThat(layersEnd()).isEqualTo(30)
+        }
+
+        @Test
+        fun `shows that the server is still listed`() {
+            directory.onSnapshot(listOf(entry(5)), end = position(1, 1))
+            directory.onRecovered(downMillis = 1_000)
+            directory.onChanges(listOf(Change.Removed("x")))
+            directory.onChanges(listOf(entry(3, layersEnd = 10)))
+            clock.nowMillis += 10_000
+            directory.expire()
+            expectThat(usableIds()).isEqualTo(listOf("x"))
+            expectThat(layersEnd()).isEqualTo(null)
+        }
+
+        /** Guards against an older state that is taken over since peers state no sequence. */
+        @Test
+        fun `does not change what a peer reported of the server`() {
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(1, 1))
+            directory.onPeerChanges(
+                listOf(Change.Put("x", entry(null, layersEnd = 20).value, position(1, 5)))
+            )
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(2, 1))
+            expectThat(layersEnd()).isEqualTo(20)
+            directory.onChanges(listOf(entry(5, layersEnd = 25)))
+            expectThat(layersEnd()).isEqualTo(25)
+        }
+
+        /** Guards against a state that never returns to that of the list. */
+        @Test
+        fun `is in force if the list still has it six seconds later`() {
+            directory.onSnapshot(listOf(entry(5, layersEnd = 20)), end = position(1, 1))
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(2, 1))
+            clock.nowMillis += 6_100
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(2, 3))
+            expectThat(layersEnd()).isEqualTo(10)
+        }
+    }
+
+    /** Guards against a report to all peers for each renewal of an entry. */
+    @Test
+    fun `an entry that differs only in its sequence is no change`() {
+        var changes = 0
+        directory.onChanged = { _, _, _ -> changes++ }
+        directory.onChanges(listOf(entry(3), entry(4), entry(null)))
+        expectThat(changes).isEqualTo(1)
+        expectThat(directory.find(RunnerId("x"))?.sequence).isEqualTo(4)
+    }
+
     private fun position(epoch: Long, offset: Long) = EpochNumber.of(epoch, offset)
 
     @Test
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -63,6 +63,31 @@
     private val clock = SteppedClock()
     private val consumer = RecordingConsumer()
 
+    /** Guards against a position that changes of peers extend no longer while reads fail. */
+    @Test
+    fun `a requested snapshot is read again after a failure and keeps the position until then`() {
+        val answers = listOf(batch(5, "a"), Err(StoreError.Refused(503)), batch(9, "b"))
+        val feed = ScriptedFeed(ArrayDeque(answers))
+        val follower = FeedFollower(
+            "test",
+            feed,
+            consumer,
+            clock,
+            RecordedLog().log,
+            waitMillis = { 0 },
+            pauseMillis = { 0 }
+        )
+        runBlocking {
+            follower.readOnce()
+            follower.requestSnapshot()
+            follower.readOnce()
+            expectThat(follower.position).isEqualTo(5)
+            follower.readOnce()
+        }
+        expectThat(feed.calls.toList()).isEqualTo(List(3) { "snapshot" })
+        expectThat(follower.position).isEqualTo(9)
+    }
+
     private fun batch(next: Long, vararg keys: String): Result<ChangeBatch<String>, StoreError> =
         Ok(ChangeBatch(keys.map { Change.Put(it, it) }, next))
 
