Leave a server that was gone unused when a restored store lists it again

What callers see: requests go to a server that has left, because the copy from which the store is restored still lists it.

Cause: BackendDirectory forgot a server with its removal, so the entry of the copy looked like that of a new server.

The directory now keeps for ten minutes how a server was last known and in which epoch it went. A server that was leaving stays so.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -21,8 +21,8 @@
  * [GRACE_MILLIS].
  *
  * A store that was restored from an older copy lists servers as they were before. An entry that may
- * be older than what is known shows only that the server is listed. It takes effect if a snapshot
- * still has it after [CONFIRMATION_MILLIS].
+ * be older than what is known, also of a server that was gone, shows only that the server is
+ * listed. It takes effect if a snapshot still has it after [CONFIRMATION_MILLIS].
  */
 public class BackendDirectory(private val clock: Clock, private val log: DecisionLog) :
     FeedConsumer<BackendServer> {
@@ -52,6 +52,11 @@
         var isCheckRequested: Boolean = false
     )
 
+    /** Servers that are gone, as they were last known, with the epoch of their removal. */
+    private val gone = HashMap<RunnerId, GoneServer>()
+
+    private class GoneServer(val server: BackendServer, val epoch: Long, val goneAtMillis: Long)
+
     private class LeavingStart(val startedAtMillis: Long, val announcedAtMillis: Long)
 
     /** Whether a snapshot of the store's list has been read. */
@@ -149,8 +154,8 @@
     }
 
     /**
-     * Removes servers whose grace period is over, and discards what servers announced longer than
-     * [LEAVING_RETENTION_MILLIS] ago. Has to be called about every 500 ms.
+     * Removes servers whose grace period is over, and discards what is known of servers that left
+     * or announced it long ago. Has to be called about every 500 ms.
      */
     public fun expire() {
         val now = clock.monotonicMillis()
@@ -158,6 +163,7 @@
         for (id in due) drop(id)
         requestDueConfirmation(now)
         leavingStarts.values.removeIf { now - it.announcedAtMillis > LEAVING_RETENTION_MILLIS }
+        gone.values.removeIf { now - it.goneAtMillis > GONE_RETENTION_MILLIS }
     }
 
     private fun put(entry: BackendServer, isFromCopy: Boolean) {
@@ -183,10 +189,21 @@
         previous: BackendServer?,
         isFromCopy: Boolean
     ): Boolean {
-        if (previous == null || entry.hasSameContent(previous)) return false
+        if (previous == null) return mayBeGone(entry)
+        if (entry.hasSameContent(previous)) return false
         return entry.isOlderThan(previous) ?: (isFromCopy && !entry.isLeaving)
     }
 
+    /**
+     * Whether the server of [entry] was gone before the last restore and [entry] does not show that
+     * it has returned since.
+     */
+    private fun mayBeGone(entry: BackendServer): Boolean {
+        val last = gone[entry.id] ?: return false
+        if (last.epoch == EpochNumber.epochOf(snapshotEnd)) return false
+        return last.server.isOlderThan(entry) != true
+    }
+
     /**
      * Whether the list has had the doubtful [entry] for [CONFIRMATION_MILLIS] in this epoch. If the
      * entry was not known as doubtful before, its time starts now.
@@ -202,7 +219,7 @@
             "older_entry_deferred",
             "id" to entry.id,
             "sequence" to entry.sequence,
-            "known" to servers[entry.id]?.sequence
+            "known" to (servers[entry.id] ?: gone[entry.id]?.server)?.sequence
         )
         return false
     }
@@ -216,6 +233,7 @@
             return
         }
         servers[server.id] = server
+        gone.remove(server.id)
         log.record(
             "servers",
             if (previous == null) "appeared" else "changed",
@@ -247,7 +265,11 @@
 
     private fun remove(id: RunnerId) {
         unconfirmed.remove(id)
-        val server = servers[id] ?: return
+        val server = servers[id]
+        if (server == null) {
+            gone[id]?.let { rememberGone(it.server) }
+            return
+        }
         if (!server.isLeaving && clock.monotonicMillis() < graceEndMillis) {
             removeAtMillis.getOrPut(id) { graceEndMillis }
             return
@@ -258,10 +280,16 @@
     private fun drop(id: RunnerId) {
         removeAtMillis.remove(id)
         val previous = servers.remove(id) ?: return
+        rememberGone(previous)
         log.record("servers", "gone", "id" to id, "address" to previous.address)
         onChanged(id, previous, null)
     }
 
+    private fun rememberGone(server: BackendServer) {
+        gone[server.id] =
+            GoneServer(server, EpochNumber.epochOf(snapshotEnd), clock.monotonicMillis())
+    }
+
     private companion object {
         /**
          * Servers renew their entries every 1.2 s, and expired entries are guaranteed to reappear
@@ -279,5 +307,8 @@
          * A leaving server stops within a minute, but its entry may outlive it during an outage.
          */
         const val LEAVING_RETENTION_MILLIS = 3_600_000L
+
+        /** Longer than the age of a copy and the outage before its restore. */
+        const val GONE_RETENTION_MILLIS = 600_000L
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -6,6 +6,7 @@
 import io.greengageport.gateway.PLAIN
 import io.greengageport.gateway.RecordedLog
 import io.greengageport.gateway.SteppedClock
+import io.greengageport.gateway.model.BackendServer
 import io.greengageport.gateway.port.Change
 import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.server
@@ -263,6 +264,95 @@
         }
     }
 
+    @Nested
+    inner class `A server that was gone before a restore` {
+        private fun restoredWith(entry: Change.Put<BackendServer>, knownSequence: Long? = 5) {
+            directory.onSnapshot(listOf(entry(knownSequence)), end = position(1, 1))
+            directory.onChanges(listOf(Change.Removed("x", position(1, 2))))
+            directory.onSnapshot(listOf(entry, put("y")), end = position(2, 2))
+        }
+
+        /** Guards against work for a server that has left and stands in the copy again. */
+        @Test
+        fun `gets no work while it may be listed only by the copy`() {
+            restoredWith(entry(5))
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+            clock.nowMillis += 3_600
+            directory.onChanges(listOf(Change.Removed("x", position(2, 3))))
+            clock.nowMillis += 10_000
+            directory.expire()
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+        }
+
+        @Test
+        fun `gets work if its entry is newer than the last known one`() {
+            restoredWith(entry(6))
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+
+        @Test
+        fun `gets work after a restart`() {
+            restoredWith(put("x", startedAt = 6))
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+
+        /** Guards against a running server that is never used again. */
+        @Test
+        fun `gets work if it is still listed six seconds later`() {
+            var checks = 0
+            directory.onConfirmationDue = { checks++ }
+            restoredWith(entry(null), knownSequence = null)
+            clock.nowMillis += 5_000
+            directory.expire()
+            expectThat(checks).isEqualTo(0)
+            clock.nowMillis += 1_100
+            directory.expire()
+            directory.expire()
+            expectThat(checks).isEqualTo(1)
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+            directory.onSnapshot(listOf(entry(null), put("y")), end = position(2, 4))
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+
+        /** Guards against a removal that another instance saw and did not report. */
+        @Test
+        fun `gets no work if it is not listed six seconds later`() {
+            restoredWith(entry(5))
+            clock.nowMillis += 6_100
+            directory.expire()
+            directory.onSnapshot(listOf(put("y")), end = position(2, 4))
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+        }
+
+        @Test
+        fun `gets no work after a second restore until it is confirmed`() {
+            restoredWith(entry(5))
+            clock.nowMillis += 5_000
+            directory.onSnapshot(listOf(entry(5), put("y")), end = position(3, 2))
+            clock.nowMillis += 2_000
+            directory.onSnapshot(listOf(entry(5), put("y")), end = position(3, 2))
+            expectThat(usableIds()).isEqualTo(listOf("y"))
+        }
+
+        @Test
+        fun `gets no work in the same start if it was leaving`() {
+            directory.onSnapshot(listOf(entry(5, isLeaving = true)), end = position(1, 1))
+            directory.onChanges(listOf(Change.Removed("x", position(1, 2))))
+            directory.onSnapshot(listOf(entry(4)), end = position(2, 1))
+            clock.nowMillis += 6_100
+            directory.onSnapshot(listOf(entry(4)), end = position(2, 1))
+            expectThat(usableIds()).isEqualTo(emptyList())
+        }
+
+        @Test
+        fun `gets work at once if it is written after it was removed in the new epoch`() {
+            restoredWith(entry(5))
+            directory.onChanges(listOf(Change.Removed("x", position(2, 3))))
+            directory.onChanges(listOf(Change.Put("x", entry(5).value, position(2, 4))))
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+    }
+
     /** Guards against a report to all peers for each renewal of an entry. */
     @Test
     fun `an entry that differs only in its sequence is no change`() {
