Keep servers that a restored store lacks although no outage was seen

What callers see: a service has no servers for up to two seconds after a restore, at instances that read the list rarely.

Cause: the grace period for entries that are missing began only when a read succeeded after failed ones.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -16,8 +16,8 @@
  * it restarts, even if the store lists it as ready: an answer may precede the entry, and a store
  * that was restored from an older copy has the entry from before.
  *
- * Entries that expired during an outage of the store reappear within about two seconds of its
- * recovery. A removal that is read during that time therefore takes effect only after
+ * Entries that expired during an outage of the store, or that are missing in the copy from which it
+ * was restored, reappear within about two seconds of its recovery. A removal that is read during that time therefore takes effect only after
  * [GRACE_MILLIS].
  *
  * A store that was restored from an older copy lists servers as they were before. An entry that may
@@ -90,6 +90,7 @@
         val isRestored =
             isLoaded && EpochNumber.epochOf(end) > EpochNumber.epochOf(snapshotEnd)
         snapshotEnd = end
+        if (isRestored) startGracePeriod()
         // A snapshot may follow a loss of the store's history, after which positions restart.
         positions.clear()
         unconfirmed.keys.retainAll(present)
@@ -150,6 +151,10 @@
 
     override fun onRecovered(downMillis: Long) {
         onStoreRecovered()
+        startGracePeriod()
+    }
+
+    private fun startGracePeriod() {
         graceEndMillis = clock.monotonicMillis() + GRACE_MILLIS
     }
 
