Never take a peer's list of an earlier epoch as fresh

What callers see: requests go to servers that have left, up to 1.4 s longer per report, and changes after a restore arrive late at instances that rely on the reader.

Cause: ServerListRelay compared a delta with the position of the instance without regard to the epoch. A late delta of the earlier epoch ends before the position, so it counted as a repetition and made the list fresh. One that spans a restore was applied, though records in between were lost.

A delta of an earlier epoch is now ignored, and one of a later epoch leads to an own read. The first one of an epoch that no call of this instance has shown restarts the reads of both tables, which may wait or back off.

Evidence: on the code before, the two tests of ServerListRelayTest see a fresh list, and an applicable delta. That peer changes of the new epoch apply in BackendDirectory and late ones of the old do not, held before; a test shows it now. The new test of StoreFollowerTest was run only with the change.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -9,6 +9,7 @@
 import io.greengageport.common.ServiceName
 import io.greengageport.gateway.model.BackendServer
 import io.greengageport.gateway.port.Change
+import io.greengageport.gateway.port.EpochNumber
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
@@ -33,12 +34,12 @@
      */
     data class Applicable(val changes: List<Change<BackendServer>>, val until: Long) : DeltaOutcome
 
-    /** Earlier changes were missed, so the list has to be read from the store. */
+    /** Earlier changes were missed, or the store was restored, so the list has to be read from the store. */
     data object Gap : DeltaOutcome
 
     /**
-     * There is nothing to apply: the peer reported no delta, the delta contains nothing new, or
-     * this instance has not yet read a snapshot.
+     * There is nothing to apply: the peer reported no delta, the delta contains nothing new or is
+     * of an earlier epoch, or this instance has not yet read a snapshot.
      */
     data object UpToDate : DeltaOutcome
 }
@@ -183,9 +184,13 @@
         if (ageMillis == null || delta == null || position == null) return DeltaOutcome.UpToDate
         // A read from the future would count as fresh for as long.
         if (ageMillis < 0) return DeltaOutcome.UpToDate
+        val epoch = EpochNumber.epochOf(position)
+        // The sender has not yet read the list of the restored store.
+        if (EpochNumber.epochOf(delta.until) < epoch) return DeltaOutcome.UpToDate
         val readAtMillis = clock.monotonicMillis() - ageMillis
         val known = keepLatest(sender, Read(delta, readAtMillis))
-        if (delta.from > position) return DeltaOutcome.Gap
+        val isLaterEpoch = EpochNumber.epochOf(delta.until) > epoch
+        if (isLaterEpoch || delta.from > position) return DeltaOutcome.Gap
         // A repeated or echoed report of a read must not make the list appear fresher.
         freshUntilMillis =
             maxOf(freshUntilMillis, minOf(readAtMillis, known.atMillis) + freshnessMillis)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
@@ -70,6 +70,9 @@
     /** The newest version that a peer has reported and that no read has returned yet. */
     private var newestPeerVersion = 0L
 
+    /** The latest epoch that a report of a peer showed before any call of this instance did. */
+    private var latestPeerEpoch = 0L
+
     /** Whether the current read started after [newestPeerVersion] was reported. */
     private var isReadUrgent = false
 
@@ -93,7 +96,7 @@
             delta = report.serverListDelta,
             position = servers.position
         )
-        applyDelta(outcome)
+        applyDelta(report, outcome)
         restartAfterOutage()
         val isNewVersion = report.configurationVersion > newestPeerVersion
         newestPeerVersion = maxOf(newestPeerVersion, report.configurationVersion)
@@ -113,14 +116,29 @@
         }
     }
 
-    private fun applyDelta(outcome: DeltaOutcome) {
+    /**
+     * Reads the list because a delta in [report] could not be applied. The first delta of a later
+     * epoch shows that the store is back, so failing and waiting reads of both tables start anew.
+     */
+    private fun requestServers(report: PeerReport) {
+        val epoch = EpochNumber.epochOf(report.serverListDelta?.until ?: 0)
+        if (epoch > maxOf(store.epoch.current, latestPeerEpoch)) {
+            latestPeerEpoch = epoch
+            configurations.restartRead()
+            servers.restartRead()
+        } else {
+            servers.requestRead()
+        }
+    }
+
+    private fun applyDelta(report: PeerReport, outcome: DeltaOutcome) {
         when (outcome) {
             is DeltaOutcome.Applicable -> {
                 directory.onPeerChanges(outcome.changes)
                 servers.advanceTo(outcome.until)
             }
 
-            is DeltaOutcome.Gap -> servers.requestRead()
+            is DeltaOutcome.Gap -> requestServers(report)
 
             is DeltaOutcome.UpToDate -> Unit
         }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -6,6 +6,7 @@
 import io.greengageport.gateway.MODEL
 import io.greengageport.gateway.SteppedClock
 import io.greengageport.gateway.port.Change
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.server
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -84,6 +85,32 @@
             expectThat(relay.hasFreshPeerRead).isEqualTo(false)
         }
 
+        /** Guards against a list that is not read although the reader has not seen the restore. */
+        @Test
+        fun `ignores a delta of an epoch before the last restore`() {
+            val known = EpochNumber.of(2, 3)
+            val old = delta(EpochNumber.of(1, 2), EpochNumber.of(1, 9))
+            expectThat(relay.onReport(reader, 100, old, known)).isEqualTo(DeltaOutcome.UpToDate)
+            expectThat(relay.hasFreshPeerRead).isEqualTo(false)
+        }
+
+        /** Guards against an instance that waits for its next read to notice a restore. */
+        @Test
+        fun `has to read the list when a delta is of a later epoch`() {
+            val late = delta(EpochNumber.of(2, 1), EpochNumber.of(2, 2))
+            val outcome = relay.onReport(reader, 100, late, EpochNumber.of(1, 9))
+            expectThat(outcome).isEqualTo(DeltaOutcome.Gap)
+            expectThat(relay.hasFreshPeerRead).isEqualTo(false)
+        }
+
+        @Test
+        fun `has to read the list when a delta spans a restore`() {
+            val crossing = delta(EpochNumber.of(1, 1), EpochNumber.of(2, 2))
+            val outcome = relay.onReport(reader, 100, crossing, EpochNumber.of(1, 9))
+            expectThat(outcome).isEqualTo(DeltaOutcome.Gap)
+            expectThat(relay.hasFreshPeerRead).isEqualTo(false)
+        }
+
         @Test
         fun `ignores changes before its own snapshot`() {
             expectThat(relay.onReport(reader, 100, delta(1, 40), position = null))
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -364,6 +364,24 @@
         expectThat(usableIds()).isEqualTo(listOf("y"))
     }
 
+    /** Guards against peer changes that are compared across epochs by their offsets. */
+    @Test
+    fun `peer changes of the new epoch apply and late ones of the old do not`() {
+        directory.onSnapshot(listOf(put("x")), end = position(1, 90))
+        directory.onPeerChanges(listOf(Change.Put("x", server("x"), position(1, 95))))
+        directory.onSnapshot(listOf(put("x")), end = position(2, 80))
+        directory.onPeerChanges(
+            listOf(
+                Change.Removed("x", position(1, 99)),
+                Change.Put("z", server("z"), position(2, 81))
+            )
+        )
+        expectThat(usableIds()).isEqualTo(listOf("x", "z"))
+        clock.nowMillis += 3_000
+        directory.onPeerChanges(listOf(Change.Removed("x", position(2, 82))))
+        expectThat(usableIds()).isEqualTo(listOf("z"))
+    }
+
     /** Guards against a report to all peers for each renewal of an entry. */
     @Test
     fun `an entry that differs only in its sequence is no change`() {
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
@@ -17,6 +17,7 @@
 import io.greengageport.gateway.port.ChangeBatch
 import io.greengageport.gateway.port.ChangeFeed
 import io.greengageport.gateway.port.DutyGroup
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.port.PlatformStore
 import io.greengageport.gateway.port.StoreEpoch
 import io.greengageport.gateway.port.StoreError
@@ -193,7 +194,19 @@
      * shows that the store was restored, while the read waits on its connection.
      */
     @Test
-    fun `both tables are read anew as soon as any call shows a restore`(): Unit = runBlocking {
+    fun `both tables are read anew as soon as any call shows a restore`() =
+        expectReadsAnew { _, restored -> restored.epoch.observe(2) }
+
+    /** Guards against an instance whose peer sees the restore while its own reads wait. */
+    @Test
+    fun `both tables are read anew as soon as a delta of a peer shows a restore`() =
+        expectReadsAnew { waiting, _ ->
+            waiting.onPeerReport(report(EpochNumber.of(2, 5), readAgeMillis = 50))
+        }
+
+    private fun expectReadsAnew(
+        showRestore: (StoreFollower, PlatformStore) -> Unit
+    ): Unit = runBlocking {
         val waitingConfigurations = WaitingFeed<Configuration>()
         val waitingServers = WaitingFeed<BackendServer>()
         val restored = object : PlatformStore {
@@ -204,9 +217,10 @@
         }
         restored.epoch.observe(1)
         coroutineScope {
-            follower(restored).launchIn(this)
+            val waiting = follower(restored)
+            waiting.launchIn(this)
             delay(1_000)
-            restored.epoch.observe(2)
+            showRestore(waiting, restored)
             delay(500)
             coroutineContext.cancelChildren()
         }
