Deny nothing and start nothing on a configuration that peers have replaced

What callers see: an instance that starts while the store has an older copy answers 401 and 404 for keys and routes that its peers serve, and stays so for up to a long poll.

Cause: StoreFollower forgot a newer version of a peer after one urgent read, since a store returns its newest version. That does not hold for a store that was restored from an older copy. The next report then counted as a new one and restarted the read, so the pace of billed reads was that of the reports: 196 reads in a second with 100 reports.

While peers have a newer version, the instance reads every 300 ms until it has that version or the store has answered without it for 5 s; the end is logged. Until then it answers 503 with Retry-After instead of 401, 403 or 404, which is true since nothing was run. An instance that starts is not ready for at most 5 s after the report; one that was ready stays so.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -153,7 +153,8 @@
             log = log,
             clock = clock,
             canAcceptRequests = { clock.monotonicMillis() < acceptsUntilMillis },
-            isReady = { configuration.current != null && directory.isLoaded }
+            isReady = { storeFollower.isReady },
+            isConfigurationOutdated = { storeFollower.isBehind }
         )
     private val placer = LayerPlacer(
         configuration = { configuration.current },
@@ -211,7 +212,7 @@
     private var previouslyUnreachable = emptySet<RunnerId>()
 
     private val isReady: Boolean
-        get() = !isStopping && configuration.current != null && directory.isLoaded
+        get() = !isStopping && storeFollower.isReady
 
     /** Binds all listeners and launches the background tasks; throws if an address is in use. */
     public fun start() {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
@@ -38,6 +38,7 @@
     private val clock: Clock,
     private val canAcceptRequests: () -> Boolean,
     private val isReady: () -> Boolean,
+    private val isConfigurationOutdated: () -> Boolean = { false },
     private val random: Random = Random.Default
 ) : CallerRequestHandler {
     private val activeRequests = LinkedHashSet<ActiveRequest>()
@@ -60,7 +61,7 @@
                         request.context = it
                         forwarder.forward(it, response)
                     },
-                    { refuse(it, caller, head, response) }
+                    { refuse(refusalFor(it, isConfigurationOutdated()), caller, head, response) }
                 )
             }
             if (request.isInterrupted) answerInterrupted(request, response)
@@ -219,6 +220,23 @@
         /** A new instance loads the configuration within about a second. */
         private const val RETRY_MILLIS = 1_000L
 
+        /** An outdated configuration is read again several times a second. */
+        const val OUTDATED_RETRY_MILLIS = 1_000L
+
+        /**
+         * Returns the refusal for [error]. A newer configuration may allow what an outdated one
+         * denies, so the caller is asked to retry.
+         */
+        fun refusalFor(error: RequestError, isOutdated: Boolean): RequestError =
+            if (isOutdated && error.status in DENYING_STATUSES) {
+                val message = "a newer configuration is not in force yet"
+                RequestError.NotServing(message, OUTDATED_RETRY_MILLIS)
+            } else {
+                error
+            }
+
+        private val DENYING_STATUSES = setOf(401, 403, 404)
+
         /** Time in ms after which to retry at a stop; the retry reaches another instance. */
         const val STOPPING_RETRY_MILLIS = 50L
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
@@ -16,7 +16,7 @@
 /**
  * Follows the store's configuration and its list of servers, and uses the peers' reports to avoid
  * calls to the store: one instance reads the list for all, and a newer configuration version that a
- * peer reports triggers a read at once.
+ * peer reports triggers a read at once, and further ones until it is in force.
  *
  * All calls to the store are billed, including those that it refuses. So while the store refuses
  * its calls, an instance with live peers retries rarely: the peers relay changes of the list and
@@ -28,7 +28,7 @@
     private val directory: BackendDirectory,
     private val relay: ServerListRelay,
     private val peers: PeerView,
-    clock: Clock,
+    private val clock: Clock,
     private val log: DecisionLog,
     private val sendReport: (ReportReason) -> Unit
 ) {
@@ -39,13 +39,12 @@
         clock = clock,
         log = log,
         waitMillis = ::configurationWaitMillis,
-        pauseMillis = { 0 },
+        pauseMillis = { if (isBehind) BEHIND_READ_INTERVAL_MILLIS else 0 },
         maxBackoffMillis = {
             val canRetryRarely = peers.liveInstanceCount > 1 && !isBehind
             if (canRetryRarely) FLEET_BACKOFF_MILLIS else FeedFollower.SHORT_BACKOFF_MILLIS
         },
-        // The store returns its newest version, so a peer that reported a later one was wrong.
-        onAnswer = { _, _ -> if (isReadUrgent) newestPeerVersion = 0 }
+        onAnswer = { _, _ -> onConfigurationAnswer() }
     )
     private val servers = FeedFollower(
         name = "servers",
@@ -67,8 +66,18 @@
     private var wasStoreUnreachable = false
     private var hadFreshPeerRead = false
 
-    /** The newest version that a peer has reported and that no read has returned yet. */
+    /** The newest version that a peer has reported, and the time of the first such report. */
     private var newestPeerVersion = 0L
+    private var reportedAtMillis = 0L
+
+    /** Time at which the wait for [newestPeerVersion] ends; null before a read without it. */
+    private var waitEndMillis: Long? = null
+
+    /** The newest version that reads did not return in time, although a peer reported it. */
+    private var abandonedVersion = 0L
+
+    /** Whether this instance was ready once; it then stays so with the version that it has. */
+    private var wasReady = false
 
     /** The latest epoch that a report of a peer showed before any call of this instance did. */
     private var latestPeerEpoch = 0L
@@ -76,8 +85,28 @@
     /** Whether the current read started after [newestPeerVersion] was reported. */
     private var isReadUrgent = false
 
-    /** Whether a peer has reported a newer configuration than the one in force. */
-    private val isBehind: Boolean get() = newestPeerVersion > (configuration.current?.version ?: 0)
+    /**
+     * Whether a peer has reported a newer configuration than the one in force, and reads may still
+     * return it. The configuration in force is then no reason to deny a route or a key.
+     *
+     * A store that was restored from an older copy may return an older version first; what it lost
+     * is written again within about two seconds.
+     */
+    val isBehind: Boolean
+        get() = newestPeerVersion > maxOf(configuration.current?.version ?: 0, abandonedVersion)
+
+    /**
+     * Whether this instance knows what it needs to serve. An instance that starts waits for a newer
+     * configuration that peers report, for at most [BEHIND_MILLIS].
+     */
+    val isReady: Boolean
+        get() {
+            if (configuration.current == null || !directory.isLoaded) return false
+            val canWait = clock.monotonicMillis() - reportedAtMillis < BEHIND_MILLIS
+            if (!wasReady && isBehind && canWait) return false
+            wasReady = true
+            return true
+        }
 
     /** Follows both tables until [scope] is cancelled. */
     fun launchIn(scope: CoroutineScope) {
@@ -98,9 +127,35 @@
         )
         applyDelta(report, outcome)
         restartAfterOutage()
-        val isNewVersion = report.configurationVersion > newestPeerVersion
-        newestPeerVersion = maxOf(newestPeerVersion, report.configurationVersion)
-        if (isNewVersion && isBehind) configurations.restartRead()
+        onPeerVersion(report.configurationVersion)
+    }
+
+    /** A version that was reported before restarts no read; [isBehind] sets the pace of reads. */
+    private fun onPeerVersion(version: Long) {
+        if (version <= newestPeerVersion) return
+        newestPeerVersion = version
+        reportedAtMillis = clock.monotonicMillis()
+        waitEndMillis = null
+        if (isBehind) configurations.restartRead()
+    }
+
+    /**
+     * Ends the wait for a version of a peer if the store has answered without it for
+     * [BEHIND_MILLIS]. While reads fail, the wait goes on.
+     */
+    private fun onConfigurationAnswer() {
+        if (!isBehind || !isReadUrgent) return
+        val now = clock.monotonicMillis()
+        val endMillis = waitEndMillis ?: (now + BEHIND_MILLIS).also { waitEndMillis = it }
+        if (now < endMillis) return
+        abandonedVersion = newestPeerVersion
+        log.record(
+            "config",
+            "peer_version_not_found",
+            "version" to newestPeerVersion,
+            "in_force" to configuration.current?.version,
+            "ms" to now - reportedAtMillis
+        )
     }
 
     /**
@@ -205,6 +260,15 @@
          */
         const val CONFIGURATION_WAIT_MILLIS = 2_500L
 
+        /**
+         * Time for which reads may lack a version that a peer has. What a restored store has lost is
+         * written again within about two seconds.
+         */
+        const val BEHIND_MILLIS = 5_000L
+
+        /** Each read is billed; a version has to be in force within two seconds. */
+        const val BEHIND_READ_INTERVAL_MILLIS = 300L
+
         /** Wait of an instance whose peers report when there is something to read. */
         const val RELAYED_WAIT_MILLIS = 20_000L
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
@@ -8,12 +8,14 @@
 import io.greengageport.common.InstanceId
 import io.greengageport.common.SystemClock
 import io.greengageport.gateway.RecordedLog
+import io.greengageport.gateway.configuration
 import io.greengageport.gateway.model.BackendServer
 import io.greengageport.gateway.model.Configuration
 import io.greengageport.gateway.peer.PeerReport
 import io.greengageport.gateway.peer.PeerView
 import io.greengageport.gateway.peer.ServerListDelta
 import io.greengageport.gateway.peer.ServerListRelay
+import io.greengageport.gateway.port.Change
 import io.greengageport.gateway.port.ChangeBatch
 import io.greengageport.gateway.port.ChangeFeed
 import io.greengageport.gateway.port.DutyGroup
@@ -21,6 +23,7 @@
 import io.greengageport.gateway.port.PlatformStore
 import io.greengageport.gateway.port.StoreEpoch
 import io.greengageport.gateway.port.StoreError
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -171,6 +174,101 @@
             expectThat(feed.requestedWaitsMillis.drop(1).max()).isLessThan(1)
         }
 
+    /** Returns [version] at each read, and nothing new after the snapshot until it changes. */
+    private class VersionFeed(var version: Long) : ChangeFeed<Configuration> {
+        var reads = 0
+        private var lastVersion = 0L
+
+        override suspend fun snapshot(): Result<ChangeBatch<Configuration>, StoreError> =
+            changes(0, 0)
+
+        override suspend fun changes(
+            position: Long,
+            waitMillis: Long
+        ): Result<ChangeBatch<Configuration>, StoreError> {
+            reads++
+            if (waitMillis > 0 && lastVersion == version) delay(waitMillis)
+            lastVersion = version
+            return Ok(ChangeBatch(listOf(Change.Put("config", configuration(version))), version))
+        }
+    }
+
+    private fun storeWith(feed: ChangeFeed<Configuration>) = object : PlatformStore {
+        override val configurations = feed
+        override val backendServers: ChangeFeed<BackendServer> = RefusingFeed()
+        override val duties: DutyGroup get() = error("duties are not used in this test")
+        override val epoch = StoreEpoch()
+    }
+
+    /** A follower of the older version 5 while a peer has version 7 in force. */
+    private fun whileBehind(block: suspend CoroutineScope.(VersionFeed, StoreFollower) -> Unit) =
+        runBlocking {
+            val feed = VersionFeed(5)
+            val behind = follower(storeWith(feed))
+            coroutineScope {
+                behind.launchIn(this)
+                behind.onPeerReport(report(1, readAgeMillis = null, version = 7))
+                delay(200)
+                block(feed, behind)
+                coroutineContext.cancelChildren()
+            }
+        }
+
+    /**
+     * Guards against an instance that denies keys and routes for the length of a long poll, since
+     * the first read after the report of a peer returned the version of the store's older copy.
+     */
+    @Test
+    fun `a version that peers have is read until a restored store has it again`() =
+        whileBehind { feed, behind ->
+            expectThat(behind.isBehind).isEqualTo(true)
+            delay(800)
+            expectThat(behind.isBehind).isEqualTo(true)
+            feed.version = 7
+            delay(500)
+            expectThat(behind.isBehind).isEqualTo(false)
+            expectThat(behind.isReady).isEqualTo(true)
+        }
+
+    /** Guards against a billed read for each report of a version that the store has lost. */
+    @Test
+    fun `repeated reports of a version that reads do not return cause no further reads`() =
+        whileBehind { feed, behind ->
+            val before = feed.reads
+            repeat(100) {
+                behind.onPeerReport(report(2L + it, readAgeMillis = null, version = 7))
+                delay(10)
+            }
+            expectThat(feed.reads - before).isLessThan(6)
+        }
+
+    /** Guards against an instance that denies what all peers allow as soon as it has started. */
+    @Test
+    fun `an instance that starts is ready only after a bounded wait for a version of its peers`() =
+        whileBehind { _, behind ->
+            expectThat(behind.isReady).isEqualTo(false)
+            delay(4_000)
+            expectThat(behind.isReady).isEqualTo(false)
+            delay(1_700)
+            expectThat(behind.isReady).isEqualTo(true)
+            expectThat(behind.isBehind).isEqualTo(false)
+            // A peer may have a version that the store has lost for good.
+            behind.onPeerReport(report(2, readAgeMillis = null, version = 7))
+            expectThat(behind.isBehind).isEqualTo(false)
+        }
+
+    /** Guards against an instance that stops being ready with each change of the configuration. */
+    @Test
+    fun `an instance that was ready stays ready while it reads a newer version`() =
+        whileBehind { feed, behind ->
+            feed.version = 7
+            delay(500)
+            expectThat(behind.isReady).isEqualTo(true)
+            behind.onPeerReport(report(2, readAgeMillis = null, version = 9))
+            expectThat(behind.isReady).isEqualTo(true)
+            expectThat(behind.isBehind).isEqualTo(true)
+        }
+
     /** Never returns changes, like a read that waits behind records that the store has lost. */
     private class WaitingFeed<T> : ChangeFeed<T> {
         var snapshots = 0
@@ -204,29 +302,28 @@
             waiting.onPeerReport(report(EpochNumber.of(2, 5), readAgeMillis = 50))
         }
 
-    private fun expectReadsAnew(
-        showRestore: (StoreFollower, PlatformStore) -> Unit
-    ): Unit = runBlocking {
-        val waitingConfigurations = WaitingFeed<Configuration>()
-        val waitingServers = WaitingFeed<BackendServer>()
-        val restored = object : PlatformStore {
-            override val configurations = waitingConfigurations
-            override val backendServers = waitingServers
-            override val duties: DutyGroup get() = error("duties are not used in this test")
-            override val epoch = StoreEpoch()
-        }
-        restored.epoch.observe(1)
-        coroutineScope {
-            val waiting = follower(restored)
-            waiting.launchIn(this)
-            delay(1_000)
-            showRestore(waiting, restored)
-            delay(500)
-            coroutineContext.cancelChildren()
+    private fun expectReadsAnew(showRestore: (StoreFollower, PlatformStore) -> Unit): Unit =
+        runBlocking {
+            val waitingConfigurations = WaitingFeed<Configuration>()
+            val waitingServers = WaitingFeed<BackendServer>()
+            val restored = object : PlatformStore {
+                override val configurations = waitingConfigurations
+                override val backendServers = waitingServers
+                override val duties: DutyGroup get() = error("duties are not used in this test")
+                override val epoch = StoreEpoch()
+            }
+            restored.epoch.observe(1)
+            coroutineScope {
+                val waiting = follower(restored)
+                waiting.launchIn(this)
+                delay(1_000)
+                showRestore(waiting, restored)
+                delay(500)
+                coroutineContext.cancelChildren()
+            }
+            expectThat(listOf(waitingConfigurations.snapshots, waitingServers.snapshots))
+                .isEqualTo(listOf(2, 2))
         }
-        expectThat(listOf(waitingConfigurations.snapshots, waitingServers.snapshots))
-            .isEqualTo(listOf(2, 2))
-    }
 
     private companion object {
         const val SILENT_CALL_MILLIS = 200L
