Combine fencing tokens with the epoch of the store's history

Cause: after the store is restored from an older copy, the group's generation falls back and is given out again. The bare generation was the fencing token, and engines reject tokens below the highest that they have seen (412). The holder then records the token as rejected and places nothing until the generation has passed it. Two holders of the same generation, one of each epoch, had the same token. The old generation was also sent back to the store, which takes a later generation as consent to all changes up to it and so may reassign duties without waiting for the member.

Change: the group's generation is an EpochNumber of the epoch of the response and the number in it, so tokens increase with each restore.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/PlatformStore.kt
@@ -88,7 +88,8 @@
 
 /**
  * The duties of this instance. [generation] increases with each change in the group and is the
- * fencing token of operations performed for a duty.
+ * fencing token of operations performed for a duty. It is an [EpochNumber]: it also increases when
+ * the store is restored.
  */
 public data class DutyAssignment(
     val generation: Long,
