Let duties of an earlier epoch of the store lapse at once

Cause: a duty was held until its time to live ended by the holder's own clock. A store that is restored may have assigned the duty to another instance in its new epoch, so for up to 2.5 s, or 30 s while the duty was extended, two instances could place layers or read for all.

Change: a duty counts only while the latest epoch that any response showed is the one that assigned it. The membership is renewed within 50 ms of a response that shows a new epoch, once for each epoch, so the duty returns without waiting for the next regular renewal. If the renewal itself showed the new epoch, the second one also replaces the generation of the lost epoch that the first one sent.

Seen by reading.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -79,6 +79,7 @@
     private val peers = PeerView(settings.id, settings.dataCentre, clock, log)
     private val dutyLease: DutyLease = DutyLease(
         group = store.duties,
+        epoch = store.epoch,
         clock = clock,
         log = log,
         onMembers = peers::onMembers,
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -6,8 +6,11 @@
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.port.DutyAssignment
 import io.greengageport.gateway.port.DutyGroup
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.port.MemberAddress
+import io.greengageport.gateway.port.StoreEpoch
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * Renews this instance's membership in the group among which the store assigns duties, and tracks
@@ -15,13 +18,15 @@
  *
  * A duty is a lease: it is held only until the store may have reassigned it. Its time to live is
  * counted from before the renewal was sent, so that an instance that freezes or loses its network
- * stops by its own clock. Operations that require a duty carry the generation of the group as
+ * stops by its own clock. It also lapses when the store is restored, until a renewal in the new
+ * epoch confirms it. Operations that require a duty carry the generation of the group as
  * fencing token, which invalidates whatever the instance sent before it froze. A fencing token does
  * not prevent two holders from ordering different engines to load the same layers, so a new holder
  * waits until its peers have learned that the store has assigned it the duty.
  */
 public class DutyLease(
     private val group: DutyGroup,
+    private val epoch: StoreEpoch,
     private val clock: Clock,
     private val log: DecisionLog,
     private val onMembers: (Map<InstanceId, MemberAddress>) -> Unit,
@@ -43,8 +48,8 @@
     public fun placementToken(): Long? {
         val current = assignment ?: return null
         val now = clock.monotonicMillis()
-        val isHeld = PLACEMENT_DUTY in current.duties && now >= placementStartsAtMillis &&
-            (now < heldUntilMillis || isExtended())
+        val isHeld = PLACEMENT_DUTY in current.duties && isOfCurrentEpoch(current) &&
+            now >= placementStartsAtMillis && (now < heldUntilMillis || isExtended())
         return if (isHeld && current.generation > highestFencedToken) current.generation else null
     }
 
@@ -66,9 +71,16 @@
      * for a short time.
      */
     val isReader: Boolean
-        get() = READER_DUTY in assignment?.duties.orEmpty() &&
+        get() = assignment?.let { READER_DUTY in it.duties && isOfCurrentEpoch(it) } == true &&
             clock.monotonicMillis() < heldUntilMillis
 
+    /**
+     * Whether the store still knows [assignment]. A restored store may have assigned the same
+     * duties to others in its new epoch.
+     */
+    private fun isOfCurrentEpoch(assignment: DutyAssignment): Boolean =
+        EpochNumber.epochOf(assignment.generation) == epoch.current
+
     /**
      * Records that an engine rejected an order with [token] because it has seen a higher one. The
      * token is not used again.
@@ -78,14 +90,21 @@
         log.record("duty", "fenced", "token" to token)
     }
 
-    /** Renews the membership and reads the list of members periodically, until cancelled. */
+    /**
+     * Renews the membership and reads the list of members periodically, until cancelled. When the
+     * store is restored, the membership is renewed at once, since all duties have lapsed.
+     */
     suspend fun run() {
         var rounds = 0
         while (true) {
+            val epochBefore = epoch.current
             renew()
             if (rounds in EARLY_READ_ROUNDS || rounds % MEMBER_READ_ROUNDS == 0) readMembers()
             rounds++
-            delay(RENEWAL_INTERVAL_MILLIS)
+            val renewedEpoch = if (epochBefore > 0) epochBefore else epoch.current
+            withTimeoutOrNull(RENEWAL_INTERVAL_MILLIS) {
+                while (epoch.current == renewedEpoch) delay(EPOCH_CHECK_INTERVAL_MILLIS)
+            }
         }
     }
 
@@ -151,6 +170,7 @@
         /** Number of the duty to read the list of servers for all instances. */
         const val READER_DUTY = 1
         const val RENEWAL_INTERVAL_MILLIS = 1_000L
+        const val EPOCH_CHECK_INTERVAL_MILLIS = 50L
 
         /**
          * Limit of the extension of a duty. Outages of the store last from a few seconds to half a
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyLeaseTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyLeaseTest.kt
@@ -8,13 +8,22 @@
 import io.greengageport.gateway.SteppedClock
 import io.greengageport.gateway.port.DutyAssignment
 import io.greengageport.gateway.port.DutyGroup
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.port.MemberAddress
+import io.greengageport.gateway.port.StoreEpoch
 import io.greengageport.gateway.port.StoreError
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 
 /**
  * Guards against two instances that place layers at the same time, the previous one with a token
@@ -23,8 +32,11 @@
 class DutyLeaseTest {
     private class ScriptedGroup(var answer: Result<DutyAssignment, StoreError>) : DutyGroup {
         var onRenew: () -> Unit = {}
+        var renewals = 0
+            private set
 
         override suspend fun renew(lastGeneration: Long): Result<DutyAssignment, StoreError> {
+            renewals++
             onRenew()
             return answer
         }
@@ -38,8 +50,16 @@
     private val clock = SteppedClock()
     private val group = ScriptedGroup(Ok(DutyAssignment(7, setOf(0, 3), 3_000)))
     private var isUnreachableForAll = false
-    private val lease =
-        DutyLease(group, clock, RecordedLog().log, {}, { isUnreachableForAll }, { recoveries++ })
+    private val epoch = StoreEpoch()
+    private val lease = DutyLease(
+        group = group,
+        epoch = epoch,
+        clock = clock,
+        log = RecordedLog().log,
+        onMembers = {},
+        isStoreUnreachableForAll = { isUnreachableForAll },
+        onStoreRecovered = { recoveries++ }
+    )
 
     private var recoveries = 0
 
@@ -148,6 +168,73 @@
         expectThat(lease.placementToken()).isNull()
     }
 
+    /** Guards against duties that an earlier epoch of the store has assigned. */
+    @Nested
+    inner class `After a restore of the store` {
+        private fun assign(epochNumber: Long, generation: Long, vararg duties: Int) {
+            val token = EpochNumber.of(epochNumber, generation)
+            group.answer = Ok(DutyAssignment(token, duties.toSet(), 3_000))
+            group.onRenew = { epoch.observe(epochNumber) }
+        }
+
+        private fun failRenewals() {
+            group.answer = Err(StoreError.Refused(503))
+            group.onRenew = {}
+        }
+
+        /**
+         * Guards against a holder that places although the copy has assigned the duty to another
+         * instance.
+         */
+        @Test
+        fun `a duty of the earlier epoch has lapsed at once`() {
+            assign(1, 7, 0, 1)
+            renew()
+            expectThat(lease.placementToken()).isEqualTo(EpochNumber.of(1, 7))
+            expectThat(lease.isReader).isTrue()
+            epoch.observe(2)
+            expectThat(lease.placementToken()).isNull()
+            expectThat(lease.isReader).isFalse()
+        }
+
+        /** Guards against an extension by which a lapsed duty is used in the new epoch. */
+        @Test
+        fun `a duty of the earlier epoch is not extended`() {
+            assign(1, 7, 0)
+            renew()
+            failRenewals()
+            clock.nowMillis += 2_600
+            renewOnce()
+            isUnreachableForAll = true
+            expectThat(lease.placementToken()).isEqualTo(EpochNumber.of(1, 7))
+            epoch.observe(2)
+            expectThat(lease.placementToken()).isNull()
+        }
+
+        @Test
+        fun `a renewal in the new epoch confirms the duty of reading`() {
+            assign(1, 7, 1)
+            renew()
+            epoch.observe(2)
+            assign(2, 5, 1)
+            renewOnce()
+            expectThat(lease.isReader).isTrue()
+        }
+
+        /** Guards against a duty that stays unused for up to a second, and against bursts. */
+        @Test
+        fun `the membership is renewed at once and only once`() = runBlocking {
+            assign(1, 7, 0)
+            val renewing = launch { lease.run() }
+            while (group.renewals == 0) yield()
+            failRenewals()
+            epoch.observe(2)
+            delay(500)
+            expectThat(group.renewals).isEqualTo(2)
+            renewing.cancelAndJoin()
+        }
+    }
+
     private companion object {
         const val TAKEOVER_DELAY_MILLIS = 200L
     }
