Place no layers in the first seconds of an epoch of the store

Cause: after a restore, the copy may assign the placement duty to another instance than the one that held it before. The lease of the latter (3 s, less 0.5 s) may still run if it has not reached the store since, so both placed layers. The list is that of the copy too: an engine is listed without the layers that it has loaded since, and was ordered to hold others, which makes it give up layers that requests pass through.

Change: placement starts at the earliest one time to live (3 s) after the first assignment that an instance receives in an epoch. By then leases of the epoch before have ended, and engines have written their entries again. This applies to the same holder too, since its list is not up to date either. An instance that starts waits as well, because it cannot tell how old the epoch is. The placer now observes the list of engines while it waits, so the 3 s for which a list without layers has to be unchanged run at the same time.

Cost: engines that are lost within 3 s of a restore, or within 3 s of the start of an instance that is assigned the duty, are replaced up to 3 s later.

Three tests in DutyLeaseTest failed: a new holder, the same holder and an instance that had just started held a token at once or after the takeover delay. The other tests there first let the wait at the start pass; their bounds are unchanged.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -55,20 +55,28 @@
         while (true) {
             delay(PLACEMENT_INTERVAL_MILLIS)
             val token = dutyLease.placementToken()
-            if (token == null) {
-                pending.clear()
-                continue
-            }
+            if (token == null) pending.clear()
             val services = configuration()?.services?.values ?: continue
-            for (s in services) s.engine?.let { place(s, it, token) }
+            for (s in services) s.engine?.let { placeIfSettled(s, it, token) }
         }
     }
 
-    /** Plans the layers of [service] and sends the orders that the plan needs now. */
-    private suspend fun place(service: Service, engine: EngineProfile, token: Long) {
+    /**
+     * Places the layers of [service] if its engines are settled. Without a [token] the list is only
+     * observed, so that a new holder need not observe it again.
+     */
+    private suspend fun placeIfSettled(service: Service, engine: EngineProfile, token: Long?) {
         val servers = directory.usableServers(service.name)
         val placeableEngines = servers.mapNotNull { placeableEngine(it, engine) }
-        if (!isSettled(placeableEngines)) return
+        if (isSettled(placeableEngines) && token != null) place(placeableEngines, engine, token)
+    }
+
+    /** Plans the layers of [placeableEngines] and sends the orders that the plan needs now. */
+    private suspend fun place(
+        placeableEngines: List<PlaceableEngine>,
+        engine: EngineProfile,
+        token: Long
+    ) {
         val minTokens =
             MIN_REQUESTS_PER_COPY * (engine.typicalPromptTokens + engine.typicalAnswerTokens)
         // The store lists a crashed engine for some seconds; excluding it lets others replace it at
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -22,7 +22,8 @@
  * epoch confirms it. Operations that require a duty carry the generation of the group as
  * fencing token, which invalidates whatever the instance sent before it froze. A fencing token does
  * not prevent two holders from ordering different engines to load the same layers, so a new holder
- * waits until its peers have learned that the store has assigned it the duty.
+ * waits until its peers have learned that the store has assigned it the duty. For the same reason no
+ * instance places layers until the leases of the epoch before have ended.
  */
 public class DutyLease(
     private val group: DutyGroup,
@@ -124,6 +125,7 @@
         val sentAtMillis = clock.monotonicMillis()
         group.renew(assignment?.generation ?: 0).fold(
             { renewed ->
+                if (isFirstOfEpoch(renewed)) delayPlacement(renewed.timeToLiveMillis)
                 assignment = renewed
                 val wasUnreachable =
                     sentAtMillis - (lastRenewalMillis ?: sentAtMillis) > OUTAGE_MILLIS
@@ -144,14 +146,14 @@
     }
 
     /**
-     * Starts the takeover delay when the placement duty is acquired, and logs when it is acquired
+     * Delays placement when the duty of it is acquired, and logs when it is acquired
      * or lost.
      */
     private fun updatePlacement(renewed: DutyAssignment) {
         val hasPlacement = PLACEMENT_DUTY in renewed.duties
         if (hasPlacement == hadPlacement) return
         hadPlacement = hasPlacement
-        if (hasPlacement) placementStartsAtMillis = clock.monotonicMillis() + TAKEOVER_DELAY_MILLIS
+        if (hasPlacement) delayPlacement(TAKEOVER_DELAY_MILLIS)
         log.record(
             "duty",
             if (hasPlacement) "placement_taken" else "placement_given_up",
@@ -159,6 +161,25 @@
         )
     }
 
+    /**
+     * Whether [renewed] is the first assignment that this instance receives in its epoch.
+     *
+     * Leases of the epoch before may still run then at instances that have not reached the store
+     * since, and the list of servers is that of the copy until the servers have written their
+     * entries again. Both end within the time to live of a duty. An instance that has just started
+     * cannot tell how old the epoch is.
+     */
+    private fun isFirstOfEpoch(renewed: DutyAssignment): Boolean {
+        val previous = assignment ?: return true
+        return EpochNumber.epochOf(renewed.generation) !=
+            EpochNumber.epochOf(previous.generation)
+    }
+
+    private fun delayPlacement(millis: Long) {
+        placementStartsAtMillis =
+            maxOf(placementStartsAtMillis, clock.monotonicMillis() + millis)
+    }
+
     private suspend fun readMembers() {
         group.holders().fold(onMembers) { log.record("duty", "members_unknown", "error" to it) }
     }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyLeaseTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyLeaseTest.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.yield
+import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -72,6 +73,18 @@
         renewOnce()
     }
 
+    /** Renews without a duty until the leases before the instance's start have ended. */
+    @BeforeEach
+    fun joinGroup() {
+        val answer = group.answer
+        group.answer = Ok(DutyAssignment(6, emptySet(), TIME_TO_LIVE_MILLIS))
+        repeat(3) {
+            renewOnce()
+            clock.nowMillis += 1_000
+        }
+        group.answer = answer
+    }
+
     @Test
     fun `the holder of the duty gets the generation as fencing token`() {
         renew()
@@ -139,6 +152,18 @@
         expectThat(lease.placementToken()).isEqualTo(7)
     }
 
+    /** Guards against two holders: a restore may have preceded the start of this instance. */
+    @Test
+    fun `an instance that has started waits until earlier leases have ended`() {
+        val started = DutyLease(group, epoch, clock, RecordedLog().log, {})
+        repeat(2) {
+            runBlocking { started.renew() }
+            expectThat(started.placementToken()).isNull()
+            clock.nowMillis += TIME_TO_LIVE_MILLIS / 2
+        }
+        expectThat(started.placementToken()).isEqualTo(7)
+    }
+
     @Test
     fun `the recovery of the store is reported at once`() {
         renew()
@@ -177,6 +202,15 @@
             group.onRenew = { epoch.observe(epochNumber) }
         }
 
+        @BeforeEach
+        fun joinGroupInFirstEpoch() {
+            assign(1, 6)
+            renewOnce()
+            clock.nowMillis += 1_500
+            renewOnce()
+            clock.nowMillis += 1_500
+        }
+
         private fun failRenewals() {
             group.answer = Err(StoreError.Refused(503))
             group.onRenew = {}
@@ -211,6 +245,42 @@
             expectThat(lease.placementToken()).isNull()
         }
 
+        /**
+         * Guards against two holders: the copy has assigned the duty to this instance, while the
+         * lease of a holder that has not reached the store since still runs.
+         */
+        @Test
+        fun `a new holder waits until the leases of the earlier epoch have ended`() {
+            assign(1, 7, 3)
+            renew()
+            assign(2, 5, 0)
+            renewOnce()
+            val firstAnswerMillis = clock.nowMillis
+            while (clock.nowMillis < firstAnswerMillis + TIME_TO_LIVE_MILLIS) {
+                expectThat(lease.placementToken()).isNull()
+                clock.nowMillis += 500
+                renewOnce()
+            }
+            expectThat(lease.placementToken()).isEqualTo(EpochNumber.of(2, 5))
+        }
+
+        /**
+         * Guards against orders that rest on the entries of the copy, which engines replace within
+         * two seconds.
+         */
+        @Test
+        fun `the same holder waits until the list of servers is up to date`() {
+            assign(1, 7, 0)
+            renew()
+            assign(2, 5, 0)
+            renewOnce()
+            clock.nowMillis += 2_000
+            renewOnce()
+            expectThat(lease.placementToken()).isNull()
+            clock.nowMillis += 1_000
+            expectThat(lease.placementToken()).isEqualTo(EpochNumber.of(2, 5))
+        }
+
         @Test
         fun `a renewal in the new epoch confirms the duty of reading`() {
             assign(1, 7, 1)
@@ -225,17 +295,19 @@
         @Test
         fun `the membership is renewed at once and only once`() = runBlocking {
             assign(1, 7, 0)
+            val renewalsBefore = group.renewals
             val renewing = launch { lease.run() }
-            while (group.renewals == 0) yield()
+            while (group.renewals == renewalsBefore) yield()
             failRenewals()
             epoch.observe(2)
             delay(500)
-            expectThat(group.renewals).isEqualTo(2)
+            expectThat(group.renewals - renewalsBefore).isEqualTo(2)
             renewing.cancelAndJoin()
         }
     }
 
     private companion object {
         const val TAKEOVER_DELAY_MILLIS = 200L
+        const val TIME_TO_LIVE_MILLIS = 3_000L
     }
 }
