Count running requests whose rank a configuration removes

What callers see: answers of a model that its engines evict in the middle, after a configuration has changed the priority of a route or of an organisation.

Cause: the queue counts the running requests of each rank. A new configuration replaces the ranks, and the count of a removed rank was dropped with it, so its requests used no slots any more and as many others were admitted beside them.

FairQueue.update now counts these requests for the lowest rank, which takes the queued requests of a removed rank too. On the code before, FairQueueTest polled a request with the only slot in use, and AdmissionQueuesTest had 6 running requests instead of 3.

--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/AdmissionQueuesTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/AdmissionQueuesTest.kt
@@ -205,6 +205,21 @@
             expectThat(queues.admitted()[MODEL]).isEqualTo(0)
         }
 
+        /** Guards against engines filled beyond their memory when routes change their rank. */
+        @Test
+        fun `counts the requests that still run when their rank is removed`() = test {
+            addEngine()
+            val service = model.copy(engine = engineProfile().copy(slots = 4))
+            apply(service)
+            repeat(10) { admit("a$it", service = service) }
+            yield()
+            val admitted = queues.admitted()[MODEL]
+            apply(service, priorities = listOf(1))
+            repeat(10) { admit("b$it", priority = 1, service = service) }
+            yield()
+            expectThat(queues.admitted()[MODEL]).isEqualTo(admitted)
+        }
+
         /** Guards against slots lost for good: a negative number of tokens cannot be released. */
         @Test
         fun `gets its slot back after a request with an impossible number of tokens`() = test {
--- a/limits/src/main/kotlin/io/greengageport/limits/FairQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/FairQueue.kt
@@ -87,7 +87,7 @@
     override fun complete(id: RequestId, actualTokens: Long) {
         require(actualTokens >= 0) { "the actual tokens must not be negative: $actualTokens" }
         val run = running.remove(id) ?: return
-        run.rank.running--
+        run.slotRank.running--
         val correction = actualTokens - run.request.estimatedTokens
         run.rank.complete(run.request.organisation, correction)
         recordService(run.rank, correction, run.isCharged)
@@ -114,6 +114,11 @@
         for (entry in removed.sortedBy { it.sequence }) {
             ranks.last().add(entry, settings.weightOf(entry.request.organisation))
         }
+        for (run in running.values) {
+            if (ranksByName[run.slotRank.policy.name] === run.slotRank) continue
+            run.slotRank = ranks.last()
+            run.slotRank.running++
+        }
     }
 
     override fun updateServiceRate(tokensPerSecond: Double) {
@@ -191,7 +196,10 @@
     private fun retryAfter(millis: Long): Long =
         millis.coerceIn(MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS)
 
-    private class Running(val request: QueuedRequest, val rank: RankQueue, val isCharged: Boolean)
+    /** A polled request that has not ended; it uses a slot of [slotRank]. */
+    private class Running(val request: QueuedRequest, val rank: RankQueue, val isCharged: Boolean) {
+        var slotRank: RankQueue = rank
+    }
 
     private companion object {
         /** Prevents division by zero if the floors add up to 1. */
--- a/limits/src/main/kotlin/io/greengageport/limits/RequestQueue.kt
+++ b/limits/src/main/kotlin/io/greengageport/limits/RequestQueue.kt
@@ -56,7 +56,10 @@
     /** Time until the current backlog of [rank] is served, in ms; 0 if the rate is unknown. */
     public fun drainMillis(rank: RankName): Long
 
-    /** Replaces the settings; queued requests of a removed rank move to the lowest rank. */
+    /**
+     * Replaces the settings. Queued requests of a removed rank move to the lowest rank, and the
+     * slots that its polled requests use count for that rank.
+     */
     public fun update(settings: QueueSettings)
 
     /** Sets the current service rate; 0 means unknown and disables refusal by deadline. */
--- a/limits/src/test/kotlin/io/greengageport/limits/FairQueueTest.kt
+++ b/limits/src/test/kotlin/io/greengageport/limits/FairQueueTest.kt
@@ -213,6 +213,19 @@
             expectThat(queue.remove(RequestId("m"))).isEqualTo(request("m", MIDDLE))
             expectThat(queue.poll()).isEqualTo(null)
         }
+
+        /** Guards against more running requests than slots after a rank is removed. */
+        @Test
+        fun `counts the running requests of a removed rank`() {
+            val queue = FairQueue(QueueSettings(ranks()))
+            queue.offer(request("m", MIDDLE), 0)
+            queue.poll(slots = 1)
+            queue.update(QueueSettings(ranks().filter { it.name != MIDDLE }))
+            queue.offer(request("l", LOWEST), 0)
+            expectThat(queue.poll(slots = 1)).isEqualTo(null)
+            queue.complete(RequestId("m"), actualTokens = 1)
+            expectThat(queue.poll(slots = 1)).isEqualTo(request("l", LOWEST))
+        }
     }
 
     /** Fails if memory use or start tags grow with every organisation ever seen. */
