Queue requests under an id of their own

What callers see: a caller that uses an attempt id twice at a time, which the protocol does not allow, takes a slot of the model from all callers of this instance for good. While the first of the two waits, the second gets a 502, which promises nothing, although it was never sent on.

Cause: the queue knows running requests by the id that the caller sent. The second request replaced the first in that map, but both had raised the count of their rank; one end of the two lowered it again. A second request with a queued id failed with an exception.

AdmissionQueues now passes an id to the queue that is unique within the process; the log still has the caller's.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AdmissionQueues.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AdmissionQueues.kt
@@ -6,6 +6,7 @@
 import io.greengageport.common.InstanceId
 import io.greengageport.common.RankName
 import io.greengageport.common.RequestError
+import io.greengageport.common.RequestId
 import io.greengageport.common.ServiceName
 import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.model.Configuration
@@ -50,6 +51,9 @@
     private val queues = HashMap<ServiceName, ServiceQueue>()
     private val fleetShare = FleetShare(equalShareWeight = EQUAL_SHARE_WEIGHT)
 
+    /** Number of requests that were passed to a queue. */
+    private var admissions = 0L
+
     /**
      * Applies the ranks and models of a new configuration. If a service was removed or has become a
      * plain service, its waiting requests are refused at once: its engines admit no more requests,
@@ -90,7 +94,7 @@
         ) - firstEventMillis
         return queue.controller.admit(
             QueuedRequest(
-                id = context.id,
+                id = queueId(context.id),
                 rank = rankName(context.priority),
                 organisation = context.organisationName,
                 estimatedTokens = context.expectedTokens.toLong().coerceAtLeast(1),
@@ -99,6 +103,13 @@
         )
     }
 
+    /**
+     * Returns an id under which a queue knows one admission. The id of a request does not suffice:
+     * callers choose it, and may use one twice at a time.
+     */
+    private fun queueId(request: RequestId) =
+        RequestId("${request.value}$ADMISSION_SEPARATOR${admissions++}")
+
     /** Returns the number of admitted requests by service, for reports to peers. */
     fun admitted(): Map<ServiceName, Int> = queues.mapValues { it.value.controller.state.inFlight }
 
@@ -148,7 +159,7 @@
         log.record(
             "admission",
             decision.outcome.name.lowercase(),
-            "request" to decision.request.id,
+            "request" to decision.request.id.value.substringBeforeLast(ADMISSION_SEPARATOR),
             "rank" to decision.request.rank,
             "organisation" to decision.request.organisation,
             "waited_ms" to decision.waitedMillis,
@@ -171,6 +182,7 @@
     private fun rankName(priority: Int) = RankName(priority.toString())
 
     private companion object {
+        const val ADMISSION_SEPARATOR = '#'
         const val UPDATE_INTERVAL_MILLIS = 200L
 
         /** Low weight of the equal share, because callers are spread unevenly over instances. */
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/AdmissionQueuesTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/AdmissionQueuesTest.kt
@@ -156,6 +156,14 @@
                 expectThat(waiting.describe()).isEqualTo("503 NOT_RUN retry=100")
             }
 
+        /** Guards against an unexpected error, which tells the caller that it may have run. */
+        @Test
+        fun `does not affect another request with its attempt id`() = test {
+            apply(model)
+            val twins = List(2) { admit("twin") }
+            expectThat(twins.map { it.describe() }).isEqualTo(listOf("waiting", "waiting"))
+        }
+
         /** Guards against requests that are lost when their rank is removed or comes back. */
         @Test
         fun `is decided by its deadline whatever ranks and services change meanwhile`() = test {
@@ -220,6 +228,27 @@
             expectThat(queues.admitted()[MODEL]).isEqualTo(admitted)
         }
 
+        /** Guards against slots lost for good: a caller can use an attempt id twice. */
+        @Test
+        fun `gets its slots back after two requests with one attempt id`() = test {
+            addEngine()
+            val service = model.copy(engine = engineProfile().copy(slots = 4))
+            apply(service)
+            suspend fun fill(): Int {
+                val requests = (0 until 10).map { admit("r$it", service = service) }
+                yield()
+                val admitted = checkNotNull(queues.admitted()[MODEL])
+                requests.filter { !it.isCompleted }.forEach { it.cancel() }
+                yield()
+                requests.filter { !it.isCancelled }.forEach { it.await().get()?.release(1) }
+                return admitted
+            }
+            val slots = fill()
+            val twins = List(2) { admit("twin", service = service) }
+            twins.forEach { it.await().get()?.release(1) }
+            expectThat(fill()).isEqualTo(slots)
+        }
+
         /** Guards against slots lost for good: a negative number of tokens cannot be released. */
         @Test
         fun `gets its slot back after a request with an impossible number of tokens`() = test {
