Apply a configuration in all parts although one of them fails

No configuration is known that fails.

What callers would see: an error while one part of the instance applies a configuration left the parts after it with the previous one, for instance the admission queues without a new service. The task that reads the table was restarted 250 ms later and read the version again, but it was in force already, so that the parts were called only for the next version.

ConfigurationHolder now has a list of listeners, calls each, and logs the version, the error and its place for one that fails. With the list but without the catch, which is how the single listener behaved, the new test fails with "cannot apply version 7".

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -215,12 +215,10 @@
 
     /** Binds all listeners and launches the background tasks; throws if an address is in use. */
     public fun start() {
-        configuration.onChanged = {
-            fleetIndex.rebuild(it)
-            admissionQueues.onConfiguration(it)
-            peerExchange.send(ReportReason.CONFIGURATION)
-            metrics.configurationVersion.set(it.version.toDouble())
-        }
+        configuration.listeners += fleetIndex::rebuild
+        configuration.listeners += admissionQueues::onConfiguration
+        configuration.listeners += { peerExchange.send(ReportReason.CONFIGURATION) }
+        configuration.listeners += { metrics.configurationVersion.set(it.version.toDouble()) }
         directory.onChanged = { id, previous, now ->
             fleetIndex.update(id, now)
             serverListRelay.onOwnChange(id, now, directory.position(id))
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ConfigurationHolder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ConfigurationHolder.kt
@@ -10,8 +10,11 @@
     public var current: Configuration? = null
         private set
 
-    /** Called with each configuration that takes effect. */
-    public var onChanged: (Configuration) -> Unit = {}
+    /**
+     * Called in this order with each configuration that takes effect. An error in one of them is
+     * logged and does not keep the others from applying the configuration.
+     */
+    public val listeners: MutableList<(Configuration) -> Unit> = ArrayList()
 
     override fun onSnapshot(entries: List<Change<Configuration>>, end: Long): Unit =
         onChanges(entries)
@@ -58,6 +61,25 @@
             "services" to next.services.size,
             "keys" to next.organisationsByKey?.size
         )
-        onChanged(next)
+        for (listener in listeners) notify(listener, next)
+    }
+
+    /**
+     * Passes [next] to [listener]. An error must neither leave the other parts of the instance with
+     * the previous configuration nor end the reading of the table: the version is in force, so
+     * reading it again would not repeat the call.
+     */
+    private fun notify(listener: (Configuration) -> Unit, next: Configuration) {
+        try {
+            listener(next)
+        } catch (e: RuntimeException) {
+            log.record(
+                "config",
+                "listener_failed",
+                "version" to next.version,
+                "error" to e,
+                "at" to e.stackTrace.firstOrNull()
+            )
+        }
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/ConfigurationHolderTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/ConfigurationHolderTest.kt
@@ -5,6 +5,7 @@
 import io.greengageport.gateway.port.Change
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 
@@ -40,4 +41,15 @@
         holder.onSnapshot(emptyList(), end = 6)
         expectThat(holder.current).isNull()
     }
+
+    /** Guards against a configuration that stays half applied after an error in one part. */
+    @Test
+    fun `tells all listeners of a configuration, even if one of them fails`() {
+        val versions = ArrayList<Long>()
+        holder.listeners += { error("cannot apply version ${it.version}") }
+        holder.listeners += { versions += it.version }
+        holder.onChanges(put(7))
+        holder.onChanges(put(8))
+        expectThat(versions).containsExactly(7, 8)
+    }
 }
