Apply a raised limit of heads to connections that are open

What callers see: 431 and a close, on connections that they opened before a configuration raised MaxHeaderBytes, for heads that are within the limit in force. A lowered limit did not reach these connections.

Cause: the limit is bound to the HTTP decoder, which is built when the connection opens.

The decoder now takes heads of up to 64 KiB, or of the limit at that time if that is larger, and CallerConnection compares each head with the limit in force. A limit above 64 KiB reaches new connections only.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -340,7 +340,9 @@
         handler: CallerRequestHandler = router,
         maxHeaderBytes: () -> Int
     ) {
-        val listener = HttpListener(loop, maxHeaderBytes) { channel, marker ->
+        // A later configuration may raise the limit of connections that are open.
+        val decoderLimit = { maxOf(maxHeaderBytes(), MAX_RAISED_HEADER_BYTES) }
+        val listener = HttpListener(loop, decoderLimit) { channel, marker ->
             val connection = CallerConnection(
                 channel = channel,
                 marker = marker,
@@ -348,7 +350,8 @@
                 isStopping = { isStopping },
                 handler = handler,
                 closer = closer,
-                clock = clock
+                clock = clock,
+                maxHeaderBytes = maxHeaderBytes
             )
             if (handler === router) connections += connection
             loop.scope.launch { connection.run() }
@@ -456,6 +459,9 @@
 
         /** A timer that fires later than this shows that the thread or the process was blocked. */
         const val LOGGED_DELAY_MILLIS = 200L
+
+        /** Limit up to which a raised limit of heads reaches connections that are open. */
+        const val MAX_RAISED_HEADER_BYTES = 65_536
         const val METRICS_PATH = "/metrics"
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -45,7 +45,8 @@
     private val isStopping: () -> Boolean,
     private val handler: CallerRequestHandler,
     private val closer: ConnectionCloser,
-    private val clock: Clock
+    private val clock: Clock,
+    private val maxHeaderBytes: () -> Int = { limits().maxHeaderBytes }
 ) {
     private val openedAtMillis = clock.monotonicMillis()
     private var hasServed = false
@@ -123,6 +124,10 @@
             refuseMalformed(failure, response)
             return false
         }
+        if (isTooLarge(head)) {
+            refuse(HEAD_TOO_LARGE)
+            return false
+        }
         val body = readBody(head, response) ?: return false
         marker.hasArrived = channel.hasReceived
         handleRequest(head, body, response)
@@ -238,6 +243,19 @@
             head.headers().getAll(HttpHeaderNames.HOST).size != 1
     }
 
+    /**
+     * Whether the head exceeds the limit now in force. The limit of the decoder is fixed when the
+     * connection opens. As there, the request line and the headers have the limit each.
+     */
+    private fun isTooLarge(head: HttpRequest): Boolean {
+        val limit = maxHeaderBytes()
+        var headerBytes = 0
+        for ((name, value) in head.headers()) {
+            headerBytes += name.length + value.length + HEADER_SEPARATOR_BYTES
+        }
+        return headerBytes > limit || head.uri().length > limit
+    }
+
     private suspend fun refuseMalformed(cause: Throwable?, response: CallerResponse) {
         if (response.isStarted) return
         when (cause) {
@@ -275,6 +293,9 @@
 
         /** Time from the accept of a connection until its first request has usually arrived. */
         const val FIRST_REQUEST_MILLIS = 300L
+
+        /** The colon and the space between the name and the value of a header. */
+        const val HEADER_SEPARATOR_BYTES = 2
         const val BAD_REQUEST = 400
         val REQUEST_TIMEOUT = HttpResponseStatus.REQUEST_TIMEOUT.code()
         val TOO_LARGE = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code()
