Reject a buffered response without length whose connection is reset

Calls to the store and to engines took what they had as the whole response when the connection was reset while a response without length or chunks was being read: the decoder ends such a response when the connection ends, and the caller did not ask how it ended. Forwarded answers were already checked. A part of a JSON body is rejected later by its parser, and a read of the log that ends between two records is continued at the next one, so no wrong state is known to have come from it; bodies that nobody parses had no such check.

HttpCallerTest, "a response without length is whole if its connection is closed, not if it is reset", failed before: the reset call returned Ok.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
@@ -11,12 +11,14 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
@@ -102,6 +104,10 @@
                 }
                 val responseHead = head
                 if (part is LastHttpContent && responseHead != null) {
+                    if (channel.failure is IOException && !isFramed(responseHead.headers())) {
+                        val reason = "$address: connection reset during a response without length"
+                        return Err(HttpFailure.Broken(reason))
+                    }
                     return Ok(
                         HttpReply(
                             responseHead.status().code(),
@@ -136,10 +142,11 @@
         !channel.hasReceived &&
         channel.isFlushed &&
         !reply.headers.contains(HttpHeaderNames.CONNECTION, "close", true) &&
-        (reply.headers.contains(HttpHeaderNames.CONTENT_LENGTH) || isChunked(reply))
+        isFramed(reply.headers)
 
-    private fun isChunked(reply: HttpReply) =
-        reply.headers.contains(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true)
+    /** Whether a response states where it ends; otherwise it ends with its connection. */
+    private fun isFramed(headers: HttpHeaders) = headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
+        headers.contains(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true)
 
     private fun takeIdle(): HttpChannel? {
         while (idle.isNotEmpty()) {
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
@@ -1,5 +1,7 @@
 package io.greengageport.gateway.http
 
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.map
 import io.greengageport.common.HostPort
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
@@ -10,11 +12,17 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 
 /**
  * Guards against calls that a slow peer receives and executes after the instance has given them up.
@@ -64,4 +72,50 @@
     @Test
     fun `an undecodable response resets the connection`() =
         expectReset { it.getOutputStream().write("nonsense\r\n\r\n".toByteArray()) }
+
+    /** Makes a call whose response is [text], after which the connection is closed or reset. */
+    private fun call(text: String, isReset: Boolean) = runBlocking {
+        coroutineScope {
+            val call = async {
+                val request =
+                    OutgoingRequest(HttpMethod.POST, "/", DefaultHttpHeaders(), ByteArray(0))
+                withContext(loop.dispatcher) { caller.call(request, timeoutMillis = 2_000) }
+            }
+            withContext(Dispatchers.IO) {
+                server.accept().use {
+                    readHead(it)
+                    it.getOutputStream().write(text.toByteArray())
+                    // The caller reads what was sent, since a reset discards it.
+                    delay(100)
+                    if (isReset) it.setSoLinger(true, 0)
+                }
+            }
+            call.await()
+        }
+    }
+
+    /** Guards against a part of a response that is taken for the whole one. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 200 OK\r\nContent-Length: 1",
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n1",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n"
+        ]
+    )
+    fun `a response that was cut is a failure`(text: String) {
+        expectThat(call(text, isReset = false).isErr).isTrue()
+        expectThat(call(text, isReset = true).isErr).isTrue()
+    }
+
+    /** Guards against a part of a response whose length only the end of its connection tells. */
+    @Test
+    fun `a response without length is whole if its connection is closed, not if it is reset`() {
+        val text = "HTTP/1.1 200 OK\r\n\r\nbody"
+        expectThat(call(text, isReset = false).map { it.body.decodeToString() })
+            .isEqualTo(Ok("body"))
+        expectThat(call(text, isReset = true).isErr).isTrue()
+    }
 }
