Skip informational responses to calls of the store and of engines

A 1xx response that came before the final one was taken for the final one, so the call failed with an unexpected status although the answer followed.

HttpCallerTest, "an informational response is skipped", failed before with Ok((100, )) instead of Ok((200, body)); "a response that was cut is a failure" with a 100 alone returned Ok.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -93,7 +94,7 @@
                     channel.reset()
                     return Err(HttpFailure.Broken("$address: ${part.decoderResult().cause()}"))
                 }
-                if (part is HttpResponse) head = part
+                if (part is HttpResponse) head = part.takeUnless { isInformational(it) }
                 if (part is HttpContent) {
                     if (body.size() + part.content().readableBytes() > MAX_REPLY_BYTES) {
                         channel.reset()
@@ -144,6 +145,9 @@
         !reply.headers.contains(HttpHeaderNames.CONNECTION, "close", true) &&
         isFramed(reply.headers)
 
+    private fun isInformational(response: HttpResponse) =
+        response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+
     /** Whether a response states where it ends; otherwise it ends with its connection. */
     private fun isFramed(headers: HttpHeaders) = headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
         headers.contains(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true)
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
@@ -102,7 +102,8 @@
             "HTTP/1.1 200 OK\r\n",
             "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n1",
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n"
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\n"
         ]
     )
     fun `a response that was cut is a failure`(text: String) {
@@ -118,4 +119,12 @@
             .isEqualTo(Ok("body"))
         expectThat(call(text, isReset = true).isErr).isTrue()
     }
+
+    /** Guards against an informational response that is taken for the answer. */
+    @Test
+    fun `an informational response is skipped`() {
+        val text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+        expectThat(call(text, isReset = false).map { it.status to it.body.decodeToString() })
+            .isEqualTo(Ok(200 to "body"))
+    }
 }
