--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -34,7 +34,10 @@
      */
     data class Applicable(val changes: List<Change<BackendServer>>, val until: Long) : DeltaOutcome
 
-    /** Earlier changes were missed, or the store was restored, so the list has to be read from the store. */
+    /**
+     * Earlier changes were missed, or the store was restored, so the list has to be read from the
+     * store.
+     */
     data object Gap : DeltaOutcome
 
     /**
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -12,13 +12,13 @@
 /**
  * The backend servers known from the store's list.
  *
- * A server is leaving when its entry says so or when one of its answers does. It stays leaving until
- * it restarts, even if the store lists it as ready: an answer may precede the entry, and a store
- * that was restored from an older copy has the entry from before.
+ * A server is leaving when its entry says so or when one of its answers does. It stays leaving
+ * until it restarts, even if the store lists it as ready: an answer may precede the entry, and a
+ * store that was restored from an older copy has the entry from before.
  *
  * Entries that expired during an outage of the store, or that are missing in the copy from which it
- * was restored, reappear within about two seconds of its recovery. A removal that is read during that time therefore takes effect only after
- * [GRACE_MILLIS].
+ * was restored, reappear within about two seconds of its recovery. A removal that is read during
+ * that time therefore takes effect only after [GRACE_MILLIS].
  *
  * A store that was restored from an older copy lists servers as they were before. An entry that may
  * be older than what is known, also of a server that was gone, shows only that the server is
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StoreFollower.kt
@@ -261,8 +261,8 @@
         const val CONFIGURATION_WAIT_MILLIS = 2_500L
 
         /**
-         * Time for which reads may lack a version that a peer has. What a restored store has lost is
-         * written again within about two seconds.
+         * Time for which reads may lack a version that a peer has. What a restored store has lost
+         * is written again within about two seconds.
          */
         const val BEHIND_MILLIS = 5_000L
 
