Keep the highest sequence of an entry when its content is repeated

Cause: an entry of the copy with the content that is known from a newer entry lowered the known sequence, so that an entry between the two, written again after the restore, counted as new.

An entry with known content now changes the sequence only if it is not older. The new test of BackendDirectoryTest sees layers up to 20 instead of 10 on the code before.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -234,7 +234,8 @@
         val isLeaving = isLeavingStart(entry.id, entry.startedAtMillis)
         val server = if (isLeaving) entry.copy(isLeaving = true) else entry
         if (previous != null && previous.hasSameContent(server)) {
-            if (server.sequence != null) servers[server.id] = server
+            // An older entry can have the content that is known from a newer one.
+            if (server.isOlderThan(previous) == false) servers[server.id] = server
             return
         }
         servers[server.id] = server
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -228,6 +228,16 @@
             expectThat(layersEnd()).isEqualTo(30)
         }
 
+        /** Guards against an older entry that looks new since a copy repeated an even older one. */
+        @Test
+        fun `does not lower the known sequence if it has the known content`() {
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(1, 1))
+            directory.onChanges(listOf(entry(5, layersEnd = 20), entry(9, layersEnd = 10)))
+            directory.onSnapshot(listOf(entry(3, layersEnd = 10)), end = position(2, 1))
+            directory.onChanges(listOf(entry(5, layersEnd = 20)))
+            expectThat(layersEnd()).isEqualTo(10)
+        }
+
         @Test
         fun `shows that the server is still listed`() {
             directory.onSnapshot(listOf(entry(5)), end = position(1, 1))
