Plan again if an engine holds other layers than its entry shows

Cause: the placer asked an engine for its report before an order, but compared it only with the ordered layers. An engine whose entry was out of date, for example that of a store restored from a copy, was ordered to hold the layers that the plan wanted of an empty engine, and so gave up those that it held.

Change: if the report shows other layers than those with which the engine was planned, no order is sent, and the next plans use the reported layers for 2.5 s or until the entry shows them. A report may be some hundred ms older than an entry, which then delays an order by up to 2.5 s.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -42,8 +42,11 @@
     private val log: DecisionLog,
     private val clock: Clock
 ) {
-    /** The [layers] that an engine of the given start was ordered to load. */
-    private class Pending(val layers: LayerRange, val startedAtMillis: Long, val untilMillis: Long)
+    /**
+     * The [layers] that an engine of the given start was ordered to load, or that its report showed
+     * while its entry was older.
+     */
+    private class Pending(val layers: LayerRange?, val startedAtMillis: Long, val untilMillis: Long)
 
     private val pending = HashMap<RunnerId, Pending>()
     private var seenEngines = emptySet<RunnerId>()
@@ -108,7 +111,7 @@
             expected != null && expected.startedAtMillis == server.startedAtMillis &&
                 expected.layers != server.layers && clock.monotonicMillis() < expected.untilMillis
         if (!isPending) pending.remove(server.id)
-        val layers = if (isPending) expected?.layers else server.layers
+        val layers = if (isPending) expected.layers else server.layers
         return PlaceableEngine(server.id, server.dataCentre, accelerator, layers)
     }
 
@@ -145,13 +148,14 @@
     /** Launches the order in [scope] and assumes from now on that the engine carries it out. */
     private fun order(scope: CoroutineScope, assignment: LayerAssignment, token: Long) {
         val server = directory.find(assignment.id) ?: return
+        val plannedWith = pending[server.id].let { if (it == null) server.layers else it.layers }
         pending[server.id] = Pending(
             assignment.layers,
             server.startedAtMillis,
             clock.monotonicMillis() + PENDING_MILLIS
         )
         scope.launch {
-            val result = send(server, assignment, token)
+            val result = send(server, plannedWith, assignment, token)
             log.record(
                 "placement",
                 "ordered",
@@ -166,9 +170,14 @@
         }
     }
 
-    /** Sends the order if the engine's report allows it; returns the result for the log. */
+    /**
+     * Sends the order if the engine's report allows it; returns the result for the log. If the
+     * engine holds other layers than those with which it was planned, its entry is out of date and
+     * the order might make it drop layers, so the next plan uses the report instead.
+     */
     private suspend fun send(
         server: BackendServer,
+        plannedWith: LayerRange?,
         assignment: LayerAssignment,
         token: Long
     ): String {
@@ -180,6 +189,14 @@
             if (hasRestarted(server, report)) return "restarted"
             if (report.isBusy) return "busy"
             if (report.layers == assignment.layers) return "holds_already"
+            if (report.layers != plannedWith) {
+                pending[server.id] = Pending(
+                    report.layers,
+                    server.startedAtMillis,
+                    clock.monotonicMillis() + ENTRY_DELAY_MILLIS
+                )
+                return "holds_other(${report.layers})"
+            }
             if (dutyLease.placementToken() != token) return "duty_lost"
             val order =
                 protocol.placementOrder(assignment.layers, token, report.acceptedOrders)
@@ -222,6 +239,9 @@
 
         /** Loading takes a few seconds, and the engine renews its entry about once a second. */
         const val PENDING_MILLIS = 6_000L
+
+        /** Time in which an entry becomes as new as the engine's report. */
+        const val ENTRY_DELAY_MILLIS = 2_500L
         const val CALL_TIMEOUT_MILLIS = 1_000L
 
         /** Requests that a copy has to have memory for to justify the memory of its weights. */
