Do not join the duty group again during a planned stop

Cause: a stopping instance left the group, but went on to renew its membership once a second, and so joined again. It was assigned duties until its time to live had ended after its exit, 3 s in which nobody performed them.

Change: renewals end when the instance leaves. A renewal that is on its way while the instance leaves may still be executed after it.

The new test in DutyLeaseTest failed before: 5 renewals instead of 4, 1.3 s after the leave.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -92,12 +92,12 @@
     }
 
     /**
-     * Renews the membership and reads the list of members periodically, until cancelled. When the
-     * store is restored, the membership is renewed at once, since all duties have lapsed.
+     * Renews the membership and reads the list of members periodically, until cancelled or leaving.
+     * When the store is restored, the membership is renewed at once, since all duties have lapsed.
      */
     suspend fun run() {
         var rounds = 0
-        while (true) {
+        while (!isLeaving) {
             val epochBefore = epoch.current
             renew()
             if (rounds in EARLY_READ_ROUNDS || rounds % MEMBER_READ_ROUNDS == 0) readMembers()
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyLeaseTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/DutyLeaseTest.kt
@@ -152,6 +152,22 @@
         expectThat(lease.placementToken()).isEqualTo(7)
     }
 
+    /**
+     * Guards against duties that nobody performs: an instance that joins again during its planned
+     * stop keeps them until its time to live ends, after its process.
+     */
+    @Test
+    fun `a stopping instance does not join the group again`() = runBlocking {
+        val renewing = launch { lease.run() }
+        val renewalsBefore = group.renewals
+        while (group.renewals == renewalsBefore) yield()
+        lease.leave()
+        val renewalsAtStop = group.renewals
+        delay(1_300)
+        expectThat(group.renewals).isEqualTo(renewalsAtStop)
+        renewing.cancelAndJoin()
+    }
+
     /** Guards against two holders: a restore may have preceded the start of this instance. */
     @Test
     fun `an instance that has started waits until earlier leases have ended`() {
