Leave most of a short grace period for answers at a stop

With a grace period of less than 3 s callers got a 502 for answers that would have come in time, and streams were broken off before the last sixth of the grace period, the only part in which the platform accepts that. The margins before the end (800, 500 and 200 ms) were fixed, so of 1.5 s they left 0.7 s for answers and 1 s for streams. They now shrink in proportion below 3 s, the shortest period whose last sixth holds the 500 ms.

ShortGraceStopTest failed before: "A stream that ends before the last sixth of the grace period is whole" got the first event only, "An answer that takes half of the grace period arrives" got 502.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -21,7 +21,8 @@
  *    broken off.
  * 4. The listener closes, the last connections send what they have, and close.
  *
- * The last phases have a minimum duration, so that a process that was paused beyond its deadline
+ * A grace period below [FULL_MARGINS_GRACE_MILLIS] shortens the margins in proportion, so that most
+ * of it is left for answers. The last phases have a minimum duration, so that a process that was paused beyond its deadline
  * still answers.
  */
 internal class StopSequence(
@@ -34,9 +35,9 @@
     private val graceMillis: Long
 ) {
     /** Time at which the requests that no answer has begun for are answered. */
-    val answerAtMillis: Long = signalledAtMillis + graceMillis - ANSWER_MARGIN_MILLIS
-    private val breakAtMillis = signalledAtMillis + graceMillis - BREAK_MARGIN_MILLIS
-    private val endAtMillis = signalledAtMillis + graceMillis - END_MARGIN_MILLIS
+    val answerAtMillis: Long = endOfGraceBut(ANSWER_MARGIN_MILLIS)
+    private val breakAtMillis = endOfGraceBut(BREAK_MARGIN_MILLIS)
+    private val endAtMillis = endOfGraceBut(END_MARGIN_MILLIS)
 
     /** Time from which new requests are refused. */
     val acceptsUntilMillis: Long =
@@ -53,6 +54,12 @@
         closeAll()
     }
 
+    private fun endOfGraceBut(marginMillis: Long) =
+        signalledAtMillis + graceMillis - scaled(marginMillis)
+
+    private fun scaled(marginMillis: Long) =
+        marginMillis * minOf(graceMillis, FULL_MARGINS_GRACE_MILLIS) / FULL_MARGINS_GRACE_MILLIS
+
     private fun isBusy() = router.inFlight > 0 || connections.any { it.isActive }
 
     /** Closes idle connections until [condition] is false, or until [untilMillis]. */
@@ -67,7 +74,7 @@
 
     private suspend fun closeAll() {
         listener.acceptAllAndClose()
-        val earliestEndMillis = clock.monotonicMillis() + MIN_CLOSE_MILLIS
+        val earliestEndMillis = clock.monotonicMillis() + scaled(MIN_CLOSE_MILLIS)
         val untilMillis = maxOf(endAtMillis, earliestEndMillis)
         // Unread requests of connections that were just accepted are read first.
         awaitRequests(minOf(earliestEndMillis, untilMillis)) { connections.isNotEmpty() }
@@ -85,6 +92,12 @@
     }
 
     private companion object {
+        /**
+         * Shortest grace period whose last sixth holds [BREAK_MARGIN_MILLIS]. The platform accepts
+         * an answer that is broken off only in the last sixth.
+         */
+        const val FULL_MARGINS_GRACE_MILLIS = 3_000L
+
         /**
          * The platform checks readiness once a second and stops sending connections after two
          * failures.
