Apply a changed grace period at SIGHUP and at the start of a stop

An instance kept the grace period that its settings file stated at its start. If the platform shortens it later, the stop still planned with the old one, and the platform would kill the process with requests that were sent to servers and had no answer. The file is now read again at SIGHUP and when a stop begins, since it may also change without a signal; a stop under way keeps the value that it began with. An invalid file is logged and changes nothing.

--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -1,10 +1,13 @@
 package io.greengageport.cli
 
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import io.greengageport.common.SystemClock
 import io.greengageport.gateway.GatewayInstance
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
+import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.platform.HttpBackendProtocol
 import io.greengageport.platform.LogStore
@@ -12,12 +15,14 @@
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import org.tinylog.kotlin.Logger
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 
-/** Runs an entry instance on the platform until SIGTERM or SIGINT; SIGHUP requests a reload. */
+/** Runs an entry instance on the platform until SIGTERM or SIGINT; SIGHUP reloads its grace period. */
 @Command(
     name = "gateway",
     description = ["Runs an entry instance on the platform; SIGTERM stops it gracefully."],
@@ -71,6 +76,8 @@
                 loop.scope.launch {
                     try {
                         instance.recordSignal(signal)
+                        // The settings may also change without a signal.
+                        reload(path, instance, loop.log)
                         instance.stop(signalledAtMillis)
                     } finally {
                         stopped.countDown()
@@ -81,11 +88,23 @@
             override fun onReload(signal: String) {
                 loop.scope.launch {
                     instance.recordSignal(signal)
-                    instance.reload()
+                    reload(path, instance, loop.log)
                 }
             }
         })
         stopped.await()
         return ExitCodes.OK
     }
+
+    /** Reads the settings file at [path] again; an invalid one is logged and changes nothing. */
+    private suspend fun reload(path: Path, instance: GatewayInstance, log: DecisionLog) {
+        try {
+            withContext(Dispatchers.IO) { SettingsDecoder.load(path) }
+                .onSuccess { instance.reload(it.graceMillis) }
+                .onFailure { log.record("entry", "reload_failed", "error" to it.problems) }
+        } catch (e: IllegalArgumentException) {
+            // A value that no type accepts must not prevent the stop.
+            log.record("entry", "reload_failed", "error" to e)
+        }
+    }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -199,6 +199,9 @@
     private val closer = ConnectionCloser(clock)
     private val listeners = ArrayList<HttpListener>()
     private var isStopping = false
+
+    /** Time between the signal to stop and the end of the process. */
+    private var graceMillis = settings.graceMillis
     private val stopped = CompletableDeferred<Unit>()
 
     /** Time on the monotonic clock, in ms, from which new requests are refused. */
@@ -282,11 +285,16 @@
             log = log,
             clock = clock,
             signalledAtMillis = signalledAtMillis,
-            graceMillis = settings.graceMillis
+            graceMillis = graceMillis
         )
         acceptsUntilMillis = sequence.acceptsUntilMillis
         answersUntilMillis = sequence.answerAtMillis
-        log.record("entry", "stopping", "in_flight" to router.inFlight)
+        log.record(
+            "entry",
+            "stopping",
+            "in_flight" to router.inFlight,
+            "grace_ms" to graceMillis
+        )
         // A store that does not answer must not delay the stop.
         loop.scope.launch { dutyLease.leave() }
         try {
@@ -299,11 +307,13 @@
     }
 
     /**
-     * Logs that a reload was requested. It has no effect because an instance's settings are fixed
-     * while it runs.
+     * Applies the grace period of settings that were read again, in ms; all other settings are
+     * fixed while the instance runs. A stop under way keeps the period that it began with, as the
+     * platform does.
      */
-    public fun reload() {
-        log.record("entry", "reload", "changed" to "nothing")
+    public fun reload(graceMillis: Long) {
+        log.record("entry", "reload", "grace_ms" to graceMillis, "before" to this.graceMillis)
+        this.graceMillis = graceMillis
     }
 
     /** Logs that the process received the signal [name], for example `TERM`. */
