--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -22,7 +22,7 @@
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 
-/** Runs an entry instance on the platform until SIGTERM or SIGINT; SIGHUP reloads its grace period. */
+/** Runs an entry instance until SIGTERM or SIGINT; SIGHUP reloads its grace period. */
 @Command(
     name = "gateway",
     description = ["Runs an entry instance on the platform; SIGTERM stops it gracefully."],
--- a/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -22,7 +22,9 @@
  * 4. The listener closes, the last connections send what they have, and close.
  *
  * A grace period below [FULL_MARGINS_GRACE_MILLIS] shortens the margins in proportion, so that most
- * of it is left for answers. The last phases have a minimum duration, so that a process that was paused beyond its deadline
+ * of it is left for answers.
+ *
+ * The last phases have a minimum duration, so that a process that was paused beyond its deadline
  * still answers.
  */
 internal class StopSequence(
