--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -22,8 +22,8 @@
  * epoch confirms it. Operations that require a duty carry the generation of the group as
  * fencing token, which invalidates whatever the instance sent before it froze. A fencing token does
  * not prevent two holders from ordering different engines to load the same layers, so a new holder
- * waits until its peers have learned that the store has assigned it the duty. For the same reason no
- * instance places layers until the leases of the epoch before have ended.
+ * waits until its peers have learned that the store has assigned it the duty. For the same reason
+ * no instance places layers until the leases of the epoch before have ended.
  */
 public class DutyLease(
     private val group: DutyGroup,
