Let an instance that starts place layers after the takeover delay

The wait of 3 s after a restore also applied to an instance that starts, since it cannot tell how old the epoch is. A holder that is killed comes back within its time to live and gets its duty again, so layers of engines that are lost around then stayed missing 3 s longer. Holders restart far more often than the store is restored, and the epoch in the fencing token still rejects an earlier holder's orders.

Only an assignment in another epoch than the one before delays placement now. Log lines write generations and tokens as EPOCH/NUMBER.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -13,6 +13,7 @@
 import io.greengageport.gateway.model.Service
 import io.greengageport.gateway.port.BackendProtocol
 import io.greengageport.gateway.port.BackendReport
+import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.DutyLease
 import io.greengageport.routing.CopyPlacement
@@ -164,7 +165,7 @@
                 "held" to server.layers,
                 "layers" to assignment.layers,
                 "reason" to assignment.reason,
-                "token" to token,
+                "token" to EpochNumber.describe(token),
                 "result" to result
             )
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -95,7 +95,7 @@
      */
     public fun onFenced(token: Long) {
         highestFencedToken = maxOf(highestFencedToken, token)
-        log.record("duty", "fenced", "token" to token)
+        log.record("duty", "fenced", "token" to EpochNumber.describe(token))
     }
 
     /**
@@ -128,7 +128,7 @@
         val sentAtMillis = clock.monotonicMillis()
         group.renew(assignment?.generation ?: 0).fold(
             { renewed ->
-                if (isFirstOfEpoch(renewed)) delayPlacement(renewed.timeToLiveMillis)
+                if (isFirstAfterRestore(renewed)) delayPlacement(renewed.timeToLiveMillis)
                 assignment = renewed
                 val wasUnreachable =
                     sentAtMillis - (lastRenewalMillis ?: sentAtMillis) > OUTAGE_MILLIS
@@ -160,20 +160,21 @@
         log.record(
             "duty",
             if (hasPlacement) "placement_taken" else "placement_given_up",
-            "generation" to renewed.generation
+            "generation" to EpochNumber.describe(renewed.generation)
         )
     }
 
     /**
-     * Whether [renewed] is the first assignment that this instance receives in its epoch.
+     * Whether [renewed] is the first assignment after a restore that this instance saw.
      *
      * Leases of the epoch before may still run then at instances that have not reached the store
      * since, and the list of servers is that of the copy until the servers have written their
      * entries again. Both end within the time to live of a duty. An instance that has just started
-     * cannot tell how old the epoch is.
+     * cannot tell how old the epoch is and does not wait: holders restart far more often than the
+     * store is restored, and layers of lost engines would stay missing meanwhile.
      */
-    private fun isFirstOfEpoch(renewed: DutyAssignment): Boolean {
-        val previous = assignment ?: return true
+    private fun isFirstAfterRestore(renewed: DutyAssignment): Boolean {
+        val previous = assignment ?: return false
         return EpochNumber.epochOf(renewed.generation) !=
             EpochNumber.epochOf(previous.generation)
     }
