Report the sequence of entries to peers

After a restore, an entry whose order is unknown is deferred for six seconds if it differs from what is known. Most instances know servers from reports of the reader, which had no sequence, so they also deferred entries that were newer than theirs.

The entry in a report now states its sequence as its last field. Reports of the previous version are read as before; an instance of the previous version cannot read a report with changes that state it, and then reads the list itself until it is upgraded. ServerListRelayTest has the two new tests; the field did not exist before.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/model/BackendServer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/model/BackendServer.kt
@@ -13,7 +13,7 @@
  * [startedAtMillis] (wall clock of the server) distinguishes restarts of a server with the same id.
  * [accelerator] is its accelerator model. [layers] and [accelerator] are null for plain services
  * and for engines that hold no layers yet. [sequence] increases with each write of the entry in one
- * start of the server; it is null in entries that were received from another instance.
+ * start of the server; it is null in entries that do not state it.
  */
 public data class BackendServer(
     val id: RunnerId,
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -47,7 +47,10 @@
     data object UpToDate : DeltaOutcome
 }
 
-/** The entry of a server as sent between instances. */
+/**
+ * The entry of a server as sent between instances. Instances of an older version send no
+ * [sequence], and cannot read reports with one.
+ */
 @Serializable
 @CborArray
 internal class ServerEntry(
@@ -60,7 +63,8 @@
     @SerialName("card")
     val accelerator: String?,
     val layers: LayerRange?,
-    val modelVersion: Long?
+    val modelVersion: Long?,
+    val sequence: Long? = null
 )
 
 /**
@@ -248,7 +252,8 @@
         startedAtMillis = s.startedAtMillis,
         accelerator = s.accelerator,
         layers = s.layers,
-        modelVersion = s.modelVersion
+        modelVersion = s.modelVersion,
+        sequence = s.sequence
     )
 
     private fun decode(id: String, e: ServerEntry): BackendServer? {
@@ -263,7 +268,8 @@
             startedAtMillis = e.startedAtMillis,
             accelerator = e.accelerator,
             layers = e.layers,
-            modelVersion = e.modelVersion
+            modelVersion = e.modelVersion,
+            sequence = e.sequence
         )
     }
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -8,6 +8,11 @@
 import io.greengageport.gateway.port.Change
 import io.greengageport.gateway.port.EpochNumber
 import io.greengageport.gateway.server
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborArray
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -248,4 +253,49 @@
             expectThat(forwarder.deltaToReport()).isNull()
         }
     }
+
+    /** The entry of a server as instances of the previous version send it. */
+    @Serializable
+    @CborArray
+    private class PreviousServerEntry(
+        val service: String,
+        val address: String,
+        val dataCentre: String,
+        val slots: Int,
+        val isLeaving: Boolean,
+        val startedAtMillis: Long,
+        val accelerator: String?,
+        val layers: LayerRange?,
+        val modelVersion: Long?
+    )
+
+    @Nested
+    inner class `The entry of a server` {
+        /**
+         * Guards against an entry of a restored store that is taken for a newer one, or for an older
+         * one for seconds, because a peer's report did not say which write of the server it shows.
+         */
+        @Test
+        fun `keeps its sequence in a report`() {
+            val entry = server("x", MODEL, layers = LayerRange(3, 9)).copy(sequence = 12)
+            isReader = true
+            relay.onOwnChange(RunnerId("x"), entry, 17)
+            relay.onOwnRead(from = 10, until = 20)
+            val bytes = Cbor.encodeToByteArray(checkNotNull(relay.deltaToReport()))
+            val received = Cbor.decodeFromByteArray<ServerListDelta>(bytes)
+            expectThat(relay.onReport(reader, 0, received, position = 12)).isEqualTo(
+                DeltaOutcome.Applicable(listOf(Change.Put("x", entry, 17)), until = 20)
+            )
+        }
+
+        /** Guards against reports that cannot be read during an upgrade. */
+        @Test
+        fun `of an instance of the previous version has no sequence`() {
+            val previous = PreviousServerEntry("s", "127.0.0.1:1", "z", 4, true, 5, "k", null, 7)
+            val bytes = Cbor.encodeToByteArray(previous)
+            val received = Cbor.decodeFromByteArray<ServerEntry>(bytes)
+            expectThat(received.sequence).isNull()
+            expectThat(received.modelVersion).isEqualTo(7)
+        }
+    }
 }
