--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/StoreEpoch.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/StoreEpoch.kt
@@ -13,7 +13,7 @@
 
     private val listeners = ArrayList<(Long) -> Unit>()
 
-    /** Calls [listener] with the previous epoch whenever a response shows that a new one started. */
+    /** Calls [listener] with the previous epoch when a response shows a later one. */
     public fun onRestored(listener: (previous: Long) -> Unit) {
         listeners += listener
     }
