Relay changes of the server list that take effect after their read

Such a change now gets the last position of the reader's next read that has records. Later changes of the server still have higher positions.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -120,14 +120,28 @@
     fun onOwnRead(from: Long?, until: Long) {
         val now = clock.monotonicMillis()
         if (from == null || from != reads.lastOrNull()?.delta?.until) reads.clear()
-        if (from != null) {
-            reads += Read(ServerListDelta(from, until, pendingChanges.values.toList()), now)
-        }
-        pendingChanges.clear()
+        if (from == null) pendingChanges.clear()
+        if (from != null) reads += Read(ServerListDelta(from, until, takeChanges(from, until)), now)
         while (reads.size > 1 && now - reads.first().atMillis > REPEAT_MILLIS) reads.removeFirst()
         isReportDue = isReader()
     }
 
+    /**
+     * Takes the changes that go into the delta of a read from [from] to before [until].
+     *
+     * A change may take effect after the read that contained its record, for instance a removal
+     * after a grace period. The receivers have passed the position of the record, so the change
+     * gets the last position of this read, and waits for the next one if this one has none.
+     */
+    private fun takeChanges(from: Long, until: Long): List<ServerChange> {
+        if (until <= from) return emptyList()
+        val changes = pendingChanges.values.map {
+            if (it.position >= from) it else ServerChange(it.id, until - 1, it.server)
+        }
+        pendingChanges.clear()
+        return changes
+    }
+
     /**
      * Records a change of the directory, whether read by this instance or received from a peer;
      * [server] is null if it was removed. Has no effect unless this instance is the reader.
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -130,6 +130,23 @@
             expectThat(relay.isReportDue).isEqualTo(true)
         }
 
+        /**
+         * Guards against peers that use a removed server for ever: the removal was read during the
+         * grace period after an outage and took effect after the position of its record was passed.
+         */
+        @Test
+        fun `reports a change that takes effect after it was read`() {
+            isReader = true
+            relay.onOwnRead(from = 10, until = 20)
+            relay.onOwnChange(RunnerId("x"), null, 14)
+            relay.onOwnRead(from = 20, until = 20)
+            relay.onOwnRead(from = 20, until = 30)
+            val outcome = relay.onReport(reader, 0, relay.deltaToReport(), position = 20)
+            expectThat(outcome).isEqualTo(
+                DeltaOutcome.Applicable(listOf(Change.Removed("x", 29)), until = 30)
+            )
+        }
+
         @Test
         fun `repeats a change for a while because reports may be lost`() {
             isReader = true
