Confirm a deferred entry although its heartbeat count has changed

The entry of a server that was gone before the restore is deferred until the list has had it for six seconds. The entries were compared with their sequence, which each heartbeat of a running server increases, so the six seconds began anew with each read. This concerns servers whose last known entry or whose new entry states no sequence or no start, so that it can't be told which one is older.

Entries that differ only in the sequence now count as the same one.

Test: BackendDirectoryTest, which said before "Expect that ["y"]: is equal to ["x", "y"]".

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -217,7 +217,9 @@
         val epoch = EpochNumber.epochOf(snapshotEnd)
         val now = clock.monotonicMillis()
         val known = unconfirmed[entry.id]
-        if (known?.epoch == epoch && known.entry == entry) return now >= known.dueAtMillis
+        if (known?.epoch == epoch && known.entry.hasSameContent(entry)) {
+            return now >= known.dueAtMillis
+        }
         unconfirmed[entry.id] = UnconfirmedEntry(entry, epoch, now + CONFIRMATION_MILLIS)
         log.record(
             "servers",
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -324,6 +324,18 @@
             expectThat(usableIds()).isEqualTo(listOf("x", "y"))
         }
 
+        /**
+         * Guards against a running server that is never used again, since each heartbeat changes
+         * the sequence of its entry.
+         */
+        @Test
+        fun `gets work six seconds later although its sequence has changed`() {
+            restoredWith(entry(7), knownSequence = null)
+            clock.nowMillis += 6_100
+            directory.onSnapshot(listOf(entry(12), put("y")), end = position(2, 9))
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+
         /** Guards against a removal that another instance saw and did not report. */
         @Test
         fun `gets no work if it is not listed six seconds later`() {
