Read the server list again before a grace period removes servers

After a restore of the store, instances stopped using running servers that the copy lacked, until a later read of theirs happened to contain a heartbeat, up to 30 s and more later. Such servers write their entries again within two seconds. The instance that reads the list for all still knows them, so it sees no change and reports none to its peers. Their positions advance beyond the renewed entries with its reports, so they never read them, and removed the servers when the grace period ended. It was the same for entries that expired during an outage.

The end itself is unchanged.

Test: BackendDirectoryTest, which said before "Expect that 0: is equal to 1" (no read was requested).

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -36,6 +36,9 @@
     private val positions = HashMap<RunnerId, Long>()
     private var graceEndMillis = Long.MIN_VALUE
 
+    /** Whether the list was requested to check the removals that wait for [graceEndMillis]. */
+    private var isRemovalCheckRequested = false
+
     /** The last snapshot covers all changes before this position, including removals. */
     private var snapshotEnd = 0L
 
@@ -141,8 +144,9 @@
     }
 
     /**
-     * Called when entries that are possibly outdated have been listed for long enough. A snapshot
-     * shows whether they still are; what peers report does not contain all changes of them.
+     * Called when entries that are possibly outdated have been listed for long enough, and shortly
+     * before servers are removed whose entries were missing after an outage or a restore. A snapshot
+     * shows what the list has; what peers report does not contain all changes of it.
      */
     public var onConfirmationDue: () -> Unit = {}
 
@@ -156,6 +160,7 @@
 
     private fun startGracePeriod() {
         graceEndMillis = clock.monotonicMillis() + GRACE_MILLIS
+        isRemovalCheckRequested = false
     }
 
     /**
@@ -166,6 +171,7 @@
         val now = clock.monotonicMillis()
         val due = removeAtMillis.filterValues { it <= now }.keys.toList()
         for (id in due) drop(id)
+        requestRemovalCheck(now)
         requestDueConfirmation(now)
         leavingStarts.values.removeIf { now - it.announcedAtMillis > LEAVING_RETENTION_MILLIS }
         gone.values.removeIf { now - it.goneAtMillis > GONE_RETENTION_MILLIS }
@@ -257,6 +263,17 @@
         onChanged(server.id, previous, server)
     }
 
+    /**
+     * Has the list read shortly before servers are removed. Another instance may have read their
+     * renewal, and it reports none that changes nothing.
+     */
+    private fun requestRemovalCheck(now: Long) {
+        val isDue = removeAtMillis.values.any { it - now <= REMOVAL_CHECK_MILLIS }
+        if (!isDue || isRemovalCheckRequested) return
+        isRemovalCheckRequested = true
+        onConfirmationDue()
+    }
+
     private fun requestDueConfirmation(now: Long) {
         val due = unconfirmed.values.filter { !it.isCheckRequested && it.dueAtMillis <= now }
         if (due.isEmpty()) return
@@ -305,6 +322,9 @@
          */
         const val GRACE_MILLIS = 2_500L
 
+        /** Longer than the interval between calls of [expire] and a read of the list together. */
+        const val REMOVAL_CHECK_MILLIS = 700L
+
         /**
          * The store removes the entry of a silent server after 3.6 s, and entries that were lost
          * reappear within two seconds.
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -88,6 +88,30 @@
             expectThat(usableIds()).isEqualTo(emptyList())
         }
 
+        /**
+         * Guards against the loss of a running server whose renewal another instance has read: that
+         * instance reports no renewal without a change.
+         */
+        @Test
+        fun `the list is read again before servers without a renewal are removed`() {
+            var checks = 0
+            directory.onConfirmationDue = { checks++ }
+            directory.onSnapshot(listOf(put("x"), put("y")), end = EpochNumber.of(1, 2))
+            directory.onSnapshot(listOf(put("y")), end = EpochNumber.of(2, 1))
+            clock.nowMillis += 1_500
+            directory.expire()
+            expectThat(checks).isEqualTo(0)
+            clock.nowMillis += 500
+            directory.expire()
+            clock.nowMillis += 300
+            directory.expire()
+            expectThat(checks).isEqualTo(1)
+            directory.onSnapshot(listOf(put("x"), put("y")), end = EpochNumber.of(2, 9))
+            clock.nowMillis += 500
+            directory.expire()
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+
         @Test
         fun `a leaving server gets no grace period`() {
             directory.onChanges(listOf(put("x", isLeaving = true)))
