Repeat late changes of the server list to peers that read it themselves

A change that takes effect after its record was read was reported with one read only. A peer that got a gap in the reports at that moment reads the list itself, beyond that read and after the record, so it missed the change.

The reader now repeats late changes with the last position of each read for four seconds, until a newer change of the server.

Test: ServerListRelayTest, which said before "Expect that Applicable(changes=[], until=40): is equal to Applicable(changes=[Removed(key=x, position=39)], until=40)".

--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -89,6 +89,15 @@
     /** Changes that go into the delta of this instance's next read as the reader, by server. */
     private val pendingChanges = LinkedHashMap<String, ServerChange>()
 
+    private class LateChange(val change: ServerChange, val atMillis: Long)
+
+    /**
+     * Changes that took effect after their record was read, by server. The receivers have passed the
+     * position of the record, so such a change is reported with the last position of each later
+     * read: a receiver that has to read a part of the list itself does not find it there.
+     */
+    private val lateChanges = LinkedHashMap<String, LateChange>()
+
     /** The latest read received from a peer. */
     private var lastPeerRead: Read? = null
 
@@ -121,25 +130,23 @@
         val now = clock.monotonicMillis()
         if (from == null || from != reads.lastOrNull()?.delta?.until) reads.clear()
         if (from == null) pendingChanges.clear()
-        if (from != null) reads += Read(ServerListDelta(from, until, takeChanges(from, until)), now)
+        if (from != null) reads += Read(ServerListDelta(from, until, takeChanges(from)), now)
         while (reads.size > 1 && now - reads.first().atMillis > REPEAT_MILLIS) reads.removeFirst()
         isReportDue = isReader()
     }
 
     /**
-     * Takes the changes that go into the delta of a read from [from] to before [until].
-     *
-     * A change may take effect after the read that contained its record, for instance a removal
-     * after a grace period. The receivers have passed the position of the record, so the change
-     * gets the last position of this read, and waits for the next one if this one has none.
+     * Takes the changes that go into the delta of a read from [from], and keeps those that took
+     * effect after the read that contained their record, for instance a removal after a grace
+     * period.
      */
-    private fun takeChanges(from: Long, until: Long): List<ServerChange> {
-        if (until <= from) return emptyList()
-        val changes = pendingChanges.values.map {
-            if (it.position >= from) it else ServerChange(it.id, until - 1, it.server)
-        }
+    private fun takeChanges(from: Long): List<ServerChange> {
+        val now = clock.monotonicMillis()
+        lateChanges.values.removeIf { now - it.atMillis > REPEAT_MILLIS }
+        val (current, late) = pendingChanges.values.partition { it.position >= from }
+        for (c in late) lateChanges[c.id] = LateChange(c, now)
         pendingChanges.clear()
-        return changes
+        return current
     }
 
     /**
@@ -148,6 +155,7 @@
      */
     fun onOwnChange(id: RunnerId, server: BackendServer?, position: Long) {
         if (isReader()) {
+            lateChanges.remove(id.value)
             pendingChanges[id.value] = ServerChange(id.value, position, server?.let(::encode))
         }
     }
@@ -171,15 +179,18 @@
         isReportDue = false
         val last = readToReport() ?: return null
         if (!isReader()) return last.delta
+        val until = last.delta.until
         val changes = ArrayDeque<ServerChange>()
-        var from = last.delta.until
+        lateChanges.values.take(MAX_LATE_CHANGES)
+            .mapTo(changes) { ServerChange(it.change.id, until - 1, it.change.server) }
+        var from = until
         // An instance that lacks more changes than fit into a report reads the list itself.
         for (r in reads.reversed()) {
             if (changes.size + r.delta.changes.size > MAX_CHANGES) break
             changes.addAll(0, r.delta.changes)
             from = r.delta.from
         }
-        return ServerListDelta(from, last.delta.until, changes)
+        return ServerListDelta(from, until, changes)
     }
 
     private fun readToReport(): Read? = when {
@@ -291,6 +302,9 @@
         /** A change takes about 200 bytes; the limit keeps a report well within one datagram. */
         const val MAX_CHANGES = 64
 
+        /** Leaves room for the changes of the last reads. */
+        const val MAX_LATE_CHANGES = 32
+
         /** Spans several reports, even in a large fleet. */
         const val REPEAT_MILLIS = 4_000L
     }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/ServerListRelayTest.kt
@@ -147,6 +147,24 @@
             )
         }
 
+        /** Guards against a late change that misses a peer which has just read the list itself. */
+        @Test
+        fun `repeats a late change until a newer one of the server`() {
+            isReader = true
+            relay.onOwnRead(from = 10, until = 20)
+            relay.onOwnChange(RunnerId("x"), null, 14)
+            relay.onOwnRead(from = 20, until = 30)
+            relay.onOwnRead(from = 30, until = 40)
+            expectThat(relay.onReport(reader, 0, relay.deltaToReport(), position = 30)).isEqualTo(
+                DeltaOutcome.Applicable(listOf(Change.Removed("x", 39)), until = 40)
+            )
+            relay.onOwnChange(RunnerId("x"), server("x"), 45)
+            relay.onOwnRead(from = 40, until = 50)
+            expectThat(relay.onReport(reader, 0, relay.deltaToReport(), position = 40)).isEqualTo(
+                DeltaOutcome.Applicable(listOf(Change.Put("x", server("x"), 45)), until = 50)
+            )
+        }
+
         @Test
         fun `repeats a change for a while because reports may be lost`() {
             isReader = true
