Recognise the first restore of a store that counts its epochs from zero

After its first restore, such a store was not seen as restored until a read ended: a read that waits behind lost records waits for up to 20 s. 0 stood for an epoch that no response has stated yet, so the step from 0 to 1 was taken for the first statement.

Test: StoreEpochTest, which said before "Expect that []: contains exactly the elements [0]".

--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/StoreEpoch.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/StoreEpoch.kt
@@ -10,16 +10,19 @@
     /** The latest epoch that a response showed; 0 before the first one that states its epoch. */
     public var current: Long = 0
         private set
+    private var isKnown = false
 
     /** Called with the previous epoch when a response shows that a new one has started. */
     public var onRestored: (previous: Long) -> Unit = {}
 
-    /** Records that a response belongs to [epoch]; returns false if it is outdated. */
+    /** Records that a response states [epoch]; returns false if it is outdated. */
     public fun observe(epoch: Long): Boolean {
         val previous = current
+        val wasKnown = isKnown
+        isKnown = true
         if (epoch <= previous) return epoch == previous
         current = epoch
-        if (previous > 0) onRestored(previous)
+        if (wasKnown) onRestored(previous)
         return true
     }
 }
