--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/FeedFollower.kt
@@ -162,7 +162,8 @@
                 onAnswer(from, batch.nextPosition)
             },
             { error ->
-                if (error is StoreError.HistoryLost) {
+                // A snapshot needs no history, so the next one would get the same answer.
+                if (error is StoreError.HistoryLost && from != null) {
                     log.record(
                         "store",
                         "history_lost",
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/FeedFollowerTest.kt
@@ -121,6 +121,15 @@
         ).isEqualTo(listOf("snapshot", "from 4", "snapshot", "from 9"))
     }
 
+    /** Guards against reads without a pause, each of which is billed. */
+    @Test
+    fun `a snapshot that is answered with a lost history is retried with the backoff`() {
+        val feed = ScriptedFeed(ArrayDeque(listOf(Err(StoreError.HistoryLost))))
+        val follower = FeedFollower("test", feed, consumer, clock, RecordedLog().log, { 0 }, { 0 })
+        runBlocking { follower.readOnce() }
+        expectThat(follower.isFailing).isEqualTo(true)
+    }
+
     /**
      * Guards against an instance that uses an old table for seconds after a loss of the history: it
      * waited for the pause between reads, or for the backoff of earlier failures.
