Test that a server renewed after a restore stays in use

The unit test of the check before removals shows that a read is requested. This one follows a list whose copy lacks a server, while the reports of a peer extend the position beyond its renewal.

--- a/gateway/src/test/kotlin/io/greengageport/gateway/port/StoreEpochTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/port/StoreEpochTest.kt
@@ -8,7 +8,10 @@
 /** Guards against reads that wait behind lost records after the first restore of a store. */
 class StoreEpochTest {
     private val restoredAfter = ArrayList<Long>()
-    private val epoch = StoreEpoch().also { it.onRestored = { previous -> restoredAfter += previous } }
+    private val epoch = StoreEpoch().also {
+        it.onRestored =
+            { previous -> restoredAfter += previous }
+    }
 
     @Test
     fun `a store that counts its epochs from zero is restored too`() {
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/StoreFollowerTest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.greengageport.common.Clock
 import io.greengageport.common.DataCentre
 import io.greengageport.common.HostPort
 import io.greengageport.common.InstanceId
@@ -23,6 +24,7 @@
 import io.greengageport.gateway.port.PlatformStore
 import io.greengageport.gateway.port.StoreEpoch
 import io.greengageport.gateway.port.StoreError
+import io.greengageport.gateway.server
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelChildren
@@ -70,10 +72,13 @@
         ServerListRelay(clock, { false }, readIntervalMillis = 800, freshnessMillis = 1_400)
     private val follower = follower(store)
 
-    private fun follower(store: PlatformStore) = StoreFollower(
+    private fun follower(
+        store: PlatformStore,
+        directory: BackendDirectory = BackendDirectory(clock, log)
+    ) = StoreFollower(
         store = store,
         configuration = ConfigurationHolder(log),
-        directory = BackendDirectory(clock, log),
+        directory = directory,
         relay = relay,
         peers = peers,
         clock = clock,
@@ -81,7 +86,12 @@
         sendReport = {}
     )
 
-    private fun report(sequence: Long, readAgeMillis: Long?, version: Long = 0) = PeerReport(
+    private fun report(
+        sequence: Long,
+        readAgeMillis: Long?,
+        version: Long = 0,
+        delta: ServerListDelta? = readAgeMillis?.let { ServerListDelta(0, sequence, emptyList()) }
+    ) = PeerReport(
         from = "peer",
         dataCentre = "z",
         address = "127.0.0.1:9",
@@ -96,7 +106,7 @@
         renewalAgeMillis = 100,
         readAgeMillis = readAgeMillis,
         configurationVersion = version,
-        serverListDelta = readAgeMillis?.let { ServerListDelta(0, sequence, emptyList()) },
+        serverListDelta = delta,
         centres = emptyList()
     )
 
@@ -128,6 +138,68 @@
         expectThat(readsWithLivePeer(readAgeMillis = 50)).isLessThan(8)
     }
 
+    /** A list whose copy lacks x, which is written again soon; reads of changes show nothing. */
+    private class RenewingFeed(val clock: Clock) : ChangeFeed<BackendServer> {
+        var restoredAtMillis: Long? = null
+
+        override suspend fun snapshot(): Result<ChangeBatch<BackendServer>, StoreError> {
+            val restoredMillis = restoredAtMillis
+            val isMissing = restoredMillis != null &&
+                clock.monotonicMillis() - restoredMillis < RENEWAL_MILLIS
+            val ids = if (isMissing) listOf("y") else listOf("x", "y")
+            val epoch = if (restoredMillis == null) 1L else 2L
+            return Ok(
+                ChangeBatch(ids.map { Change.Put(it, server(it)) }, EpochNumber.of(epoch, 5))
+            )
+        }
+
+        override suspend fun changes(
+            position: Long,
+            waitMillis: Long
+        ): Result<ChangeBatch<BackendServer>, StoreError> = when {
+            restoredAtMillis != null && EpochNumber.epochOf(position) < 2 ->
+                Err(StoreError.HistoryLost)
+
+            else -> Ok(ChangeBatch(emptyList(), position))
+        }
+    }
+
+    /**
+     * Guards against the loss of a running server that the copy lacks. The reader knows the server,
+     * so its reports, which extend the position beyond the renewed entry, show no change of it.
+     */
+    @Test
+    fun `a server that is renewed after a restore stays in use although no peer reports it`() {
+        val feed = RenewingFeed(clock)
+        val restored = object : PlatformStore by store {
+            override val backendServers = feed
+            override val epoch = StoreEpoch()
+        }
+        val directory = BackendDirectory(clock, log)
+        val restoredFollower = follower(restored, directory)
+        runBlocking {
+            coroutineScope {
+                restoredFollower.launchIn(this)
+                restored.epoch.observe(1)
+                delay(200)
+                feed.restoredAtMillis = clock.monotonicMillis()
+                restored.epoch.observe(2)
+                repeat(20) { i ->
+                    delay(200)
+                    val delta = ServerListDelta(
+                        EpochNumber.of(2, 5),
+                        EpochNumber.of(2, 6L + i),
+                        emptyList()
+                    )
+                    restoredFollower.onPeerReport(report(i.toLong(), 50, delta = delta))
+                    directory.expire()
+                }
+                coroutineContext.cancelChildren()
+            }
+        }
+        expectThat(directory.all.map { it.id.value }.sorted()).isEqualTo(listOf("x", "y"))
+    }
+
     /**
      * Answers reads only after their wait and a further delay, like a connection that has gone
      * silent.
@@ -327,6 +399,7 @@
 
     private companion object {
         const val SILENT_CALL_MILLIS = 200L
+        const val RENEWAL_MILLIS = 1_000L
         const val RUN_MILLIS = 3_600L
         const val ROUNDS = 18
     }
