--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ServerListRelay.kt
@@ -92,8 +92,8 @@
     private class LateChange(val change: ServerChange, val atMillis: Long)
 
     /**
-     * Changes that took effect after their record was read, by server. The receivers have passed the
-     * position of the record, so such a change is reported with the last position of each later
+     * Changes that took effect after their record was read, by server. The receivers have passed
+     * the position of the record, so such a change is reported with the last position of each later
      * read: a receiver that has to read a part of the list itself does not find it there.
      */
     private val lateChanges = LinkedHashMap<String, LateChange>()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/BackendDirectory.kt
@@ -145,8 +145,8 @@
 
     /**
      * Called when entries that are possibly outdated have been listed for long enough, and shortly
-     * before servers are removed whose entries were missing after an outage or a restore. A snapshot
-     * shows what the list has; what peers report does not contain all changes of it.
+     * before servers are removed whose entries were missing after an outage or a restore. A
+     * snapshot shows what the list has; what peers report does not contain all changes of it.
      */
     public var onConfirmationDue: () -> Unit = {}
 
