--- a/gateway/src/main/kotlin/io/greengageport/gateway/port/StoreEpoch.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/port/StoreEpoch.kt
@@ -10,6 +10,7 @@
     /** The latest epoch that a response showed; 0 before the first one that states its epoch. */
     public var current: Long = 0
         private set
+    private var isKnown = false
 
     private val listeners = ArrayList<(Long) -> Unit>()
 
@@ -18,12 +19,14 @@
         listeners += listener
     }
 
-    /** Records that a response belongs to [epoch]; returns false if it is outdated. */
+    /** Records that a response states [epoch]; returns false if it is outdated. */
     public fun observe(epoch: Long): Boolean {
         val previous = current
+        val wasKnown = isKnown
+        isKnown = true
         if (epoch <= previous) return epoch == previous
         current = epoch
-        if (previous > 0) listeners.forEach { it(previous) }
+        if (wasKnown) listeners.forEach { it(previous) }
         return true
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/state/BackendDirectoryTest.kt
@@ -88,6 +88,30 @@
             expectThat(usableIds()).isEqualTo(emptyList())
         }
 
+        /**
+         * Guards against the loss of a running server whose renewal another instance has read: that
+         * instance reports no renewal without a change.
+         */
+        @Test
+        fun `the list is read again before servers without a renewal are removed`() {
+            var checks = 0
+            directory.onConfirmationDue = { checks++ }
+            directory.onSnapshot(listOf(put("x"), put("y")), end = EpochNumber.of(1, 2))
+            directory.onSnapshot(listOf(put("y")), end = EpochNumber.of(2, 1))
+            clock.nowMillis += 1_500
+            directory.expire()
+            expectThat(checks).isEqualTo(0)
+            clock.nowMillis += 500
+            directory.expire()
+            clock.nowMillis += 300
+            directory.expire()
+            expectThat(checks).isEqualTo(1)
+            directory.onSnapshot(listOf(put("x"), put("y")), end = EpochNumber.of(2, 9))
+            clock.nowMillis += 500
+            directory.expire()
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+
         @Test
         fun `a leaving server gets no grace period`() {
             directory.onChanges(listOf(put("x", isLeaving = true)))
@@ -324,6 +348,18 @@
             expectThat(usableIds()).isEqualTo(listOf("x", "y"))
         }
 
+        /**
+         * Guards against a running server that is never used again, since each heartbeat changes
+         * the sequence of its entry.
+         */
+        @Test
+        fun `gets work six seconds later although its sequence has changed`() {
+            restoredWith(entry(7), knownSequence = null)
+            clock.nowMillis += 6_100
+            directory.onSnapshot(listOf(entry(12), put("y")), end = position(2, 9))
+            expectThat(usableIds()).isEqualTo(listOf("x", "y"))
+        }
+
         /** Guards against a removal that another instance saw and did not report. */
         @Test
         fun `gets no work if it is not listed six seconds later`() {
