Do not let a stop wait for the settings file

A stop reads the settings file again for its grace period, and waited for that without a limit. If the file could not be read, the instance stayed ready and took requests until SIGKILL cut them; an error other than an invalid argument skipped the stop.

The read now has 300 ms, and any error of it is logged. With a pipe in place of the file, GatewaySignalsTest saw no end of the process within 12 s before; now the request in flight is answered and the process ends with 0.

--- a/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/greengageport/cli/GatewayCommand.kt
@@ -7,7 +7,6 @@
 import io.greengageport.gateway.GatewayInstance
 import io.greengageport.gateway.http.EventLoop
 import io.greengageport.gateway.http.HttpConnector
-import io.greengageport.gateway.logging.DecisionLog
 import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.platform.HttpBackendProtocol
 import io.greengageport.platform.LogStore
@@ -16,8 +15,9 @@
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -77,7 +77,7 @@
                     try {
                         instance.recordSignal(signal)
                         // The settings may also change without a signal.
-                        reload(path, instance, loop.log)
+                        reload(path, instance, loop)
                         instance.stop(signalledAtMillis)
                     } finally {
                         stopped.countDown()
@@ -88,7 +88,7 @@
             override fun onReload(signal: String) {
                 loop.scope.launch {
                     instance.recordSignal(signal)
-                    reload(path, instance, loop.log)
+                    reload(path, instance, loop)
                 }
             }
         })
@@ -96,15 +96,27 @@
         return ExitCodes.OK
     }
 
-    /** Reads the settings file at [path] again; an invalid one is logged and changes nothing. */
-    private suspend fun reload(path: Path, instance: GatewayInstance, log: DecisionLog) {
-        try {
-            withContext(Dispatchers.IO) { SettingsDecoder.load(path) }
-                .onSuccess { instance.reload(it.graceMillis) }
-                .onFailure { log.record("entry", "reload_failed", "error" to it.problems) }
-        } catch (e: IllegalArgumentException) {
-            // A value that no type accepts must not prevent the stop.
-            log.record("entry", "reload_failed", "error" to e)
+    /**
+     * Reads the settings file at [path] again; an invalid one, or one that is not read within
+     * [MAX_RELOAD_MILLIS], is logged and changes nothing: a stop must not wait for it.
+     */
+    private suspend fun reload(path: Path, instance: GatewayInstance, loop: EventLoop) {
+        // Not a child of this coroutine, which would wait for its end after the timeout.
+        val reading = loop.scope.async(Dispatchers.IO) {
+            runCatching { SettingsDecoder.load(path) }
         }
+        val result = withTimeoutOrNull(MAX_RELOAD_MILLIS) { reading.await() }
+            ?: return loop.log.record("entry", "reload_failed", "ms" to MAX_RELOAD_MILLIS)
+        result
+            .onSuccess { settings ->
+                settings.onSuccess { instance.reload(it.graceMillis) }
+                    .onFailure { loop.log.record("entry", "reload_failed", "error" to it.problems) }
+            }
+            .onFailure { loop.log.record("entry", "reload_failed", "error" to it) }
+    }
+
+    private companion object {
+        /** A small part of the shortest usable grace period. */
+        const val MAX_RELOAD_MILLIS = 300L
     }
 }
