--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -23,7 +23,7 @@
  * fencing token, which invalidates whatever the instance sent before it froze. A fencing token does
  * not prevent two holders from ordering different engines to load the same layers, so a new holder
  * waits until its peers have learned that the store has assigned it the duty. For the same reason
- * no instance places layers until the leases of the epoch before have ended.
+ * an instance that sees a restore places no layers until earlier leases have ended.
  */
 public class DutyLease(
     private val group: DutyGroup,
