--- a/review/src/LargeBodies.java
+++ b/review/src/LargeBodies.java
@@ -16,7 +16,7 @@
 public final class LargeBodies {
     private static final int LARGE_BYTES = 4_000_000;
     private static final int USUAL = 14;
-    private static final int BURST = 34;
+    private static final int BURST = 33;
     private static final int BURST_MILLIS = 6_600;
     private static final int SMALL_CLIENTS = 12;
     private static final int TIMEOUT_MS = 800;
