--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -40,8 +40,37 @@
     /** Other processes that the case has started. */
     static final List<Process> CHILDREN = new java.util.concurrent.CopyOnWriteArrayList<>();
 
-    /** The network of this run; addresses are in 127.0.0.0/8, apart for each process. */
-    private static final int NET = 1 + (int) (ProcessHandle.current().pid() % 250);
+    /** The network of this run within 127.0.0.0/8. A listener on it keeps it free of other runs. */
+    private static final int NET;
+    private static final ServerSocket NET_GUARD;
+
+    static {
+        int net = (int) (ProcessHandle.current().pid() % 250);
+        ServerSocket guard = null;
+        for (int i = 0; i < 250 && guard == null; i++) {
+            net = 1 + net % 250;
+            guard = tryGuard(net);
+        }
+        if (guard == null) throw new IllegalStateException("no free loopback network");
+        NET = net;
+        NET_GUARD = guard;
+    }
+
+    private static ServerSocket tryGuard(int net) {
+        try {
+            for (int port : new int[] {8220, 8227, 9464}) {
+                try (ServerSocket s = new ServerSocket()) {
+                    s.setReuseAddress(true);
+                    s.bind(new InetSocketAddress("127.77." + net + ".1", port));
+                }
+            }
+            ServerSocket s = new ServerSocket();
+            s.bind(new InetSocketAddress("127.77." + net + ".250", 8226));
+            return s;
+        } catch (IOException e) {
+            return null;
+        }
+    }
 
     static String ip(int host) {
         return "127.77." + NET + "." + host;
