Keep the stand-ins of the review within the quoted limits

Case 2: the dark runner answers nothing, its entry goes, and it returns as a new boot. Case 3: spans of 5 s, and one failure in eight, below the site's error share. Case 4: one stream of 24 gets the endless lines. All record what was sent, answered and run, and wait for the end of their processes.

--- a/review/src/EndlessLines.java
+++ b/review/src/EndlessLines.java
@@ -8,16 +8,20 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * Resumable streams at three runners. One runner sends empty lines without end after its eighth
- * event, until its channel is closed. The clients check the bytes that they get.
+ * Resumable streams at three runners. In one of 24 streams a runner sends empty lines without
+ * end after the eighth event, until the channel is closed. The clients check the bytes that they get.
  */
 public final class EndlessLines {
     private static final int EVENTS = 20;
     private static final int LAST_GOOD_EVENT = 8;
     private static final int EVENT_MILLIS = 30;
-    private static final int CLIENTS = 9;
+    private static final int CLIENTS = 24;
+
+    /** Whether the one stream has begun that is spoiled. */
+    private static final AtomicBoolean HAS_SPOILED = new AtomicBoolean();
 
     private EndlessLines() {}
 
@@ -46,7 +50,7 @@
             for (int i = from; i <= EVENTS; i++) {
                 Kit.sleep(EVENT_MILLIS);
                 c.send(chunk("id: " + i + "\ndata: " + attempt + " " + i + "\n\n"));
-                if (number == 1 && Kit.TROUBLE && i == LAST_GOOD_EVENT) {
+                if (number == 1 && Kit.TROUBLE && i == LAST_GOOD_EVENT && HAS_SPOILED.compareAndSet(false, true)) {
                     Kit.log("runner %s: sends empty lines to %s until the channel is closed", id, attempt);
                     String endless = chunk(lines);
                     // The channel ends with an exception; the bound only limits the traffic.
@@ -77,6 +81,7 @@
             String id = "a" + k;
             Kit.thread(() -> {
                 try (Socket s = Kit.connect(gateway.front, 15_000)) {
+                    Kit.log("client %s: sends its request", id);
                     s.getOutputStream().write(("POST /s/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
                         + "\r\nDeadline-Ms: 6000\r\nAuthorization: Bearer keya\r\nContent-Length: 2\r\nConnection: close\r\n\r\n" + id).getBytes());
                     String fault = findFault(id, readAll(s.getInputStream()));
--- a/review/src/ExtraBytes.java
+++ b/review/src/ExtraBytes.java
@@ -10,15 +10,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Idempotent requests at three runners, each of which fails one request in seven with its own 500.
+ * Idempotent requests at three runners, each of which fails one request in eight with its own 500.
  * For some seconds one runner sends additional bytes after some of its complete answers: the start
  * of a second answer, which it breaks off.
  */
 public final class ExtraBytes {
     private static final int CLIENTS = 12;
-    private static final int FAILS_EACH = 7;
+    private static final int FAILS_EACH = 8;
     private static final int GARBLES_EACH = 34;
-    private static final int GARBLE_MILLIS = 6_000;
+    private static final int GARBLE_MILLIS = 5_000;
     private static final String START_OF_ANSWER = "HTTP/1.1 200 OK\r\nContent-Type: text/";
 
     private static volatile boolean garbles;
@@ -50,6 +50,7 @@
             }
             String attempt = m.header("Attempt-Id");
             int n = answers.incrementAndGet();
+            Kit.note("runner %s: runs %s", id, attempt);
             Kit.sleep(15);
             String headers = "Attempt-Id: " + attempt + "\r\nRunner-Stamp: stamp-" + attempt + "\r\n";
             if (n % FAILS_EACH == 0) {
@@ -61,6 +62,7 @@
             byte[] body = ("answer to " + attempt).getBytes();
             if (number == 1 && garbles && n % GARBLES_EACH == 0) {
                 GARBLED.incrementAndGet();
+                Kit.note("runner %s: sends additional bytes after %s", id, attempt);
                 c.respond(200, headers, body);
                 c.send(START_OF_ANSWER);
             } else {
@@ -103,6 +105,7 @@
                 InputStream in = new BufferedInputStream(s.getInputStream());
                 while (!stop) {
                     String id = "a" + IDS.incrementAndGet();
+                    Kit.note("client: sends %s", id);
                     s.getOutputStream().write(("GET /p/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
                         + "\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer keya\r\n\r\n").getBytes());
                     Kit.Message m = Kit.readMessage(in);
@@ -117,6 +120,7 @@
     }
 
     private static synchronized void record(String id, Kit.Message m) {
+        Kit.note("client: %s is answered with %s", id, m == null ? "nothing" : m.status() + " " + m.text());
         OUTCOMES.merge(m == null ? "closed" : "status " + m.status(), 1, Integer::sum);
         if (m == null || m.status() != 200) return;
         if (m.text().equals("answer to " + id)) return;
--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -37,9 +37,6 @@
     private static Path temporary;
     private static final List<Gateway> GATEWAYS = new ArrayList<>();
 
-    /** Other processes that the case has started. */
-    static final List<Process> CHILDREN = new java.util.concurrent.CopyOnWriteArrayList<>();
-
     /** The network of this run within 127.0.0.0/8. A listener on it keeps it free of other runs. */
     private static final int NET;
     private static final ServerSocket NET_GUARD;
@@ -85,6 +82,11 @@
         }
     }
 
+    /** Writes a line to the record only. */
+    static synchronized void note(String format, Object... arguments) {
+        if (record != null) record.println(String.format(Locale.ROOT, "%8.3f ", now() / 1e3) + String.format(Locale.ROOT, format, arguments));
+    }
+
     /** Milliseconds since the start. */
     static long now() {
         return (System.nanoTime() - START) / 1_000_000;
@@ -119,6 +121,7 @@
             sleep(115_000);
             log("the case took too long");
             endAll();
+            deleteTemporary();
             Runtime.getRuntime().halt(2);
         });
         int status = 2;
@@ -132,16 +135,25 @@
             e.printStackTrace();
         }
         endAll();
-        try (var files = Files.walk(temporary)) {
-            files.sorted((a, b) -> b.compareTo(a)).forEach(p -> p.toFile().delete());
+        deleteTemporary();
+        synchronized (Kit.class) {
+            record.close();
+            record = null;
         }
-        record.close();
         Runtime.getRuntime().halt(status);
     }
 
+    /** Ends all processes that the case has started, and waits until they are gone. */
     private static void endAll() {
         GATEWAYS.forEach(Gateway::end);
-        CHILDREN.forEach(Process::destroyForcibly);
+    }
+
+    private static void deleteTemporary() {
+        try (var files = Files.walk(temporary)) {
+            files.sorted((a, b) -> b.compareTo(a)).forEach(p -> p.toFile().delete());
+        } catch (IOException e) {
+            System.err.println("the temporary folder is left: " + e);
+        }
     }
 
     static void await(String what, long millis, java.util.concurrent.Callable<Boolean> condition) throws Exception {
@@ -350,19 +362,6 @@
                 }
             }
         }
-
-        /** Stops like a process that is killed: all channels end, and new ones are refused. */
-        void crash() throws IOException {
-            listener.close();
-            for (Channel c : channels) c.reset();
-        }
-
-        void restart() throws IOException {
-            listener = new ServerSocket();
-            listener.setReuseAddress(true);
-            listener.bind(new InetSocketAddress(ip, port), 512);
-            accept(listener);
-        }
     }
 
     // ---------------------------------------------------------------- the store
@@ -512,9 +511,15 @@
         }
     }
 
-    /** Writes the entry of a plain runner into the store about every heartbeat. */
+    /** Writes the entry of a plain runner into the store about every heartbeat, unless its state is null. */
     static Thread register(Store store, String id, String service, String address, int slots, java.util.function.Supplier<String> state) {
         long born = System.currentTimeMillis();
+        return register(store, id, service, address, slots, state, () -> born);
+    }
+
+    /** As above; the runner started at {@code born}, which changes with each start. */
+    static Thread register(Store store, String id, String service, String address, int slots,
+        java.util.function.Supplier<String> state, java.util.function.LongSupplier born) {
         AtomicInteger sequence = new AtomicInteger();
         return thread(() -> {
             while (true) {
@@ -522,7 +527,7 @@
                 if (s != null) {
                     store.put("keyed.servers", id, "{\"Service\":\"" + service + "\",\"Addr\":\"" + address
                         + "\",\"Zone\":\"z1\",\"Version\":\"v1\",\"Slots\":" + slots + ",\"State\":\"" + s
-                        + "\",\"ColdLeftMs\":0,\"Seq\":" + sequence.incrementAndGet() + ",\"born\":" + born + "}");
+                        + "\",\"ColdLeftMs\":0,\"Seq\":" + sequence.incrementAndGet() + ",\"born\":" + born.getAsLong() + "}");
                 }
                 sleep(1_200);
             }
@@ -584,17 +589,18 @@
             }
         }
 
-        void signal(String name) throws Exception {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-            log("gateway %s: SIG%s", ip, name);
-        }
-
         String output() throws IOException {
             return Files.readString(output, StandardCharsets.ISO_8859_1);
         }
 
         void end() {
-            if (process != null) process.destroyForcibly();
+            if (process == null) return;
+            process.destroyForcibly();
+            try {
+                process.waitFor(5, java.util.concurrent.TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
         }
     }
 
--- a/review/src/LargeBodies.java
+++ b/review/src/LargeBodies.java
@@ -18,7 +18,7 @@
     private static final int USUAL = 14;
     private static final int BURST = 33;
     private static final int BURST_MILLIS = 6_600;
-    private static final int SMALL_CLIENTS = 12;
+    private static final int SMALL_CLIENTS = 3;
     private static final int SMALL_TIMEOUT_MS = 800;
     private static final int LARGE_TIMEOUT_MS = 3_000;
     private static final int LATE_MS = 500;
@@ -46,6 +46,7 @@
                 c.respond(200, "Instance-Id: runner-1\r\n", new byte[0]);
                 return true;
             }
+            Kit.note("runner: runs %s with %d bytes", m.header("Attempt-Id"), m.body.length);
             Kit.sleep(20);
             c.respond(200, "Attempt-Id: " + m.header("Attempt-Id") + "\r\nRunner-Stamp: stamp\r\n", ("got " + m.body.length).getBytes());
             return true;
@@ -92,7 +93,9 @@
                 InputStream in = new BufferedInputStream(s.getInputStream());
                 boolean isOpen = true;
                 while (isOpen && !stop && !(isOfBurst && stopBurst)) {
-                    String head = "POST /" + (isLarge ? "l" : "s") + "/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a" + IDS.incrementAndGet()
+                    String id = "a" + IDS.incrementAndGet();
+                    Kit.note("client: sends %s with %d bytes", id, body.length);
+                    String head = "POST /" + (isLarge ? "l" : "s") + "/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
                         + "\r\nDeadline-Ms: " + (isLarge ? 6_000 : 1_500) + "\r\nAuthorization: Bearer keya\r\nContent-Length: " + body.length + "\r\n\r\n";
                     long start = Kit.now();
                     String outcome;
@@ -109,6 +112,7 @@
                         outcome = "closed without an answer";
                         isOpen = false;
                     }
+                    Kit.note("client: %s ends after %d ms: %s", id, Kit.now() - start, outcome);
                     record(isLarge, outcome, Kit.now() - start);
                     if (!isLarge) Kit.sleep(30);
                 }
--- a/review/src/SilentRunner.java
+++ b/review/src/SilentRunner.java
@@ -8,17 +8,24 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Answers that have neither a length nor chunks, at three runners. In the middle of its answers one
- * runner falls silent for a time, and then goes on. The answers are resumable streams, or whole
- * answers to idempotent requests.
+ * Answers that have neither a length nor chunks, at three runners. With "stream", they are resumable
+ * streams, and in the middle of them one runner sends nothing for a time and then goes on. With
+ * "plain", they are whole answers to idempotent requests, and one runner goes dark: it sends
+ * nothing at all, its entry goes, and it comes back as a new boot that knows nothing of before.
  */
 public final class SilentRunner {
     private static final int PIECES = 40;
     private static final int PIECE_MILLIS = 50;
 
-    /** Time from which the first runner is silent, and until when. */
-    private static volatile long silentFrom = Long.MAX_VALUE;
-    private static volatile long silentUntil = Long.MAX_VALUE;
+    /** After three heartbeats of silence the store removes an entry. */
+    private static final int ENTRY_MILLIS = 3_600;
+
+    /** Until when the first runner is silent; 0 before. */
+    private static volatile long silentUntil;
+
+    /** Starts of the first runner, and the time of the last one. */
+    private static volatile int boot;
+    private static volatile long born = System.currentTimeMillis();
 
     private SilentRunner() {}
 
@@ -27,8 +34,19 @@
         Kit.main(Path.of(arguments[0]), () -> check(isStream, Long.parseLong(arguments[2])));
     }
 
+    /** Waits while the runner is silent. A channel of a boot that has ended is reset. */
+    private static void awaitSpeech(Kit.Channel c, boolean fallsSilent, int bootOfRequest) throws java.io.IOException {
+        if (!fallsSilent) return;
+        while (Kit.now() < silentUntil) Kit.sleep(5);
+        if (boot == bootOfRequest) return;
+        c.reset();
+        throw new java.io.IOException("the runner has started anew");
+    }
+
     private static Kit.Server startRunner(Kit.Store store, String id, String ip, boolean isStream, boolean fallsSilent) throws Exception {
         Kit.Server server = new Kit.Server(ip, (m, c) -> {
+            int ownBoot = boot;
+            awaitSpeech(c, fallsSilent, ownBoot);
             if (m.path().equals("/healthz")) {
                 c.respond(200, "Instance-Id: " + id + "\r\n", new byte[0]);
                 return true;
@@ -45,16 +63,28 @@
                 + "\r\nConnection: close\r\nAttempt-Id: " + attempt + "\r\nRunner-Stamp: stamp-" + attempt + "\r\n\r\n");
             for (int i = from; i <= PIECES; i++) {
                 Kit.sleep(PIECE_MILLIS);
-                while (fallsSilent && Kit.now() >= silentFrom && Kit.now() < silentUntil) Kit.sleep(5);
+                awaitSpeech(c, fallsSilent, ownBoot);
                 c.send(piece(isStream, attempt, i));
             }
             Kit.log("runner %s: has sent the last piece of %s", id, attempt);
             return false;
         });
-        Kit.register(store, id, "app", server.address, 20, () -> "ready");
+        long started = born;
+        Kit.register(store, id, "app", server.address, 20, () -> fallsSilent && Kit.now() < silentUntil ? null : "ready",
+            () -> fallsSilent ? born : started);
         return server;
     }
 
+    /** Ends the boot of the first runner, which is dark now; the next one begins when it speaks again. */
+    private static void endBoot(Kit.Store store) {
+        born = System.currentTimeMillis() + silentUntil - Kit.now();
+        boot++;
+        Kit.thread(() -> {
+            Kit.sleep(ENTRY_MILLIS);
+            if (Kit.now() < silentUntil) store.put("keyed.servers", "runner-1", null);
+        });
+    }
+
     private static String piece(boolean isStream, String attempt, int i) {
         return isStream ? "id: " + i + "\ndata: piece " + i + " of " + attempt + "\n\n" : "piece " + i + " of " + attempt + ";";
     }
@@ -80,6 +110,7 @@
             String id = "a" + k;
             Kit.thread(() -> {
                 try (Socket s = Kit.connect(gateway.front, 15_000)) {
+                    Kit.log("client %s: sends its request", id);
                     s.getOutputStream().write(((isStream ? "POST" : "GET") + " /p/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
                         + "\r\nDeadline-Ms: 20000\r\nAuthorization: Bearer keya\r\n" + (isStream ? "Content-Length: 2\r\n\r\n" + id : "\r\n")).getBytes());
                     InputStream in = new java.io.BufferedInputStream(s.getInputStream());
@@ -110,9 +141,9 @@
         }
         Kit.sleep(800);
         if (Kit.TROUBLE) {
+            Kit.log("runner-1 is %s for %d ms", isStream ? "silent" : "dark", silenceMillis);
             silentUntil = Kit.now() + silenceMillis;
-            silentFrom = Kit.now();
-            Kit.log("runner-1 is silent for %d ms", silenceMillis);
+            if (!isStream) endBoot(store);
         }
         if (!done.await(40, TimeUnit.SECONDS)) throw new IllegalStateException("clients without an end");
         Kit.log("%d answers are whole, %d failed or were broken off, %d ended as complete and are not whole: %s",
