--- a/review/src/EndlessLines.java
+++ b/review/src/EndlessLines.java
@@ -8,20 +8,23 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Resumable streams at three runners. In one of 24 streams a runner sends empty lines without
- * end after the eighth event, until the channel is closed. The clients check the bytes that they get.
+ * Resumable streams at three runners. In one of its streams, the twentieth, a runner sends empty lines
+ * without end after the eighth event, until the channel is closed. The clients check the bytes that they get.
  */
 public final class EndlessLines {
     private static final int EVENTS = 20;
     private static final int LAST_GOOD_EVENT = 8;
     private static final int EVENT_MILLIS = 30;
-    private static final int CLIENTS = 24;
+    private static final int CLIENTS = 132;
 
-    /** Whether the one stream has begun that is spoiled. */
-    private static final AtomicBoolean HAS_SPOILED = new AtomicBoolean();
+    /** The stream of the first runner that is spoiled. */
+    private static final int SPOILED_STREAM = 20;
+
+    /** How many streams each runner has begun. */
+    private static final List<AtomicInteger> STREAMS = List.of(new AtomicInteger(), new AtomicInteger(), new AtomicInteger());
 
     private EndlessLines() {}
 
@@ -32,6 +35,7 @@
     private static void startRunner(Kit.Store store, int number) throws Exception {
         String id = "runner-" + number;
         String lines = "\n".repeat(8_000);
+        AtomicInteger streams = STREAMS.get(number - 1);
         Kit.Server server = new Kit.Server(Kit.ip(100 + number), (m, c) -> {
             if (m.path().equals("/healthz")) {
                 c.respond(200, "Instance-Id: " + id + "\r\n", new byte[0]);
@@ -45,12 +49,13 @@
             String last = m.header("Last-Event-Id");
             int from = last == null ? 1 : Integer.parseInt(last) + 1;
             Kit.log("runner %s: runs %s from event %d", id, attempt, from);
+            int stream = streams.incrementAndGet();
             c.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nAttempt-Id: " + attempt
                 + "\r\nRunner-Stamp: stamp-" + attempt + "\r\n\r\n");
             for (int i = from; i <= EVENTS; i++) {
                 Kit.sleep(EVENT_MILLIS);
                 c.send(chunk("id: " + i + "\ndata: " + attempt + " " + i + "\n\n"));
-                if (number == 1 && Kit.TROUBLE && i == LAST_GOOD_EVENT && HAS_SPOILED.compareAndSet(false, true)) {
+                if (number == 1 && Kit.TROUBLE && stream == SPOILED_STREAM && i == LAST_GOOD_EVENT) {
                     Kit.log("runner %s: sends empty lines to %s until the channel is closed", id, attempt);
                     String endless = chunk(lines);
                     // The channel ends with an exception; the bound only limits the traffic.
@@ -99,6 +104,7 @@
             Kit.sleep(20);
         }
         if (!done.await(60, TimeUnit.SECONDS)) throw new IllegalStateException("clients without an end");
+        Kit.log("streams of each runner: %s", STREAMS);
         Kit.log("%d of %d clients got bytes that are no answer in the protocol: %s", wrong.size(), CLIENTS, wrong);
         Kit.log("the process runs: %s; StackOverflowError in its log: %s", gateway.process.isAlive(), gateway.output().contains("StackOverflowError"));
         return !wrong.isEmpty();
--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -514,12 +514,6 @@
     /** Writes the entry of a plain runner into the store about every heartbeat, unless its state is null. */
     static Thread register(Store store, String id, String service, String address, int slots, java.util.function.Supplier<String> state) {
         long born = System.currentTimeMillis();
-        return register(store, id, service, address, slots, state, () -> born);
-    }
-
-    /** As above; the runner started at {@code born}, which changes with each start. */
-    static Thread register(Store store, String id, String service, String address, int slots,
-        java.util.function.Supplier<String> state, java.util.function.LongSupplier born) {
         AtomicInteger sequence = new AtomicInteger();
         return thread(() -> {
             while (true) {
@@ -527,7 +521,7 @@
                 if (s != null) {
                     store.put("keyed.servers", id, "{\"Service\":\"" + service + "\",\"Addr\":\"" + address
                         + "\",\"Zone\":\"z1\",\"Version\":\"v1\",\"Slots\":" + slots + ",\"State\":\"" + s
-                        + "\",\"ColdLeftMs\":0,\"Seq\":" + sequence.incrementAndGet() + ",\"born\":" + born.getAsLong() + "}");
+                        + "\",\"ColdLeftMs\":0,\"Seq\":" + sequence.incrementAndGet() + ",\"born\":" + born + "}");
                 }
                 sleep(1_200);
             }
--- a/review/src/SilentRunner.java
+++ b/review/src/SilentRunner.java
@@ -8,12 +8,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Answers that have neither a length nor chunks, at three runners. With "stream", they are resumable
+ * Answers that have neither a length nor chunks, at eight runners. With "stream", they are resumable
  * streams, and in the middle of them one runner sends nothing for a time and then goes on. With
  * "plain", they are whole answers to idempotent requests, and one runner goes dark: it sends
- * nothing at all, its entry goes, and it comes back as a new boot that knows nothing of before.
+ * nothing at all, its entry goes, and it comes back as a new boot with another id.
  */
 public final class SilentRunner {
+    private static final int RUNNERS = 8;
+    private static final int CLIENTS = 24;
     private static final int PIECES = 40;
     private static final int PIECE_MILLIS = 50;
 
@@ -23,9 +25,9 @@
     /** Until when the first runner is silent; 0 before. */
     private static volatile long silentUntil;
 
-    /** Starts of the first runner, and the time of the last one. */
+    /** How often the first runner has ended, and its id. */
     private static volatile int boot;
-    private static volatile long born = System.currentTimeMillis();
+    private static volatile String firstId = "runner-1";
 
     private SilentRunner() {}
 
@@ -43,10 +45,12 @@
         throw new java.io.IOException("the runner has started anew");
     }
 
-    private static Kit.Server startRunner(Kit.Store store, String id, String ip, boolean isStream, boolean fallsSilent) throws Exception {
-        Kit.Server server = new Kit.Server(ip, (m, c) -> {
+    private static Kit.Server startRunner(Kit.Store store, int number, boolean isStream) throws Exception {
+        boolean fallsSilent = number == 1;
+        Kit.Server server = new Kit.Server(Kit.ip(100 + number), (m, c) -> {
             int ownBoot = boot;
             awaitSpeech(c, fallsSilent, ownBoot);
+            String id = fallsSilent ? firstId : "runner-" + number;
             if (m.path().equals("/healthz")) {
                 c.respond(200, "Instance-Id: " + id + "\r\n", new byte[0]);
                 return true;
@@ -69,19 +73,20 @@
             Kit.log("runner %s: has sent the last piece of %s", id, attempt);
             return false;
         });
-        long started = born;
-        Kit.register(store, id, "app", server.address, 20, () -> fallsSilent && Kit.now() < silentUntil ? null : "ready",
-            () -> fallsSilent ? born : started);
+        Kit.register(store, "runner-" + number, "app", server.address, 20,
+            () -> fallsSilent && (boot > 0 || Kit.now() < silentUntil) ? null : "ready");
         return server;
     }
 
     /** Ends the boot of the first runner, which is dark now; the next one begins when it speaks again. */
-    private static void endBoot(Kit.Store store) {
-        born = System.currentTimeMillis() + silentUntil - Kit.now();
+    private static void endBoot(Kit.Store store, Kit.Server server) {
         boot++;
+        firstId = "runner-1-again";
         Kit.thread(() -> {
             Kit.sleep(ENTRY_MILLIS);
-            if (Kit.now() < silentUntil) store.put("keyed.servers", "runner-1", null);
+            store.put("keyed.servers", "runner-1", null);
+            Kit.sleep(Math.max(0, silentUntil - Kit.now()));
+            Kit.register(store, firstId, "app", server.address, 20, () -> "ready");
         });
     }
 
@@ -95,18 +100,16 @@
             ? Kit.route("r", "/p/", "streaming", "app", 20_000, 500, 2, ",\"Resumable\":true,\"GapGoalMs\":200")
             : Kit.route("r", "/p/", "idempotent", "app", 20_000, 500, 2, "");
         store.put("keyed.op", "config", Kit.configuration(1, route, Kit.plainService("app"), ""));
-        startRunner(store, "runner-1", Kit.ip(101), isStream, true);
-        startRunner(store, "runner-2", Kit.ip(102), isStream, false);
-        startRunner(store, "runner-3", Kit.ip(103), isStream, false);
+        Kit.Server first = startRunner(store, 1, isStream);
+        for (int i = 2; i <= RUNNERS; i++) startRunner(store, i, isStream);
         Kit.Gateway gateway = new Kit.Gateway(1, store).start();
         Kit.await("the gateway is ready", 30_000, gateway::isReady);
         Kit.sleep(2_000);
-        int clients = 12;
-        CountDownLatch done = new CountDownLatch(clients);
+        CountDownLatch done = new CountDownLatch(CLIENTS);
         AtomicInteger whole = new AtomicInteger();
         AtomicInteger broken = new AtomicInteger();
         List<String> wrong = new ArrayList<>();
-        for (int k = 1; k <= clients; k++) {
+        for (int k = 1; k <= CLIENTS; k++) {
             String id = "a" + k;
             Kit.thread(() -> {
                 try (Socket s = Kit.connect(gateway.front, 15_000)) {
@@ -143,7 +146,7 @@
         if (Kit.TROUBLE) {
             Kit.log("runner-1 is %s for %d ms", isStream ? "silent" : "dark", silenceMillis);
             silentUntil = Kit.now() + silenceMillis;
-            if (!isStream) endBoot(store);
+            if (!isStream) endBoot(store, first);
         }
         if (!done.await(40, TimeUnit.SECONDS)) throw new IllegalStateException("clients without an end");
         Kit.log("%d answers are whole, %d failed or were broken off, %d ended as complete and are not whole: %s",
