Do not take the gateway's own close for the end of a response

Cause: a response with neither length nor chunks ends with its connection. The gateway resets the connection of a silent attempt; the HTTP decoder then emits a last part, which HttpChannel queued, since its own channelInactive comes later. The attempt ended as complete, and the reserved retry was dropped. The decoder does the same after an exception in the pipeline that is no IOException.

Change: from the moment at which this side closes the connection, and from any failure of it, HttpChannel drops what the decoder emits. receive() then returns null, as for a response with a length. This covers chains, HTTP/1.0 and calls to the store and to engines, which all read through HttpChannel.

Evidence: before the change the four cases of SilentUnframedAnswerTest, the new case of SilentChainTest and "has no end when the connection fails" of HttpChannelTest failed; all pass after it, with CutAnswerTest and HttpCallerTest. In the first of two runs the first request of CutAnswerTest got 504 after "thread_delayed ms=1237" in a cold JVM; the second run was green.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -61,6 +61,12 @@
 
     private var isInputEnded = false
 
+    /**
+     * Whether this side closes the connection. The decoder then ends a response without length as
+     * if the peer had closed the connection, so what it emits from here on is not the peer's.
+     */
+    private var isClosing = false
+
     /**
      * Waits for the next part and returns it, or null if the connection is closed. The calling code
      * must release the part.
@@ -139,6 +145,7 @@
 
     /** Closes the connection; parts not yet received are dropped. */
     public fun close() {
+        isClosing = true
         channel.close()
         while (received.isNotEmpty()) ReferenceCountUtil.release(received.removeFirst())
     }
@@ -161,7 +168,7 @@
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
-        if (msg !is HttpObject || isClosed) {
+        if (msg !is HttpObject || isClosing || isClosed) {
             ReferenceCountUtil.release(msg)
             return
         }
@@ -190,6 +197,7 @@
         if (cause !is IOException) {
             recordEvent("failed", "error" to cause, "at" to cause.stackTrace.firstOrNull())
         }
+        isClosing = true
         ctx.close()
     }
 
