Close connections that receive bytes after a complete response

Cause: the server had sent the start of a second response, which it broke off, after a complete one. The pool noticed only complete parts, so these bytes stayed in the HTTP decoder of the idle connection, and the next response was decoded as their continuation.

Change: ResponseDecoder knows when a response is complete. A connection with bytes after that is not reused, and an idle one closes at the first byte; this holds for the pool and for HttpCaller (calls to the store and to engines). LateThreadTest blocks its thread in onClosed instead of onReceived, which is gone; its times and check are the same.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionPool.kt
@@ -10,7 +10,7 @@
  * Pool of keep-alive connections to backend servers.
  *
  * An idle connection is reused only for part of the keep-alive time of its server, and never after
- * data was received on it.
+ * bytes were received that belong to no request.
  */
 public class ConnectionPool(private val connector: HttpConnector, private val clock: Clock) {
     private class IdleConnection(val channel: HttpChannel, val expiresAtMillis: Long)
@@ -47,8 +47,7 @@
     public fun release(lease: Lease, keepAliveMillis: Long?) {
         val connection = lease.channel
         val queue = idle.getOrPut(lease.address, ::ArrayDeque)
-        val isUnusable = connection.isClosed || connection.hasReceived || !connection.isFlushed
-        if (isUnusable || queue.size >= MAX_IDLE_PER_SERVER) {
+        if (!connection.isReusable || queue.size >= MAX_IDLE_PER_SERVER) {
             connection.close()
             return
         }
@@ -56,8 +55,7 @@
             ?: DEFAULT_KEEP_ALIVE_MILLIS
         queue.addLast(IdleConnection(connection, clock.monotonicMillis() + keepMillis))
         connection.onClosed = { queue.removeAll { it.channel === connection } }
-        // An unexpected response must not be taken for that to the next request.
-        connection.onReceived = connection::close
+        connection.keepIdle()
     }
 
     /** Closes idle connections whose keep-alive time is over; to be called about every second. */
@@ -80,10 +78,7 @@
         while (queue.isNotEmpty()) {
             val next = queue.removeLast()
             next.channel.onClosed = null
-            next.channel.onReceived = null
-            if (next.expiresAtMillis > now && !next.channel.isClosed && !next.channel.hasReceived) {
-                return next.channel
-            }
+            if (next.expiresAtMillis > now && next.channel.isReusable) return next.channel
             next.channel.close()
         }
         return null
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpCaller.kt
@@ -139,9 +139,7 @@
         )
     }
 
-    private fun isReusable(channel: HttpChannel, reply: HttpReply): Boolean = !channel.isClosed &&
-        !channel.hasReceived &&
-        channel.isFlushed &&
+    private fun isReusable(channel: HttpChannel, reply: HttpReply): Boolean = channel.isReusable &&
         !reply.headers.contains(HttpHeaderNames.CONNECTION, "close", true) &&
         isFramed(reply.headers)
 
@@ -155,14 +153,16 @@
     private fun takeIdle(): HttpChannel? {
         while (idle.isNotEmpty()) {
             val channel = idle.removeLast()
-            if (!channel.isClosed && !channel.hasReceived) return channel
+            if (channel.isReusable) return channel
             channel.close()
         }
         return null
     }
 
     private fun keep(channel: HttpChannel) {
-        if (idle.size < MAX_IDLE_CONNECTIONS) idle.addLast(channel) else channel.close()
+        if (idle.size >= MAX_IDLE_CONNECTIONS) return channel.close()
+        channel.keepIdle()
+        idle.addLast(channel)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import kotlin.coroutines.resume
@@ -24,8 +25,12 @@
  * It reads ahead by at most [READ_AHEAD] parts, so that a close by the peer is detected while no
  * coroutine receives. Must be used on the thread of the event loop only.
  */
-public class HttpChannel(private val channel: Channel, private val log: DecisionLog) :
-    ChannelInboundHandlerAdapter() {
+public class HttpChannel
+internal constructor(
+    private val channel: Channel,
+    private val log: DecisionLog,
+    private val decoder: ResponseDecoder? = null
+) : ChannelInboundHandlerAdapter() {
     private val received = ArrayDeque<HttpObject>()
     private var receiver: CancellableContinuation<Unit>? = null
     private var writer: CancellableContinuation<Unit>? = null
@@ -41,12 +46,14 @@
     /** Called once when the connection closes. */
     public var onClosed: (() -> Unit)? = null
 
-    /** Called when a part arrives, for example on an idle connection, which expects none. */
-    public var onReceived: (() -> Unit)? = null
-
     /** Whether received parts are waiting to be taken. */
     public val hasReceived: Boolean get() = received.isNotEmpty()
 
+    /** Whether the connection can carry another request: it is open, and no bytes are left over. */
+    public val isReusable: Boolean
+        get() = !isClosing && !isClosed && !hasReceived && isFlushed &&
+            decoder?.hasExcessBytes != true
+
     /** Number of written bytes that were not passed to the operating system yet. */
     public val unsentBytes: Long
         get() {
@@ -110,7 +117,18 @@
     }
 
     /** Queues a part for [flush]. */
-    public fun write(part: Any): ChannelFuture = channel.write(part)
+    public fun write(part: Any): ChannelFuture {
+        if (part is HttpRequest) decoder?.expectResponse(part.method())
+        return channel.write(part)
+    }
+
+    /**
+     * Marks the connection as waiting for its next request. It closes as soon as the peer sends a
+     * byte, which would belong to no request.
+     */
+    public fun keepIdle() {
+        decoder?.isIdle = true
+    }
 
     /**
      * Sends the written parts and suspends while the peer does not read. Returns false if the
@@ -174,7 +192,6 @@
         }
         received.addLast(msg)
         if (received.size >= READ_AHEAD) channel.config().isAutoRead = false
-        onReceived?.invoke()
         resumeReceiver()
     }
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
@@ -10,8 +10,8 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.resolver.NoopAddressResolverGroup
 import io.netty.util.NetUtil
 import java.net.InetAddress
@@ -41,8 +41,9 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt())
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(ch: Channel) {
-                    connection = HttpChannel(ch, loop.log)
-                    ch.pipeline().addLast(HttpClientCodec(decoding, false, false), connection)
+                    val decoder = ResponseDecoder(decoding)
+                    connection = HttpChannel(ch, loop.log, decoder)
+                    ch.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
                 }
             })
             .connect(socketAddress(address))
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
@@ -9,6 +9,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import kotlin.concurrent.thread
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -127,4 +128,42 @@
         expectThat(call(text, isReset = false).map { it.status to it.body.decodeToString() })
             .isEqualTo(Ok(200 to "body"))
     }
+
+    /** Guards against a response that begins with bytes that followed the one before. */
+    @Test
+    fun `a connection with bytes after a response is not used again`() {
+        val answers = ArrayDeque(
+            listOf(
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nX: ",
+                "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+            )
+        )
+        thread(isDaemon = true) {
+            while (answers.isNotEmpty()) {
+                server.accept().use {
+                    while (answers.isNotEmpty() && hasRequest(it)) {
+                        it.getOutputStream().write(answers.removeFirst().toByteArray())
+                    }
+                }
+            }
+        }
+        val request = OutgoingRequest(HttpMethod.GET, "/", DefaultHttpHeaders(), ByteArray(0))
+        val statuses = runBlocking {
+            withContext(loop.dispatcher) {
+                List(2) { caller.call(request, timeoutMillis = 2_000).map { it.status } }
+            }
+        }
+        expectThat(statuses).isEqualTo(listOf(Ok(200), Ok(500)))
+    }
+
+    /** Reads a head; returns false if the connection is closed before. */
+    private fun hasRequest(socket: Socket): Boolean {
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val b = socket.getInputStream().read()
+            if (b < 0) return false
+            head.append(b.toChar())
+        }
+        return true
+    }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/LateThreadTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/LateThreadTest.kt
@@ -44,14 +44,14 @@
             }
             val response = async {
                 withContext(loop.dispatcher) {
-                    blocking.onReceived = { TimeUnit.MILLISECONDS.sleep(500) }
+                    blocking.onClosed = { TimeUnit.MILLISECONDS.sleep(500) }
                     withTimeoutOrNull(200) { waiting.receive() }
                 }
             }
             thread {
                 val bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".toByteArray()
                 TimeUnit.MILLISECONDS.sleep(50)
-                blockingPeer.getOutputStream().write(bytes)
+                blockingPeer.close()
                 TimeUnit.MILLISECONDS.sleep(200)
                 waitingPeer.getOutputStream().write(bytes)
             }
