Join the events of one part in a flat buffer

Cause: EventFramer joined the events of a part as one composite buffer within the other. An empty line ends an event, so a part of 8,000 empty lines was nested 8,000 deep; writing it overflowed the stack of 256 KB. The size and the line end of the chunk were sent without its content.

Change: complete events are copied to one flat buffer for each part.

Evidence: before the change "thousands of empty lines in one part are one flat buffer" of EventFramerTest ended with StackOverflowError; it passes after it, with StreamContinuationTest. That a failed write lets the response go on, and that such a server is never found silent, are faults of their own.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/EventFramer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/EventFramer.kt
@@ -57,10 +57,11 @@
                 continue
             }
             if (isLineEmpty) {
-                val event = endEvent()
-                if (event != null) {
-                    complete =
-                        if (complete == null) event else Unpooled.wrappedBuffer(complete, event)
+                val length = size
+                if (endEvent()) {
+                    // One flat buffer, because a part can hold thousands of events.
+                    val events = complete ?: Unpooled.buffer(length + input.readableBytes())
+                    complete = events.writeBytes(eventBytes, 0, length)
                 }
             }
             startLine()
@@ -106,8 +107,8 @@
         }
     }
 
-    private fun endEvent(): ByteBuf? {
-        val length = size
+    /** Ends the current event; returns whether it is to be delivered. */
+    private fun endEvent(): Boolean {
         val completedId = eventId
         val isUnnumbered = hasField && completedId == NO_ID
         size = 0
@@ -115,17 +116,17 @@
         hasField = false
         val last = lastId
         if (completedId != NO_ID) {
-            if (last != null && completedId <= last) return null
+            if (last != null && completedId <= last) return false
             lastId = completedId
             hasNewId = true
         }
         if (isUnnumbered && isContinuation && !hasNewId) {
             isMisplaced = true
-            return null
+            return false
         }
         endsWithoutId = isUnnumbered || (endsWithoutId && completedId == NO_ID)
         events++
-        return Unpooled.wrappedBuffer(eventBytes.copyOf(length))
+        return true
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/EventFramerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/EventFramerTest.kt
@@ -70,4 +70,23 @@
             expectThat(framer.isWithinEvent).isFalse()
         }
     }
+
+    /**
+     * Guards against a stack overflow when the result is written, which would leave the sizes of
+     * chunks without their content in the response to the caller.
+     */
+    @Test
+    fun `thousands of empty lines in one part are one flat buffer`() {
+        val lines = "\n".repeat(8_192)
+        var text: String? = null
+        val reader = Thread(null, { text = EventFramer(null).feedText(lines) }, "", STACK_BYTES)
+        reader.start()
+        reader.join()
+        expectThat(text).isEqualTo(lines)
+    }
+
+    private companion object {
+        /** The size in `deploy/system.toml`. */
+        const val STACK_BYTES = 262_144L
+    }
 }
