Reset a connection if a part of a message cannot be written

Callers saw: after the failed write of review/5 the stream went on with further chunk sizes, up to the deadline.

Cause: HttpChannel.write returned a future that no calling code looked at, so a part that failed to be encoded or sent was left out, and the parts after it were sent.

Change: such a failure resets the connection, is logged as "connection: event=write_failed", and makes flush() return false, so a stream ends as CallerGone. An IOException does not count: the system reports the end of the connection by itself, and a peer may have answered before it closed.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -3,7 +3,6 @@
 import io.greengageport.gateway.logging.DecisionLog
 import io.netty.channel.Channel
 import io.netty.channel.ChannelException
-import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandler.Sharable
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -116,10 +115,21 @@
         while (!isClosed) awaitEvent()
     }
 
-    /** Queues a part for [flush]. */
-    public fun write(part: Any): ChannelFuture {
+    /**
+     * Queues a part for [flush]. If the part cannot be encoded or sent, the connection is reset,
+     * because a message with a part missing must not go on.
+     */
+    public fun write(part: Any) {
         if (part is HttpRequest) decoder?.expectResponse(part.method())
-        return channel.write(part)
+        channel.write(part).addListener { if (!it.isSuccess) onWriteFailed(it.cause()) }
+    }
+
+    private fun onWriteFailed(cause: Throwable) {
+        // The system reports these; the peer may have answered before it closed the connection.
+        if (cause is IOException || isClosing || isClosed) return
+        failure = failure ?: cause
+        recordEvent("write_failed", "error" to cause)
+        reset()
     }
 
     /**
@@ -137,7 +147,7 @@
      */
     public suspend fun flush(): Boolean {
         channel.flush()
-        while (!isClosed && !channel.isWritable) {
+        while (!isClosing && !isClosed && !channel.isWritable) {
             val unsent = unsentBytes
             val isInTime = withTimeoutOrNull(STALL_MILLIS) { awaitWritable() } != null
             if (!isInTime && !isClosed && unsentBytes == unsent) {
@@ -146,7 +156,7 @@
                 return false
             }
         }
-        return !isClosed
+        return !isClosing && !isClosed
     }
 
     private suspend fun awaitWritable() {
