Give up an attempt whose parts do not advance the response

Cause: the silence timeout did not count while received parts waited to be handled. With a server that sends without end some always wait.

Change: only parts that had arrived at the timeout defer the decision. Parts that come later and do not advance the response don't.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -119,6 +119,13 @@
         private var timeoutAtMillis = 0L
         private var isSilent = false
 
+        /** Number of parts that were taken from the connection, and of those that were handled. */
+        private var takenParts = 0L
+        private var handledParts = 0L
+
+        /** Number of parts that had arrived at the timeout, or null before it. */
+        private var partsAtTimeout: Long? = null
+
         /** Whether the response being received is informational or belongs to another attempt. */
         private var isIgnored = false
         private var hasIgnoredResponse = false
@@ -151,19 +158,29 @@
         override fun onStageUnreachable() {
             val attemptScope = scope ?: return
             if (isSilent) return
-            timeoutAtMillis =
-                minOf(timeoutAtMillis, clock.monotonicMillis() + STAGE_LOSS_TIMEOUT_MILLIS)
+            val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
+            restartTimeout(minOf(remainingMillis, STAGE_LOSS_TIMEOUT_MILLIS))
             silenceTimeout?.cancel()
             silenceTimeout = launchSilenceTimeout(attemptScope)
         }
 
         private fun restartTimeout(millis: Long) {
             timeoutAtMillis = clock.monotonicMillis() + millis
+            partsAtTimeout = null
         }
 
-        /** Whether the response did not advance in time. */
-        private fun isOverdue() =
-            timeoutAtMillis <= clock.monotonicMillis() && !lease.channel.hasReceived
+        /**
+         * Whether the response did not advance in time. Parts that had arrived at the timeout still
+         * count, since they wait while the caller reads slowly. Later ones do not: a faulty server
+         * may send parts without end that do not advance the response.
+         */
+        private fun isOverdue(): Boolean {
+            if (timeoutAtMillis > clock.monotonicMillis()) return false
+            val arrivedParts =
+                partsAtTimeout ?: (takenParts + lease.channel.receivedCount)
+            partsAtTimeout = arrivedParts
+            return handledParts >= arrivedParts
+        }
 
         /**
          * Closes the connection when the response does not advance in time and [silencePolicy]
@@ -174,16 +191,15 @@
             var checkIntervalMillis = SILENCE_CHECK_INTERVAL_MILLIS
             while (true) {
                 val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
-                if (!isOverdue()) {
-                    // Received parts wait while the caller reads slowly.
-                    delay(if (remainingMillis > 0) remainingMillis else PENDING_CHECK_MILLIS)
-                    continue
-                }
-                if (-remainingMillis > LATE_MILLIS) {
+                if (partsAtTimeout == null && -remainingMillis > LATE_MILLIS) {
                     // The thread was late, perhaps with the whole machine, which is no silence.
                     restartTimeout(SILENCE_CHECK_INTERVAL_MILLIS)
                     continue
                 }
+                if (!isOverdue()) {
+                    delay(if (remainingMillis > 0) remainingMillis else PENDING_CHECK_MILLIS)
+                    continue
+                }
                 silencePolicy.examine()
                 // The response may have advanced meanwhile.
                 if (!isOverdue()) continue
@@ -226,6 +242,7 @@
         private suspend fun receiveResponse(): AttemptEnd {
             while (true) {
                 val part = lease.channel.receive() ?: return brokenEnd()
+                takenParts++
                 try {
                     if (part.decoderResult().isFailure) {
                         return AttemptEnd.Broken(
@@ -236,6 +253,7 @@
                     if (part is HttpResponse) handleHead(part)?.let { return it }
                     if (part is HttpContent) handleContent(part)?.let { return it }
                 } finally {
+                    handledParts++
                     ReferenceCountUtil.release(part)
                 }
             }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -45,6 +45,9 @@
     /** Called once when the connection closes. */
     public var onClosed: (() -> Unit)? = null
 
+    /** Number of received parts that are waiting to be taken. */
+    public val receivedCount: Int get() = received.size
+
     /** Whether received parts are waiting to be taken. */
     public val hasReceived: Boolean get() = received.isNotEmpty()
 
