Give up a silent attempt only for a server with a free slot

Cause: a silent attempt was reset as soon as a retry was allowed and some server could be named, also one whose slots were taken. It refused the request, each refusal counted as a send, and with the last one the stream was broken off, while the first server went on. Attempts that were given up together all reserved the same free slot.

Change: the replacement of a silent attempt at a plain server must have a free slot by the load of the fleet that the instance knows. A reserved slot counts as in flight. For chains the admission queue bounds the requests, so they are as before.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/PlainSelector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/PlainSelector.kt
@@ -47,21 +47,27 @@
             ?.let { Selection(it) }
     }
 
+    /** Whether [server] is expected to run another request at once. */
+    fun hasFreeSlot(server: BackendServer): Boolean = expectedRequests(server) < server.slots
+
     /**
      * Returns the expected number of requests ahead, relative to the slots of the server, with a
      * surcharge for another data centre and a small random part that breaks ties.
      */
     private fun cost(server: BackendServer): Double {
         val slots = maxOf(1, server.slots).toDouble()
-        val estimatedRequests = inFlight.fleetLoad(server.id).requests.toDouble()
-        val reportedRequests = reportedLoads[server.id]
-            ?.takeIf { clock.monotonicMillis() - it.atMillis < MAX_REPORT_AGE_MILLIS }
-            ?.let { (it.load.running + it.load.waiting).toDouble() } ?: 0.0
         val remoteCost = if (server.dataCentre == ownDataCentre) 0.0 else REMOTE_COST
-        return maxOf(estimatedRequests, reportedRequests) / slots + remoteCost +
+        return expectedRequests(server) / slots + remoteCost +
             random.nextDouble() * MAX_TIE_BREAK_COST
     }
 
+    private fun expectedRequests(server: BackendServer): Int {
+        val reportedRequests = reportedLoads[server.id]
+            ?.takeIf { clock.monotonicMillis() - it.atMillis < MAX_REPORT_AGE_MILLIS }
+            ?.let { it.load.running + it.load.waiting } ?: 0
+        return maxOf(inFlight.fleetLoad(server.id).requests, reportedRequests)
+    }
+
     private companion object {
         /** Requests of plain services take some ten ms, so an older report is out of date. */
         const val MAX_REPORT_AGE_MILLIS = 100L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -64,6 +64,14 @@
 
     /** Runs attempts until the request is complete, cannot be retried or finds no server. */
     suspend fun runAttempts() {
+        try {
+            runUntilFinal()
+        } finally {
+            releaseReservation()
+        }
+    }
+
+    private suspend fun runUntilFinal() {
         var reserved: Selection? = null
         while (true) {
             val selection = reserved ?: selectOrWait() ?: return
@@ -80,28 +88,38 @@
             if (!limit.canRetry() || relay?.canContinue == false) return
             val isDelayed = delaySuspect()
             val retry = reservedRetry
-            reservedRetry = null
             if (retry == null && !budgetAllows(end)) return
             retry?.let { delay(it.delayMillis) }
+            // The attempt counts itself at its target.
+            releaseReservation()
             // After a longer delay the reserved server may no longer be available.
             reserved = retry?.selection?.takeIf { !isDelayed }
         }
     }
 
-    /** The target of a retry for which budget was taken, and the time to wait before it. */
+    /**
+     * The target of a retry for which budget was taken, and the time to wait before it. It counts
+     * as in flight, so that attempts that are given up together do not all reserve one free slot.
+     */
     private class ReservedRetry(val selection: Selection, val delayMillis: Long)
 
+    private fun releaseReservation() {
+        reservedRetry?.let { updateInFlight(it.selection, inFlight::remove) }
+        reservedRetry = null
+    }
+
     /**
-     * Selects the target of the next attempt, or returns null if no server is available. A request
-     * suspected of crashing servers does not share a server with another such request.
+     * Selects the target of the next attempt among the servers that are not [full], or returns null
+     * if none is available. A request suspected of crashing servers does not share a server with
+     * another such request.
      */
-    private fun select(): Selection? {
+    private fun select(full: Set<RunnerId> = emptySet()): Selection? {
         val busy = if (suspects.verdict(context.fingerprint) == SuspectVerdict.CLEAR) {
             emptySet()
         } else {
             suspects.runnersWithMarkedRequests()
         }
-        val unavailable = excluded + busy + pauses.pausedServers()
+        val unavailable = excluded + busy + full + pauses.pausedServers()
         return (if (avoided.isEmpty()) null else selector.select(context, unavailable + avoided))
             ?: selector.select(context, unavailable)
     }
@@ -328,14 +346,31 @@
         val isBlocked = suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED ||
             suspects.findBlockedPart(context.sharedPromptParts) != null
         if (isBlocked) return false
-        val selection = select() ?: return false
-        reservedRetry = when (val decision = tryRetry(limit.sends + 1, shouldLog)) {
-            is RetryDecision.Allowed -> ReservedRetry(selection, decision.delayMillis)
-            is RetryDecision.Denied -> null
+        // A full server would refuse the request, while the silent one may go on.
+        val selection = select(full = fullServers()) ?: return false
+        releaseReservation()
+        when (val decision = tryRetry(limit.sends + 1, shouldLog)) {
+            is RetryDecision.Allowed -> {
+                updateInFlight(selection, inFlight::add)
+                reservedRetry = ReservedRetry(selection, decision.delayMillis)
+            }
+
+            is RetryDecision.Denied -> Unit
         }
         return reservedRetry != null
     }
 
+    /**
+     * The servers of a plain service without a free slot. Engines count as free: the admission
+     * queue limits their requests.
+     */
+    private fun fullServers(): Set<RunnerId> = if (service.engine != null) {
+        emptySet()
+    } else {
+        directory.usableServers(service.name).filterNot(plainSelector::hasFreeSlot)
+            .mapTo(HashSet()) { it.id }
+    }
+
     /**
      * Finds out whether [server] crashed after a lost connection. Other attempts avoid it from then
      * on, so none of them would notice, and the request that crashed it could crash further ones.
