Bound what is decoded before a connection can pause

Callers saw: with 100 endless responses of one-byte chunks at once the instance ran out of memory (heap of 96 MB as in the deploy file), and requests of other clients got no answer.

Cause: a connection pauses when 32 parts are read ahead, but all parts of one read are decoded before. Reads grow to 64 KiB, that is 10,900 chunks of one byte, more than 1 MB as objects on each connection.

Change: reads have at most 8 KiB, on connections to servers, to the store and from callers.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/EventLoop.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/EventLoop.kt
@@ -3,8 +3,10 @@
 import io.greengageport.gateway.logging.DecisionLog
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.PooledByteBufAllocator
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.IoEventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineExceptionHandler
@@ -58,6 +60,16 @@
         /** Chunks of 8 KiB << 4 = 128 KiB, because instances have only some 300 MB of memory. */
         private const val CHUNK_ORDER = 4
 
+        private const val MIN_READ_BYTES = 64
+        private const val INITIAL_READ_BYTES = 2_048
+
+        /**
+         * Sizes of the reads of a connection. All parts of a read are decoded before the connection
+         * can pause, and as objects small parts take many times their size.
+         */
+        val readAllocator: RecvByteBufAllocator =
+            AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, PAGE_BYTES)
+
         /** Allocator with one direct arena, because there is one thread. */
         val allocator: ByteBufAllocator =
             PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
@@ -26,6 +26,7 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.ALLOCATOR, EventLoop.allocator)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, EventLoop.readAllocator)
         .resolver(NoopAddressResolverGroup.INSTANCE)
         // A peer may answer and close before it has read a long body. A write that fails then must
         // not close the connection before the answer is read; the next read closes it.
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpListener.kt
@@ -30,6 +30,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.ALLOCATOR, EventLoop.allocator)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, EventLoop.readAllocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.SO_KEEPALIVE, true)
             .childHandler(object : ChannelInitializer<Channel>() {
