End an attempt that gets endless responses of other attempts

Callers saw: the rest of the deadline passed, and processor time went to it, when a server sent informational responses or responses to another attempt without end.

Cause: such responses are skipped, since a late duplicate may precede the response; their number had no bound.

Change: after 64 of them the attempt is broken.

Evidence: "Endless responses that are not to the attempt end it at once" of EndlessBytesTest failed for both kinds before the change (504 at the deadline) and passes after it.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -129,6 +129,7 @@
         /** Whether the response being received is informational or belongs to another attempt. */
         private var isIgnored = false
         private var hasIgnoredResponse = false
+        private var skippedResponses = 0
         private var hasContent = false
         private var status = 0
         private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
@@ -261,8 +262,7 @@
 
         private fun handleHead(response: HttpResponse): AttemptEnd? {
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                isIgnored = true
-                return null
+                return skipResponse()
             }
             val responseHeaders = protocol.parseResponse(response)
             if (responseHeaders.attemptId == null && lease.isReused) {
@@ -272,12 +272,13 @@
                     isStaleConnection = true
                 )
             }
-            isIgnored = responseHeaders.attemptId != null &&
+            if (responseHeaders.attemptId != null &&
                 responseHeaders.attemptId != context.id.value
-            if (isIgnored) {
+            ) {
                 hasIgnoredResponse = true
-                return null
+                return skipResponse()
             }
+            isIgnored = false
             status = response.status().code()
             headers = response.headers()
             currentResponse = responseHeaders
@@ -293,6 +294,13 @@
             return null
         }
 
+        /** Ignores a response up to its end, unless the server sends such responses without end. */
+        private fun skipResponse(): AttemptEnd? {
+            isIgnored = true
+            if (++skippedResponses <= MAX_SKIPPED_RESPONSES) return null
+            return AttemptEnd.Broken("$address: only responses that are not to this attempt")
+        }
+
         private suspend fun handleContent(part: HttpContent): AttemptEnd? {
             if (currentResponse != null && !isIgnored && part.content().isReadable) {
                 hasContent = true
@@ -416,6 +424,9 @@
         /** Timeout for the next part of a buffered response after its head. */
         const val BODY_TIMEOUT_MILLIS = 2_000L
 
+        /** Informational responses and late duplicates come singly. */
+        const val MAX_SKIPPED_RESPONSES = 64
+
         /** Responses of plain services usually have some KB. */
         const val MAX_RESPONSE_BYTES = 4 * 1_024 * 1_024
 
