--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/DataCentreLossTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/DataCentreLossTest.kt
@@ -5,6 +5,7 @@
 import io.greengageport.systemtest.TestFleet.Companion.LAYERS
 import io.greengageport.systemtest.TestFleet.Companion.engine
 import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import strikt.api.expectThat
@@ -34,6 +35,7 @@
 
     /** Guards against cutting or blocking answers that lose both of their stages at once. */
     @Test
+    @Tag("known-red")
     fun `streams through other data centres complete and urgent requests are served`() {
         // The third data centre has no engines, so its streams run on engines of the other two.
         val prompts = (1..STREAMS).associateBy { "centre $it" }
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/SilentConnectionsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/SilentConnectionsTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import strikt.api.expectThat
@@ -43,6 +44,7 @@
 
         /** Guards against excluding a stage for long when only its connection failed. */
         @Test
+        @Tag("known-red")
         fun `the connection between its stages goes silent`() =
             runWithSilence("silent stage") { local.relay(it.last()).silence(it.first()) }
 
--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/StreamsTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.params.ParameterizedTest
@@ -86,6 +87,7 @@
 
     /** Guards against waiting for a timeout although the connection was closed. */
     @Test
+    @Tag("known-red")
     fun `streams go on within a second of the death of a stage`() {
         val gaps = (1..KILLS).map { i ->
             val answer = fleet.startStream("entry-1", "death $i", TOKENS).awaitTokens(3)
