Count parts that arrive while a silence is examined

Cause: the number of parts that had arrived was taken once, at the timeout. Examining a chain takes some hundred milliseconds, and a part that arrives in the same turn of the event loop as its result had not been handled.

Change: each of both checks waits for the parts that have arrived by then. Those that keep coming still don't defer the decision.

Evidence: EndlessPartsTest, EndlessBytesTest, FullServersTest, SlowServersTest, StalledCallersTest and the tests of silences pass; no test shows the race.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -123,9 +123,6 @@
         private var takenParts = 0L
         private var handledParts = 0L
 
-        /** Number of parts that had arrived at the timeout, or null before it. */
-        private var partsAtTimeout: Long? = null
-
         /** Whether the response being received is informational or belongs to another attempt. */
         private var isIgnored = false
         private var hasIgnoredResponse = false
@@ -167,22 +164,21 @@
 
         private fun restartTimeout(millis: Long) {
             timeoutAtMillis = clock.monotonicMillis() + millis
-            partsAtTimeout = null
         }
 
         /**
-         * Whether the response did not advance in time. Parts that had arrived at the timeout still
-         * count, since they wait while the caller reads slowly. Later ones do not: a faulty server
-         * may send parts without end that do not advance the response.
+         * Returns whether the response did not advance in time, once the parts that have arrived
+         * are handled; they wait while the caller reads slowly. Later parts do not count: a faulty
+         * server may send parts without end that do not advance the response.
          */
-        private fun isOverdue(): Boolean {
-            if (timeoutAtMillis > clock.monotonicMillis()) return false
-            val arrivedParts =
-                partsAtTimeout ?: (takenParts + lease.channel.receivedCount)
-            partsAtTimeout = arrivedParts
-            return handledParts >= arrivedParts
+        private suspend fun isOverdue(): Boolean {
+            val arrivedParts = takenParts + lease.channel.receivedCount
+            while (isPastTimeout() && handledParts < arrivedParts) delay(PENDING_CHECK_MILLIS)
+            return isPastTimeout()
         }
 
+        private fun isPastTimeout() = timeoutAtMillis <= clock.monotonicMillis()
+
         /**
          * Closes the connection when the response does not advance in time and [silencePolicy]
          * gives up the attempt. Otherwise the attempt goes on, and the policy decides again, less
@@ -192,15 +188,16 @@
             var checkIntervalMillis = SILENCE_CHECK_INTERVAL_MILLIS
             while (true) {
                 val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
-                if (partsAtTimeout == null && -remainingMillis > LATE_MILLIS) {
-                    // The thread was late, perhaps with the whole machine, which is no silence.
-                    restartTimeout(SILENCE_CHECK_INTERVAL_MILLIS)
+                if (remainingMillis > 0) {
+                    delay(remainingMillis)
                     continue
                 }
-                if (!isOverdue()) {
-                    delay(if (remainingMillis > 0) remainingMillis else PENDING_CHECK_MILLIS)
+                if (-remainingMillis > LATE_MILLIS) {
+                    // The thread was late, perhaps with the whole machine, which is no silence.
+                    restartTimeout(SILENCE_CHECK_INTERVAL_MILLIS)
                     continue
                 }
+                if (!isOverdue()) continue
                 silencePolicy.examine()
                 // The response may have advanced meanwhile.
                 if (!isOverdue()) continue
