--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/ResponseDecoderTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/ResponseDecoderTest.kt
@@ -97,7 +97,7 @@
 
     private companion object {
         const val FIRST = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-        const val EXCESS = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nRunner-Stamp: s\r\n"
-        const val FAILURE = "HTTP/1.1 500 Failed\r\nAttempt-Id: 1\r\nContent-Length: 2\r\n\r\nno"
+        const val EXCESS = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Digest: s\r\n"
+        const val FAILURE = "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nno"
     }
 }
