Log why a silent attempt is given up or kept

Change: one line for each examination, silence: event=given_up or kept, with the cause, the replacement and the events so far.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -303,8 +303,22 @@
 
         override fun shouldGiveUp(): Boolean {
             recordSilence(selection, cause, isFirst = examinations == 1)
-            return reserveRetry(shouldLog = examinations == 1) || isLoss
+            val hasReplacement = reserveRetry(shouldLog = examinations == 1)
+            logDecision(hasReplacement || isLoss)
+            return hasReplacement || isLoss
         }
+
+        private fun logDecision(isGivenUp: Boolean) = log.record(
+            "silence",
+            if (isGivenUp) "given_up" else "kept",
+            "request" to context.id,
+            "server" to selection.server.id,
+            "cause" to cause,
+            "replacement" to reservedRetry?.selection?.server?.id,
+            "examinations" to examinations,
+            "events" to relay?.events,
+            "attempt_ms" to clock.monotonicMillis() - startedAtMillis
+        )
     }
 
     /**
