Keep a chain whose first stage waits for a silent stage

Cause: the first stage reports each stage that it waits for, a silent one as well as a lost one. The gateway took the report for a loss and reset the attempt, also when it had reserved no replacement. Change: the report only decides which servers a replacement avoids. Without a replacement the attempt goes on; if the stage is lost, the first stage ends the response itself, as its engine waits for a limited time.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -278,34 +278,31 @@
     /**
      * Gives up a silent attempt only if another one can replace it: a server that is only slow
      * would still complete the response. Without a replacement the attempt ends with its server, at
-     * the deadline or when the caller disconnects, unless its first stage reports that it waits for
-     * a lost stage.
+     * the deadline or when the caller disconnects. That its first stage waits for another stage is
+     * no reason to end it: that stage may be sound, and if it is lost, the first stage ends the
+     * response itself.
      */
     private inner class AttemptSilence(private val selection: Selection) : SilencePolicy {
         private var examinations = 0
         private var cause: StallCause? = null
-        private var isLoss = false
 
         override suspend fun examine() {
             examinations++
             if (selection.members.size == 1) return
             val unreachable = selection.members.filterTo(HashSet(), health::isUnreachable)
             // Whether a server is unreachable can be known from a slow connection only.
-            if (examinations == 1 && unreachable.isNotEmpty()) {
-                cause = StallCause.Stages(unreachable)
-                return
+            cause = if (examinations == 1 && unreachable.isNotEmpty()) {
+                StallCause.Stages(unreachable)
+            } else {
+                diagnosis.findCause(selection.server)
             }
-            val diagnosed = diagnosis.findCause(selection.server)
-            cause = diagnosed
-            isLoss = diagnosed is StallCause.Stages &&
-                diagnosed.stages.any { it in selection.members }
         }
 
         override fun shouldGiveUp(): Boolean {
             recordSilence(selection, cause, isFirst = examinations == 1)
             val hasReplacement = reserveRetry(shouldLog = examinations == 1)
-            logDecision(hasReplacement || isLoss)
-            return hasReplacement || isLoss
+            logDecision(hasReplacement)
+            return hasReplacement
         }
 
         private fun logDecision(isGivenUp: Boolean) = log.record(
