Keep a silent attempt until another one has responded

Cause: a silent attempt was reset as soon as a replacement was selected and its retry was within the budget. The replacement could still refuse the request, fail or be silent itself, and the attempts of the route, two on the users' routes, were then used up. A known load or a reported stage is a sign, and so is a selected server: none of them is an answer. Change: the replacement runs beside the silent attempt, counted by the same limits and budget as before. The first one to advance a stream goes on, and the other one is reset; of other requests the first complete answer that is no server error is sent. The replacement of a stream takes over with its response head, and only if the stream has not advanced since it was sent, so no event is lost or repeated. What the ends of attempts tell about servers, and their selection, moved from RequestAttempts to RequestTargets. SilenceDecidedTwiceTest and EndlessPartsTest use the changed interface of SilencePolicy; what they check is unchanged.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
@@ -37,4 +37,7 @@
 
     /** The caller closed its connection before the response was complete. */
     data object CallerGone : AttemptEnd
+
+    /** Another attempt of the request responded first. The server may have run the request. */
+    data object Superseded : AttemptEnd
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
@@ -40,7 +40,7 @@
             is AttemptEnd.NotRun -> sends++
 
             is AttemptEnd.Answered, is AttemptEnd.Streamed, is AttemptEnd.Broken,
-            is AttemptEnd.CallerGone -> {
+            is AttemptEnd.CallerGone, is AttemptEnd.Superseded -> {
                 sends++
                 runs++
             }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -49,10 +49,10 @@
      * Sends the request of [context] as [dispatch] specifies and returns how the attempt ended.
      *
      * If the response head does not arrive within [headTimeoutMillis], or the response does not
-     * advance in time, [silencePolicy] decides whether the attempt ends. The body of a response
-     * with status 2xx goes to [reader] if there is one; other bodies are buffered, large ones in
-     * [memory]. If one of [members] becomes unreachable, the response has to advance within a short
-     * time.
+     * advance in time, [silencePolicy] may replace the attempt, which then ends. The body of a
+     * response with status 2xx goes to [reader] if there is one; other bodies are buffered, large
+     * ones in [memory]. If one of [members] becomes unreachable, the response has to advance within
+     * a short time.
      * [onResponseHeaders] is called with the headers of the response to this attempt.
      */
     suspend fun run(
@@ -117,6 +117,7 @@
         private var scope: CoroutineScope? = null
         private val address: HostPort get() = lease.address
         private var timeoutAtMillis = 0L
+        private var isBeingReplaced = false
         private var isSilent = false
 
         /** Number of parts that were taken from the connection, and of those that were handled. */
@@ -155,7 +156,7 @@
 
         override fun onStageUnreachable() {
             val attemptScope = scope ?: return
-            if (isSilent) return
+            if (isSilent || isBeingReplaced) return
             val remainingMillis = timeoutAtMillis - clock.monotonicMillis()
             restartTimeout(minOf(remainingMillis, STAGE_LOSS_TIMEOUT_MILLIS))
             silenceTimeout?.cancel()
@@ -180,9 +181,9 @@
         private fun isPastTimeout() = timeoutAtMillis <= clock.monotonicMillis()
 
         /**
-         * Closes the connection when the response does not advance in time and [silencePolicy]
-         * gives up the attempt. Otherwise the attempt goes on, and the policy decides again, less
-         * and less often, because each decision about a chain asks its first stage for a report.
+         * Closes the connection when the response does not advance in time and [silencePolicy] has
+         * replaced the attempt. Otherwise the attempt goes on, and the policy tries again, less and
+         * less often, because each decision about a chain asks its first stage for a report.
          */
         private fun launchSilenceTimeout(scope: CoroutineScope): Job = scope.launch {
             var checkIntervalMillis = SILENCE_CHECK_INTERVAL_MILLIS
@@ -201,18 +202,30 @@
                 silencePolicy.examine()
                 // The response may have advanced meanwhile.
                 if (!isOverdue()) continue
-                if (silencePolicy.shouldGiveUp()) {
+                if (isReplaced()) {
                     isSilent = true
-                    // The decision may have notified this attempt too, which starts a new timeout.
-                    silenceTimeout?.cancel()
                     lease.channel.reset()
                     return@launch
                 }
+                if (!isPastTimeout()) continue
                 restartTimeout(checkIntervalMillis)
                 checkIntervalMillis = minOf(2 * checkIntervalMillis, MAX_CHECK_INTERVAL_MILLIS)
             }
         }
 
+        /**
+         * Waits for a replacement; returns whether one has begun its response. Meanwhile a notice
+         * of a lost stage, which the policy may cause itself, does not restart the timeout.
+         */
+        private suspend fun isReplaced(): Boolean {
+            isBeingReplaced = true
+            try {
+                return silencePolicy.awaitReplacement()
+            } finally {
+                isBeingReplaced = false
+            }
+        }
+
         private fun sendRequest() {
             val head = context.head
             val headers = protocol.requestHeaders(head.headers(), dispatch)
@@ -287,8 +300,7 @@
                 val result = reader?.onHead(status, headers, responseHeaders)
                 if (result != null) return handleResult(result)
             }
-            restartTimeout(BODY_TIMEOUT_MILLIS)
-            return null
+            return handleResult(PartResult.Progress(BODY_TIMEOUT_MILLIS))
         }
 
         /** Ignores a response up to its end, unless the server sends such responses without end. */
@@ -320,10 +332,18 @@
         /** Applies the [result] of a part; returns the end of the attempt if it cannot go on. */
         private fun handleResult(result: PartResult): AttemptEnd? {
             when (result) {
-                is PartResult.Progress -> restartTimeout(result.timeoutMillis)
+                is PartResult.Progress -> {
+                    restartTimeout(result.timeoutMillis)
+                    if (isAnswer()) silencePolicy.onAdvance()
+                }
+
                 is PartResult.NoProgress -> Unit
+
                 is PartResult.Malformed -> return AttemptEnd.Broken("$address: ${result.reason}")
+
                 is PartResult.CallerGone -> return AttemptEnd.CallerGone
+
+                is PartResult.Superseded -> return AttemptEnd.Superseded
             }
             return null
         }
@@ -354,6 +374,9 @@
 
         private fun isSuccess() = status in SUCCESS
 
+        /** Whether the response, if it is complete, is the answer that the caller gets. */
+        private fun isAnswer() = status < MIN_SERVER_ERROR && currentResponse?.isNotRun == false
+
         /**
          * Ends the attempt after the last part of the response. A response without length or
          * chunked encoding is complete only if the connection was not reset.
@@ -430,5 +453,8 @@
         /** Responses up to this size need no reservation, so large ones cannot delay them. */
         const val SMALL_RESPONSE_BYTES = 64 * 1_024
         val SUCCESS = 200..299
+
+        /** Lowest status code of server errors. */
+        const val MIN_SERVER_ERROR = 500
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -3,6 +3,7 @@
 import io.greengageport.common.Execution
 import io.greengageport.common.RankName
 import io.greengageport.common.RequestError
+import io.greengageport.common.RequestId
 import io.greengageport.common.RunnerId
 import io.greengageport.gateway.model.BackendServer
 import io.greengageport.gateway.port.Dispatch
@@ -10,13 +11,22 @@
 import io.greengageport.gateway.state.StallCause
 import io.greengageport.routing.RetryDecision
 import io.greengageport.routing.SuspectVerdict
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 
 /**
  * Runs the attempts of one request and sends the response.
  *
  * [runAttempts] sends the request until an attempt is final, no further attempt is allowed or no
  * server is available. [sendResult] then sends the response, unless a streamed one was sent.
+ *
+ * Beside an attempt that is silent runs one that may replace it. Whichever of the two responds
+ * first goes on, and the other one is ended: a silent server may be sound, and the other server may
+ * refuse the request or fail.
  */
 internal class RequestAttempts(
     dependencies: ForwardingDependencies,
@@ -25,7 +35,6 @@
 ) {
     private val exchange = dependencies.exchange
     private val plainSelector = dependencies.plainSelector
-    private val chainSelector = dependencies.chainSelector
     private val directory = dependencies.directory
     private val inFlight = dependencies.inFlight
     private val health = dependencies.health
@@ -37,97 +46,135 @@
     private val log = dependencies.log
     private val clock = dependencies.clock
     private val answersUntilMillis = dependencies.answersUntilMillis
-    private val launchInBackground = dependencies.launchInBackground
     private val retryAfterJitter = dependencies.retryAfterJitter
     private val firstEventTimes = dependencies.firstEventTimes
     private val memory = dependencies.responseMemory.Reservation()
     private val service = context.service
-    private val selector = if (service.engine == null) plainSelector else chainSelector
     private val limit =
         AttemptLimit(context.route.repeatability, context.route.maxAttempts)
     private val timeouts = AttemptTimeouts(context, limit, firstEventTimes, clock)
+    private val targets =
+        RequestTargets(dependencies, context, limit, timeouts.canContinueElsewhere)
+    private val relay = if (context.route.isStreaming) newRelay() else null
 
-    /** Servers that must not receive this request again. */
-    private val excluded = HashSet<RunnerId>()
+    /** The attempts that have not ended: one, and beside a silent one its replacement. */
+    private val running = ArrayList<RunningAttempt>()
 
-    /**
-     * Members of chains that stalled for an unknown reason, and servers with stale connections;
-     * used only if there are no others.
-     */
-    private val avoided = HashSet<RunnerId>()
-    private val relay = if (context.route.isStreaming) newRelay() else null
-    private var reservedRetry: ReservedRetry? = null
+    /** The attempt of [running] that has the response, or gets it unless another one is first. */
+    private var current: RunningAttempt? = null
+    private var startedAttempts = 0
     private var lastEnd: AttemptEnd? = null
     private var hasSelected = false
-    private var startedAtMillis = 0L
     private var retryAfterMillis: Long? = null
 
     /** Runs attempts until the request is complete, cannot be retried or finds no server. */
     suspend fun runAttempts() {
-        try {
-            runUntilFinal()
-        } finally {
-            releaseReservation()
-        }
-    }
-
-    private suspend fun runUntilFinal() {
-        var reserved: Selection? = null
         while (true) {
-            val selection = reserved ?: selectOrWait() ?: return
+            val selection = selectOrWait() ?: return
             hasSelected = true
             if (!hasTimeForAttempt()) return
-            if (!canStart(selection)) return
-            val end = attempt(selection)
-            lastEnd = end
-            limit.recordEnd(end)
-            context.mayHaveRun = limit.hasPossiblyRun
-            observer.onAttempt(service.name, end)
+            val end = runWithReplacements(selection) ?: return
             if (isFinal(end)) return
-            logFailure(selection, end)
             if (!limit.canRetry() || relay?.canContinue == false) return
-            val isDelayed = delaySuspect()
-            val retry = reservedRetry
-            if (retry == null && !budgetAllows(end)) return
-            retry?.let { delay(it.delayMillis) }
-            // The attempt counts itself at its target.
-            releaseReservation()
-            // After a longer delay the reserved server may no longer be available.
-            reserved = retry?.selection?.takeIf { !isDelayed }
+            delaySuspect()
+            if (!budgetAllows(end)) return
         }
     }
 
     /**
-     * The target of a retry for which budget was taken, and the time to wait before it. It counts
-     * as in flight, so that attempts that are given up together do not all reserve one free slot.
+     * Runs an attempt, and its replacements if it is silent, until one of them is final or all have
+     * ended. Returns the last end, or null if the request must not run at the selected servers.
      */
-    private class ReservedRetry(val selection: Selection, val delayMillis: Long)
+    private suspend fun runWithReplacements(selection: Selection): AttemptEnd? {
+        val attempt = newAttempt(selection)
+        if (!canStart(attempt)) return null
+        current = attempt
+        coroutineScope {
+            val group = AttemptGroup(this)
+            group.launch(attempt)
+            group.awaitLastEnd()
+        }
+        return lastEnd
+    }
 
-    private fun releaseReservation() {
-        reservedRetry?.let { updateInFlight(it.selection, inFlight::remove) }
-        reservedRetry = null
+    private fun newAttempt(selection: Selection): RunningAttempt {
+        startedAttempts++
+        val id = context.id.value
+        // Attempts that run at the same time must not share an id.
+        val attemptId = if (startedAttempts == 1) id else "$id/$startedAttempts"
+        return RunningAttempt(RequestId(attemptId), selection)
     }
 
-    /**
-     * Selects the target of the next attempt among the servers that are not [full], or returns null
-     * if none is available. A request suspected of crashing servers does not share a server with
-     * another such request.
-     */
-    private fun select(full: Set<RunnerId> = emptySet()): Selection? {
-        val busy = if (suspects.verdict(context.fingerprint) == SuspectVerdict.CLEAR) {
-            emptySet()
-        } else {
-            suspects.runnersWithMarkedRequests()
+    /** The attempts that run at the same time, in [scope]. */
+    private inner class AttemptGroup(private val scope: CoroutineScope) {
+        /** The ends of attempts; null if the request was not sent. */
+        private val ends = Channel<AttemptEnd?>(Channel.UNLIMITED)
+        private var awaitedEnds = 0
+
+        /**
+         * Runs [attempt] once [prepare] returns, unless that returns false. The attempt counts as
+         * in flight from now on, so that attempts that are replaced together do not all select one
+         * free slot.
+         */
+        fun launch(attempt: RunningAttempt, prepare: suspend () -> Boolean = { true }) {
+            awaitedEnds++
+            running += attempt
+            updateInFlight(attempt.selection, inFlight::add)
+            attempt.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
+                var end: AttemptEnd? = null
+                try {
+                    if (prepare()) end = run(attempt, this@AttemptGroup)
+                } finally {
+                    running -= attempt
+                    updateInFlight(attempt.selection, inFlight::remove)
+                    if (current === attempt) current = running.firstOrNull()
+                    if (attempt.isSuperseded && attempt.isSent) end = AttemptEnd.Superseded
+                    end?.let { recordEnd(attempt, it) }
+                    attempt.hasReplaced.complete(false)
+                    ends.trySend(end)
+                }
+            }
+        }
+
+        /** Waits until an end is final or all attempts have ended, and abandons the others. */
+        suspend fun awaitLastEnd() {
+            while (awaitedEnds > 0) {
+                val end = ends.receive()
+                awaitedEnds--
+                if (end == null || end == AttemptEnd.Superseded) continue
+                lastEnd = end
+                if (isResponse(end)) break
+            }
+            running.toList().forEach(::supersede)
         }
-        val unavailable = excluded + busy + full + pauses.pausedServers()
-        return (if (avoided.isEmpty()) null else selector.select(context, unavailable + avoided))
-            ?: selector.select(context, unavailable)
     }
 
-    private fun canStart(selection: Selection) = suspects.tryStart(
-        context.id,
+    /** Whether [end] is final, and no other attempt has begun a stream before. */
+    private fun isResponse(end: AttemptEnd) =
+        isFinal(end) && (end !is AttemptEnd.Answered || !response.isStarted)
+
+    private fun supersede(attempt: RunningAttempt) {
+        attempt.isSuperseded = true
+        attempt.job.cancel()
+    }
+
+    /** Ends the attempts that were to replace [attempt], which goes on. */
+    private fun supersedeOthers(attempt: RunningAttempt) {
+        if (running.size == 1) return
+        running.filter { it !== attempt && !it.isReplaced }.forEach(::supersede)
+    }
+
+    private fun recordEnd(attempt: RunningAttempt, end: AttemptEnd) {
+        limit.recordEnd(end)
+        context.mayHaveRun = limit.hasPossiblyRun || running.any { it.isSent }
+        observer.onAttempt(service.name, end)
+        if (!isFinal(end)) logFailure(attempt, end)
+    }
+
+    private fun canStart(attempt: RunningAttempt) = suspects.tryStart(
+        attempt.id,
         context.fingerprint,
-        selection.members,
+        attempt.selection.members,
         context.sharedPromptParts,
         events = ::answerEvents
     )
@@ -148,9 +195,10 @@
 
     private fun answerEvents(): Int = relay?.events ?: 0
 
-    private suspend fun attempt(selection: Selection): AttemptEnd {
-        startedAtMillis = clock.monotonicMillis()
-        updateInFlight(selection, inFlight::add)
+    private suspend fun run(attempt: RunningAttempt, group: AttemptGroup): AttemptEnd {
+        val selection = attempt.selection
+        attempt.sentAtMillis = clock.monotonicMillis()
+        attempt.resumedAfterEvent = relay?.lastEventId
         context.isAtServer = true
         context.mayHaveRun = true
         try {
@@ -160,24 +208,52 @@
                 newDispatch(selection),
                 timeouts.headTimeoutMillis(),
                 memory,
-                AttemptSilence(selection),
-                relay,
+                AttemptSilence(attempt, group),
+                relay?.let { readerFor(attempt, it) },
                 monitored
             ) {
                 applyHeaders(selection.server, it)
             }
-            val millis = clock.monotonicMillis() - startedAtMillis
-            // A response without length or chunks ends with its connection, also within an event.
-            val isCutOff = end == AttemptEnd.Streamed && relay?.finish() == false
-            val actualEnd =
-                if (isCutOff) AttemptEnd.Broken("the response ended within an event") else end
-            recordOutcome(selection, actualEnd, millis)
-            return actualEnd
+            val millis = clock.monotonicMillis() - attempt.sentAtMillis
+            return finish(attempt, end).also {
+                targets.recordEnd(attempt, it, millis, answerEvents())
+            }
         } finally {
-            context.isAtServer = false
-            suspects.recordEnd(context.id)
-            updateInFlight(selection, inFlight::remove)
+            context.isAtServer = running.any { it !== attempt && it.isSent }
+            suspects.recordEnd(attempt.id)
+        }
+    }
+
+    /** Completes the response if [end] is that of a whole stream; returns the actual end. */
+    private suspend fun finish(attempt: RunningAttempt, end: AttemptEnd): AttemptEnd {
+        if (end != AttemptEnd.Streamed) return end
+        if (current !== attempt) return AttemptEnd.Superseded
+        supersedeOthers(attempt)
+        // A response without length or chunks ends with its connection, also within an event.
+        val isCutOff = relay?.finish() == false
+        return if (isCutOff) AttemptEnd.Broken("the response ended within an event") else end
+    }
+
+    private fun readerFor(attempt: RunningAttempt, relay: StreamRelay) = ExclusiveReader(
+        relay,
+        tryBegin = { tryBegin(attempt, relay) },
+        hasResponse = { current === attempt }
+    )
+
+    /**
+     * Gives the stream to [attempt], whose response begins. Returns false if another attempt has
+     * replaced it, or has advanced the stream since the request was sent: the events that this one
+     * brings would then repeat others. Comments and repeated events do not advance it.
+     */
+    private fun tryBegin(attempt: RunningAttempt, relay: StreamRelay): Boolean {
+        val hasAdvanced = relay.lastEventId != attempt.resumedAfterEvent || !relay.canContinue
+        if (attempt.isReplaced || hasAdvanced) return false
+        if (current !== attempt) {
+            current?.isReplaced = true
+            current = attempt
+            attempt.hasReplaced.complete(true)
         }
+        return true
     }
 
     /** Applies the load, leaving state and pause that [server] reports in its response headers. */
@@ -207,87 +283,32 @@
         filterHeaders = EndToEndHeaders::of,
         eventTimeoutMillis = timeouts::eventTimeoutMillis,
         resumeAfterId = context.caller.lastEventId,
-        onEvent = { suspects.recordProgress(context.id, it) },
+        onEvent = { events -> current?.let { suspects.recordProgress(it.id, events) } },
         onFirstEvent = {
-            firstEventTimes.record(service.name, clock.monotonicMillis() - startedAtMillis)
+            current?.let { firstEventTimes.record(service.name, millisSinceSent(it)) }
             observer.onFirstEvent(context)
         }
     )
 
-    /**
-     * Updates the health and crash state of the servers after an attempt, and excludes those that
-     * failed.
-     */
-    private suspend fun recordOutcome(selection: Selection, end: AttemptEnd, millis: Long) {
-        val first = selection.server.id
-        when (end) {
-            is AttemptEnd.Streamed -> {
-                suspects.recordCompletion(context.id, hasAnswer = answerEvents() > 0)
-                health.recordSuccess(selection.members, 1)
-            }
-
-            is AttemptEnd.Answered -> if (end.reply.status < MIN_SERVER_ERROR) {
-                val hasAnswer = end.reply.status < MIN_REDIRECT
-                suspects.recordCompletion(context.id, hasAnswer)
-                health.recordSuccess(selection.members, millis)
-            } else {
-                excluded += first
-                health.recordFailure(service.name, listOf(first))
-            }
-
-            is AttemptEnd.NotConnected -> {
-                excluded += first
-                suspects.recordRefusedConnection(first)
-                health.markUnreachable(service.name, first)
-            }
-
-            is AttemptEnd.NotRun -> {
-                val stage = end.stage?.let { directory.findByAddress(it)?.id }
-                excluded += stage ?: first
-                // A full server reports that itself; another stage may be unreachable.
-                if (stage != null && stage != first) {
-                    launchInBackground { health.recordStageRefusal(service.name, stage) }
-                }
-            }
-
-            is AttemptEnd.Broken -> excludeFailed(selection, end)
-
-            is AttemptEnd.CallerGone -> Unit
-        }
-    }
-
-    private suspend fun excludeFailed(selection: Selection, end: AttemptEnd.Broken) {
-        // The failure was recorded before the attempt was given up.
-        if (end.isSilent) return
-        val first = selection.server.id
-        if (end.isStaleConnection) {
-            avoided += first
-            health.recordFailure(service.name, listOf(first))
-            return
-        }
-        suspects.recordLostConnection(first)
-        if (timeouts.canContinueElsewhere) {
-            checkForCrash(first)
-        } else {
-            launchInBackground { checkForCrash(first) }
-        }
-        excluded += first
-        health.recordFailure(service.name, listOf(first))
-    }
+    private fun millisSinceSent(attempt: RunningAttempt) =
+        clock.monotonicMillis() - attempt.sentAtMillis
 
     /**
-     * Gives up a silent attempt only if another one can replace it: a server that is only slow
-     * would still complete the response. Without a replacement the attempt ends with its server, at
-     * the deadline or when the caller disconnects. That its first stage waits for another stage is
-     * no reason to end it: that stage may be sound, and if it is lost, the first stage ends the
-     * response itself.
+     * Starts another attempt beside a silent one, which is given up once the other one responds.
+     * If there is none, the attempt ends with its server, at the deadline or when the caller
+     * disconnects. That its first stage waits for another stage is no reason to end it: that stage
+     * may be sound, and if it is lost, the first stage ends the response itself.
      */
-    private inner class AttemptSilence(private val selection: Selection) : SilencePolicy {
+    private inner class AttemptSilence(
+        private val attempt: RunningAttempt,
+        private val group: AttemptGroup
+    ) : SilencePolicy {
         private var examinations = 0
         private var cause: StallCause? = null
 
         override suspend fun examine() {
             examinations++
+            val selection = attempt.selection
             if (selection.members.size == 1) return
             val unreachable = selection.members.filterTo(HashSet(), health::isUnreachable)
             // Whether a server is unreachable can be known from a slow connection only.
@@ -298,110 +319,65 @@
             }
         }
 
-        override fun shouldGiveUp(): Boolean {
-            recordSilence(selection, cause, isFirst = examinations == 1)
-            val hasReplacement = reserveRetry(shouldLog = examinations == 1)
-            logDecision(hasReplacement)
-            return hasReplacement
+        override suspend fun awaitReplacement(): Boolean {
+            targets.recordSilence(attempt, cause, isFirst = examinations == 1)
+            if (current !== attempt) return false
+            val other = running.firstOrNull { it !== attempt } ?: startReplacement()
+            logDecision(other)
+            return other?.hasReplaced?.await() ?: false
         }
 
-        private fun logDecision(isGivenUp: Boolean) = log.record(
+        override fun onAdvance() {
+            if (current === attempt) supersedeOthers(attempt)
+        }
+
+        private fun startReplacement(): RunningAttempt? {
+            val selection = selectReplacement() ?: return null
+            val decision = tryRetry(limit.sends + 1, shouldLog = examinations == 1)
+            if (decision !is RetryDecision.Allowed) return null
+            val other = newAttempt(selection)
+            group.launch(other) {
+                delaySuspect()
+                delay(decision.delayMillis)
+                targets.isAvailable(selection) && canStart(other)
+            }
+            return other
+        }
+
+        private fun logDecision(other: RunningAttempt?) = log.record(
             "silence",
-            if (isGivenUp) "given_up" else "kept",
+            if (other == null) "kept" else "replacing",
             "request" to context.id,
-            "server" to selection.server.id,
+            "server" to attempt.selection.server.id,
             "cause" to cause,
-            "replacement" to reservedRetry?.selection?.server?.id,
+            "replacement" to other?.selection?.server?.id,
             "examinations" to examinations,
             "events" to relay?.events,
-            "attempt_ms" to clock.monotonicMillis() - startedAtMillis
+            "attempt_ms" to millisSinceSent(attempt)
         )
     }
 
-    /**
-     * Excludes the servers that caused a silence. [cause] is null for a plain server, and [isFirst]
-     * is false if the same silence was recorded before.
-     */
-    private fun recordSilence(selection: Selection, cause: StallCause?, isFirst: Boolean) {
-        val first = selection.server.id
-        when (cause) {
-            null -> if (isFirst) {
-                excluded += first
-                health.recordFailure(service.name, listOf(first))
-            }
-
-            is StallCause.Stages -> {
-                val stages = cause.stages.filter { it in selection.members && excluded.add(it) }
-                stages.forEach(suspects::recordLostConnection)
-                stages.forEach { health.markUnreachable(service.name, it) }
-            }
-
-            is StallCause.FirstStage -> if (excluded.add(first)) {
-                health.markUnreachable(service.name, first)
-            }
-
-            is StallCause.Unknown -> {
-                avoided += selection.members
-                // No stage failed, so the service is slow as a whole. A longer estimate prevents
-                // retries that would slow it down further.
-                val waitedMillis = clock.monotonicMillis() - startedAtMillis
-                if (isFirst) firstEventTimes.record(service.name, TIMED_OUT_FACTOR * waitedMillis)
-            }
-        }
-    }
-
-    /** Selects the target of a retry and takes its budget; returns false if one is missing. */
-    private fun reserveRetry(shouldLog: Boolean): Boolean {
-        if (!limit.canRetryAfterRun() || relay?.canContinue == false) return false
-        if (timeouts.remainingMillis <= 0 || !hasTimeForAttempt()) return false
+    /** Returns the target of another attempt beside a silent one, or null if none is possible. */
+    private fun selectReplacement(): Selection? {
+        if (!limit.canRetryAfterRun() || relay?.canContinue == false) return null
+        if (timeouts.remainingMillis <= 0 || !hasTimeForAttempt()) return null
         val isBlocked = suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED ||
             suspects.findBlockedPart(context.sharedPromptParts) != null
-        if (isBlocked) return false
-        // A full server would refuse the request, while the silent one may go on.
-        val selection = select(full = fullServers()) ?: return false
-        releaseReservation()
-        when (val decision = tryRetry(limit.sends + 1, shouldLog)) {
-            is RetryDecision.Allowed -> {
-                updateInFlight(selection, inFlight::add)
-                reservedRetry = ReservedRetry(selection, decision.delayMillis)
-            }
-
-            is RetryDecision.Denied -> Unit
-        }
-        return reservedRetry != null
-    }
-
-    /**
-     * The servers of a plain service without a free slot. Engines count as free: the admission
-     * queue limits their requests.
-     */
-    private fun fullServers(): Set<RunnerId> = if (service.engine != null) {
-        emptySet()
-    } else {
-        directory.usableServers(service.name).filterNot(plainSelector::hasFreeSlot)
-            .mapTo(HashSet()) { it.id }
-    }
-
-    /**
-     * Finds out whether [server] crashed after a lost connection. Other attempts avoid it from then
-     * on, so none of them would notice, and the request that crashed it could crash further ones.
-     */
-    private suspend fun checkForCrash(server: RunnerId) {
-        // A server that accepts connections may have restarted, which its next list entry shows.
-        if (health.acceptsConnections(service.name, server) != false) return
-        suspects.recordRefusedConnection(server)
-        limit.recordServerLost()
+        return if (isBlocked) null else targets.selectReplacement()
     }
 
     private fun isFinal(end: AttemptEnd): Boolean = when (end) {
         is AttemptEnd.Streamed, is AttemptEnd.CallerGone -> true
+
         is AttemptEnd.Answered -> end.reply.status < MIN_SERVER_ERROR
-        is AttemptEnd.NotConnected, is AttemptEnd.NotRun, is AttemptEnd.Broken -> false
+
+        is AttemptEnd.NotConnected, is AttemptEnd.NotRun, is AttemptEnd.Broken,
+        is AttemptEnd.Superseded -> false
     }
 
     private suspend fun budgetAllows(end: AttemptEnd): Boolean {
         // The request was not sent, so the next attempt adds no load and needs no budget.
-        if (end is AttemptEnd.NotConnected) return excluded.size <= MAX_UNREACHABLE_SERVERS
+        if (end is AttemptEnd.NotConnected) return targets.excludedCount <= MAX_UNREACHABLE_SERVERS
         return when (val decision = tryRetry(maxOf(1, limit.sends))) {
             is RetryDecision.Allowed -> {
                 delay(decision.delayMillis)
@@ -425,14 +401,13 @@
     /**
      * Delays the retry of a request that may have crashed its server. A second crash would break
      * the answers that have just moved to another server; and if a part of the prompt is the cause,
-     * another request with it has often shown that meanwhile. Returns whether it was delayed.
+     * another request with it has often shown that meanwhile.
      */
-    private suspend fun delaySuspect(): Boolean {
-        if (context.sharedPromptParts.isEmpty() || !isSuspect()) return false
+    private suspend fun delaySuspect() {
+        if (context.sharedPromptParts.isEmpty() || !isSuspect()) return
         // A request that will not run again gets its final response at once.
-        if (suspects.findBlockedPart(context.sharedPromptParts) != null) return false
+        if (suspects.findBlockedPart(context.sharedPromptParts) != null) return
         delay(minOf(SUSPECT_DELAY_MILLIS, millisToWaitAsSuspect()))
-        return true
     }
 
     /** Whether the request may have crashed a server, is not blocked, and no answer has begun. */
@@ -452,7 +427,7 @@
     /** Selects a target; a suspect waits while other suspects run on all servers that are left. */
     private suspend fun selectOrWait(): Selection? {
         while (true) {
-            select()?.let { return it }
+            targets.select()?.let { return it }
             val canWait = suspects.runnersWithMarkedRequests().isNotEmpty() && isSuspect() &&
                 millisToWaitAsSuspect() > SUSPECT_CHECK_INTERVAL_MILLIS
             if (!canWait) return null
@@ -460,10 +435,11 @@
         }
     }
 
-    private fun logFailure(selection: Selection, end: AttemptEnd) {
+    private fun logFailure(attempt: RunningAttempt, end: AttemptEnd) {
+        val selection = attempt.selection
         log.record(
             "attempt",
-            "failed",
+            if (end is AttemptEnd.Superseded) "superseded" else "failed",
             "request" to context.id,
             "end" to describe(end),
             "server" to selection.server.id,
@@ -578,17 +554,10 @@
      */
     private fun noCapacityRetryMillis(): Long {
         suspects.findBlockedPart(context.sharedPromptParts)?.let { return it.retryAfterMillis }
-        val servers = directory.usableServers(service.name).map { it.id }
-        val isPausing =
-            service.engine != null || servers.all { it in excluded || pauses.isPaused(it) }
-        val pauseEndMillis = if (isPausing) pauses.millisUntilFirstEnd(servers) else null
-        return pauseEndMillis ?: RECOVERY_MILLIS
+        return targets.millisUntilPauseEnds() ?: RECOVERY_MILLIS
     }
 
     private companion object {
-        /** Lowest status code of responses that are no answers. */
-        const val MIN_REDIRECT = 300
-
         /** Lowest status code of server errors. */
         const val MIN_SERVER_ERROR = 500
 
@@ -601,9 +570,6 @@
          */
         const val MAX_NEEDED_MILLIS = 2_000L
 
-        /** Estimated time to first event of a timed-out attempt, as a multiple of its wait. */
-        const val TIMED_OUT_FACTOR = 2
-
         /** Time after which the answers that a crash broke have moved to other servers. */
         const val SUSPECT_DELAY_MILLIS = 1_200L
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ResponseReader.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ResponseReader.kt
@@ -26,4 +26,7 @@
 
     /** The caller closed its connection. */
     data object CallerGone : PartResult
+
+    /** Another attempt of the request has begun or advanced the response. */
+    data object Superseded : PartResult
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RunningAttempt.kt
@@ -0,0 +1,35 @@
+package io.greengageport.gateway.forward
+
+import io.greengageport.common.RequestId
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Job
+
+/**
+ * An attempt of a request at the servers of [selection], beside which another one may run.
+ *
+ * [id] identifies the attempt among those of all requests.
+ */
+internal class RunningAttempt(val id: RequestId, val selection: Selection) {
+    /** The work on the attempt, from its start. */
+    lateinit var job: Job
+
+    /** When the request was sent, in ms on the monotonic clock; 0 before. */
+    var sentAtMillis = 0L
+
+    val isSent: Boolean get() = sentAtMillis > 0
+
+    /** The last event id of the stream when the request was sent, or null if there was none. */
+    var resumedAfterEvent: Long? = null
+
+    /** Whether another attempt has begun the response in place of this one. */
+    var isReplaced = false
+
+    /** Whether it was cancelled, because the attempt that it was to replace went on. */
+    var isSuperseded = false
+
+    /**
+     * Completes with true when the attempt has begun the response in place of another one, and
+     * with false when it has ended without that.
+     */
+    val hasReplaced = CompletableDeferred<Boolean>()
+}
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/SilencePolicy.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/SilencePolicy.kt
@@ -1,13 +1,21 @@
 package io.greengageport.gateway.forward
 
-/** Decides whether an attempt whose response does not advance in time is given up. */
+/**
+ * Replaces an attempt whose response does not advance in time.
+ *
+ * A silent server may be sound and go on, so the attempt is given up only once another one has
+ * begun its response.
+ */
 internal interface SilencePolicy {
     /** Finds out why the response does not advance, which may take some hundred milliseconds. */
     suspend fun examine()
 
     /**
-     * Returns whether to give up the attempt; called after [examine], if the response has not
-     * advanced meanwhile.
+     * Tries to replace the attempt, and returns whether another one has begun its response; called
+     * after [examine], if the response has not advanced meanwhile.
      */
-    fun shouldGiveUp(): Boolean
+    suspend fun awaitReplacement(): Boolean
+
+    /** Called when the response begins or advances, so that it needs no replacement. */
+    fun onAdvance()
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/EndlessPartsTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/EndlessPartsTest.kt
@@ -51,7 +51,9 @@
     private val policy = object : SilencePolicy {
         override suspend fun examine() = Unit
 
-        override fun shouldGiveUp() = true
+        override suspend fun awaitReplacement() = true
+
+        override fun onAdvance() = Unit
     }
 
     /** Takes parts slowly, none of which advances the response. */
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/SilenceDecidedTwiceTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/SilenceDecidedTwiceTest.kt
@@ -35,8 +35,8 @@
 import strikt.assertions.isEqualTo
 
 /**
- * Guards against a stream that is given up for a reserved retry and then loses the reservation: the
- * decision can report the lost stage to all attempts, this one included, which decided again.
+ * Guards against a stream that is replaced twice: the decision to replace it can report the lost
+ * stage to all attempts, this one included, which decided again.
  */
 class SilenceDecidedTwiceTest {
     private val loop = EventLoop()
@@ -47,11 +47,13 @@
     private val policy = object : SilencePolicy {
         override suspend fun examine() = Unit
 
-        override fun shouldGiveUp(): Boolean {
+        override suspend fun awaitReplacement(): Boolean {
             decisions++
             notifier.notifyUnreachable(stage.id)
             return true
         }
+
+        override fun onAdvance() = Unit
     }
 
     private fun context() = RequestContext(
