Fail a request whose attempt is cancelled from elsewhere

Cause: an attempt now runs in a coroutine of its own, and a coroutine that ends with a CancellationException counts as cancelled, not as failed. Change: unless the request or the attempt itself was cancelled, the exception is passed to the code that waits for the end of the attempt.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -11,11 +11,13 @@
 import io.greengageport.gateway.state.StallCause
 import io.greengageport.routing.RetryDecision
 import io.greengageport.routing.SuspectVerdict
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 
 /**
@@ -124,6 +126,10 @@
                 var end: AttemptEnd? = null
                 try {
                     if (prepare()) end = run(attempt, this@AttemptGroup)
+                } catch (e: CancellationException) {
+                    // An await that was cancelled elsewhere throws this too; the request fails.
+                    if (scope.isActive && !attempt.isSuperseded) ends.close(e)
+                    throw e
                 } finally {
                     running -= attempt
                     updateInFlight(attempt.selection, inFlight::remove)
