Let an event, not a response head, replace a silent attempt

What callers saw, since the attempts of a request run beside each other: a stream was broken off, or a request ended with 504, when the replacement of a silent attempt sent only a response head, was lost after it or sent no stream; when the silent server sent only its head and the replacement, which worked, was reset for it; and when the silent response ended within an event while its replacement was starting. Cause: a response head and an end that is not examined are signs as well. Both ended the other attempt. Change: each attempt of a stream reads its own response (AttemptStream), and takes the stream over with its first event, or with its whole end; a head and comments end nothing. A plain request takes the first complete answer. An end within an event is found before the other attempt is ended. Each attempt has a reservation of memory of its own, and several coroutines can wait until a connection is writable, since an attempt that is replaced may wait while the other one writes.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -300,7 +300,8 @@
                 val result = reader?.onHead(status, headers, responseHeaders)
                 if (result != null) return handleResult(result)
             }
-            return handleResult(PartResult.Progress(BODY_TIMEOUT_MILLIS))
+            restartTimeout(BODY_TIMEOUT_MILLIS)
+            return null
         }
 
         /** Ignores a response up to its end, unless the server sends such responses without end. */
@@ -313,12 +314,12 @@
         private suspend fun handleContent(part: HttpContent): AttemptEnd? {
             if (currentResponse != null && !isIgnored && part.content().isReadable) {
                 hasContent = true
-                val end = if (reader != null && isSuccess()) {
-                    reader.onPart(part.content())
-                } else {
-                    buffer(part.content())
-                }
+                val isStream = reader != null && isSuccess()
+                val end =
+                    if (isStream) reader.onPart(part.content()) else buffer(part.content())
                 handleResult(end)?.let { return it }
+                // Only an event shows that the stream goes on; the rest of a body may never come.
+                if (isStream && end is PartResult.Progress) silencePolicy.onAdvance()
             }
             if (part !is LastHttpContent) return null
             val responseHeaders = currentResponse
@@ -332,17 +333,10 @@
         /** Applies the [result] of a part; returns the end of the attempt if it cannot go on. */
         private fun handleResult(result: PartResult): AttemptEnd? {
             when (result) {
-                is PartResult.Progress -> {
-                    restartTimeout(result.timeoutMillis)
-                    if (isAnswer()) silencePolicy.onAdvance()
-                }
-
+                is PartResult.Progress -> restartTimeout(result.timeoutMillis)
                 is PartResult.NoProgress -> Unit
-
                 is PartResult.Malformed -> return AttemptEnd.Broken("$address: ${result.reason}")
-
                 is PartResult.CallerGone -> return AttemptEnd.CallerGone
-
                 is PartResult.Superseded -> return AttemptEnd.Superseded
             }
             return null
@@ -374,9 +368,6 @@
 
         private fun isSuccess() = status in SUCCESS
 
-        /** Whether the response, if it is complete, is the answer that the caller gets. */
-        private fun isAnswer() = status < MIN_SERVER_ERROR && currentResponse?.isNotRun == false
-
         /**
          * Ends the attempt after the last part of the response. A response without length or
          * chunked encoding is complete only if the connection was not reset.
@@ -453,8 +444,5 @@
         /** Responses up to this size need no reservation, so large ones cannot delay them. */
         const val SMALL_RESPONSE_BYTES = 64 * 1_024
         val SUCCESS = 200..299
-
-        /** Lowest status code of server errors. */
-        const val MIN_SERVER_ERROR = 500
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -50,7 +50,8 @@
     private val answersUntilMillis = dependencies.answersUntilMillis
     private val retryAfterJitter = dependencies.retryAfterJitter
     private val firstEventTimes = dependencies.firstEventTimes
-    private val memory = dependencies.responseMemory.Reservation()
+    private val responseMemory = dependencies.responseMemory
+    private var answerMemory: ResponseMemory.Reservation? = null
     private val service = context.service
     private val limit =
         AttemptLimit(context.route.repeatability, context.route.maxAttempts)
@@ -62,7 +63,7 @@
     /** The attempts that have not ended: one, and beside a silent one its replacement. */
     private val running = ArrayList<RunningAttempt>()
 
-    /** The attempt of [running] that has the response, or gets it unless another one is first. */
+    /** The attempt of [running] that has the stream; null if it has ended beside another one. */
     private var current: RunningAttempt? = null
     private var startedAttempts = 0
     private var lastEnd: AttemptEnd? = null
@@ -91,12 +92,11 @@
         val attempt = newAttempt(selection)
         if (!canStart(attempt)) return null
         current = attempt
-        coroutineScope {
+        return coroutineScope {
             val group = AttemptGroup(this)
             group.launch(attempt)
             group.awaitLastEnd()
         }
-        return lastEnd
     }
 
     private fun newAttempt(selection: Selection): RunningAttempt {
@@ -121,6 +121,8 @@
         fun launch(attempt: RunningAttempt, prepare: suspend () -> Boolean = { true }) {
             awaitedEnds++
             running += attempt
+            // What waits for memory must not hold some, or all could wait for each other.
+            keepAnswerMemory(null)
             updateInFlight(attempt.selection, inFlight::add)
             attempt.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 var end: AttemptEnd? = null
@@ -133,7 +135,7 @@
                 } finally {
                     running -= attempt
                     updateInFlight(attempt.selection, inFlight::remove)
-                    if (current === attempt) current = running.firstOrNull()
+                    if (current === attempt) current = null
                     if (attempt.isSuperseded && attempt.isSent) end = AttemptEnd.Superseded
                     end?.let { recordEnd(attempt, it) }
                     attempt.hasReplaced.complete(false)
@@ -142,16 +144,22 @@
             }
         }
 
-        /** Waits until an end is final or all attempts have ended, and abandons the others. */
-        suspend fun awaitLastEnd() {
+        /**
+         * Waits until an end is final or all attempts have ended, and abandons the others. Returns
+         * the last end.
+         */
+        suspend fun awaitLastEnd(): AttemptEnd? {
+            var last: AttemptEnd? = null
             while (awaitedEnds > 0) {
                 val end = ends.receive()
                 awaitedEnds--
                 if (end == null || end == AttemptEnd.Superseded) continue
-                lastEnd = end
+                last = end
                 if (isResponse(end)) break
             }
             running.toList().forEach(::supersede)
+            lastEnd = last ?: lastEnd
+            return last
         }
     }
 
@@ -205,8 +213,11 @@
         val selection = attempt.selection
         attempt.sentAtMillis = clock.monotonicMillis()
         attempt.resumedAfterEvent = relay?.lastEventId
+        attempt.stream = relay?.let { newStream(attempt, it) }
         context.isAtServer = true
         context.mayHaveRun = true
+        val memory = responseMemory.Reservation()
+        var answer: AttemptEnd? = null
         try {
             val monitored = if (timeouts.canContinueElsewhere) selection.members else emptyList()
             val end = exchange.run(
@@ -215,50 +226,60 @@
                 timeouts.headTimeoutMillis(),
                 memory,
                 AttemptSilence(attempt, group),
-                relay?.let { readerFor(attempt, it) },
+                attempt.stream,
                 monitored
             ) {
                 applyHeaders(selection.server, it)
             }
             val millis = clock.monotonicMillis() - attempt.sentAtMillis
+            answer = end as? AttemptEnd.Answered
             return finish(attempt, end).also {
                 targets.recordEnd(attempt, it, millis, answerEvents())
             }
         } finally {
+            val isKept = answer != null && (isFinal(answer) || running.size == 1)
+            if (isKept) keepAnswerMemory(memory) else memory.close()
             context.isAtServer = running.any { it !== attempt && it.isSent }
             suspects.recordEnd(attempt.id)
         }
     }
 
+    /** Keeps the memory of the last answer until the response was sent. */
+    private fun keepAnswerMemory(memory: ResponseMemory.Reservation?) {
+        answerMemory?.close()
+        answerMemory = memory
+    }
+
     /** Completes the response if [end] is that of a whole stream; returns the actual end. */
     private suspend fun finish(attempt: RunningAttempt, end: AttemptEnd): AttemptEnd {
-        if (end != AttemptEnd.Streamed) return end
-        if (current !== attempt) return AttemptEnd.Superseded
-        supersedeOthers(attempt)
+        val stream = attempt.stream
+        if (end != AttemptEnd.Streamed || stream == null) return end
         // A response without length or chunks ends with its connection, also within an event.
-        val isCutOff = relay?.finish() == false
-        return if (isCutOff) AttemptEnd.Broken("the response ended within an event") else end
+        if (stream.isWithinEvent) return AttemptEnd.Broken("the response ended within an event")
+        if (current !== attempt && !tryTakeOver(attempt)) return AttemptEnd.Superseded
+        supersedeOthers(attempt)
+        stream.finish()
+        return end
     }
 
-    private fun readerFor(attempt: RunningAttempt, relay: StreamRelay) = ExclusiveReader(
+    private fun newStream(attempt: RunningAttempt, relay: StreamRelay) = AttemptStream(
         relay,
-        tryBegin = { tryBegin(attempt, relay) },
-        hasResponse = { current === attempt }
+        hasStream = { current === attempt },
+        tryTakeOver = { tryTakeOver(attempt) }
     )
 
     /**
-     * Gives the stream to [attempt], whose response begins. Returns false if another attempt has
-     * replaced it, or has advanced the stream since the request was sent: the events that this one
-     * brings would then repeat others. Comments and repeated events do not advance it.
+     * Gives the stream to [attempt]. Returns false if another attempt has replaced it, or has
+     * advanced the stream since the request was sent: the events that this one brings would then
+     * repeat others. Comments and repeated events do not advance it.
      */
-    private fun tryBegin(attempt: RunningAttempt, relay: StreamRelay): Boolean {
-        val hasAdvanced = relay.lastEventId != attempt.resumedAfterEvent || !relay.canContinue
+    private fun tryTakeOver(attempt: RunningAttempt): Boolean {
+        val hasAdvanced =
+            relay?.lastEventId != attempt.resumedAfterEvent || relay?.canContinue == false
         if (attempt.isReplaced || hasAdvanced) return false
-        if (current !== attempt) {
-            current?.isReplaced = true
-            current = attempt
-            attempt.hasReplaced.complete(true)
-        }
+        current?.isReplaced = true
+        current = attempt
+        attempt.hasReplaced.complete(true)
         return true
     }
 
@@ -327,7 +348,7 @@
 
         override suspend fun awaitReplacement(): Boolean {
             targets.recordSilence(attempt, cause, isFirst = examinations == 1)
-            if (current !== attempt) return false
+            if (running.size > 1 && current !== attempt) return false
             val other = running.firstOrNull { it !== attempt } ?: startReplacement()
             logDecision(other)
             return other?.hasReplaced?.await() ?: false
@@ -491,7 +512,7 @@
     }
 
     /** Releases the memory of the response, once it was sent. */
-    fun release() = memory.close()
+    fun release() = keepAnswerMemory(null)
 
     /** Sends [error] without any attempt. */
     suspend fun refuse(error: RequestError) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RunningAttempt.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RunningAttempt.kt
@@ -18,17 +18,20 @@
 
     val isSent: Boolean get() = sentAtMillis > 0
 
+    /** The streamed response of the attempt, or null if the route has none or it was not sent. */
+    var stream: AttemptStream? = null
+
     /** The last event id of the stream when the request was sent, or null if there was none. */
     var resumedAfterEvent: Long? = null
 
-    /** Whether another attempt has begun the response in place of this one. */
+    /** Whether another attempt has advanced the stream in place of this one. */
     var isReplaced = false
 
     /** Whether it was cancelled, because the attempt that it was to replace went on. */
     var isSuperseded = false
 
     /**
-     * Completes with true when the attempt has begun the response in place of another one, and
+     * Completes with true when the attempt has advanced the stream in place of another one, and
      * with false when it has ended without that.
      */
     val hasReplaced = CompletableDeferred<Boolean>()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -32,7 +32,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private val received = ArrayDeque<HttpObject>()
     private var receiver: CancellableContinuation<Unit>? = null
-    private var writer: CancellableContinuation<Unit>? = null
+    private val writers = ArrayList<CancellableContinuation<Unit>>()
 
     /** Whether the connection is closed; parts received before can still be taken. */
     public var isClosed: Boolean = false
@@ -164,8 +164,8 @@
 
     private suspend fun awaitWritable() {
         suspendCancellableCoroutine { c ->
-            writer = c
-            c.invokeOnCancellation { if (writer === c) writer = null }
+            writers += c
+            c.invokeOnCancellation { writers -= c }
         }
     }
 
@@ -211,14 +211,14 @@
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isClosed = true
         resumeReceiver()
-        resumeWriter()
+        resumeWriters()
         val listener = onClosed
         onClosed = null
         listener?.invoke()
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
-        if (channel.isWritable) resumeWriter()
+        if (channel.isWritable) resumeWriters()
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
@@ -247,10 +247,10 @@
         c.resume(Unit)
     }
 
-    private fun resumeWriter() {
-        val c = writer ?: return
-        writer = null
-        c.resume(Unit)
+    private fun resumeWriters() {
+        val waiting = writers.toList()
+        writers.clear()
+        waiting.forEach { it.resume(Unit) }
     }
 
     /** Releases all bytes before they reach the HTTP decoder. */
