End a stop although refused callers retry

Cause: the stop waits until no request is left, and counted those that it refuses. If all gateways stop, the load balancer uses all of them and callers retry at once, so there is nearly always a refusal under way.

Change: connections opened after the instance stopped accepting requests carry only requests that are refused. They prolong the stop by a second at most; then only connections opened before count, until their accepted requests are answered. A load balancer that learns late still gets refusals for that second.

Measured: RefusalsStopTest, callers who send requests in two parts, grace period 8 s: before, both tests failed, the stop ended after 7,649 and 7,647 ms; now it ends after 3,945 ms, and 4,803 ms with an accepted request of 4.7 s, which is answered. RefusalsStopTest, GatewayStopTest, ShortGraceStopTest, RepeatedStopTest, SilentServerStopTest and MalformedInputTest: 34 test cases pass.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -15,7 +15,8 @@
  * 1. Until [acceptsUntilMillis], requests are served while the load balancer learns that the
  *    instance is not ready.
  * 2. Then new requests are refused, and so are those that no server has got yet: another instance
- *    has more time for them. Idle connections are closed. The phase ends when no request is left.
+ *    has more time for them. Idle connections are closed. The phase ends when no accepted request
+ *    is left; refusals prolong it until [refusesUntilMillis] at most.
  * 3. [ANSWER_MARGIN_MILLIS] before the end of the grace period, the requests that no answer has
  *    begun for are answered, and [BREAK_MARGIN_MILLIS] before it, the answers that have begun are
  *    broken off.
@@ -45,7 +46,12 @@
     val acceptsUntilMillis: Long =
         minOf(signalledAtMillis + BALANCER_NOTICE_MILLIS, answerAtMillis)
 
-    /** Returns when every request has its answer, or shortly before the grace period ends. */
+    private val refusesUntilMillis = acceptsUntilMillis + REFUSAL_MILLIS
+
+    /**
+     * Returns when every accepted request has its answer and refusals are rare or were sent for
+     * [REFUSAL_MILLIS], or shortly before the grace period ends.
+     */
     suspend fun run() {
         while (clock.monotonicMillis() < acceptsUntilMillis) delay(CHECK_INTERVAL_MILLIS)
         router.interrupt { it.phase == Phase.WAITING && it.context?.wasAtServer != true }
@@ -62,7 +68,17 @@
     private fun scaled(marginMillis: Long) =
         marginMillis * minOf(graceMillis, FULL_MARGINS_GRACE_MILLIS) / FULL_MARGINS_GRACE_MILLIS
 
-    private fun isBusy() = router.inFlight > 0 || connections.any { it.isActive }
+    /**
+     * Whether a request has no complete answer yet. Requests on connections opened after
+     * [acceptsUntilMillis] are all refused, and callers who retry at once would otherwise keep the
+     * instance running until its grace period ends.
+     */
+    private fun isBusy(): Boolean {
+        val countsRefusals = clock.monotonicMillis() < refusesUntilMillis
+        return connections.any {
+            it.isActive && (countsRefusals || it.openedAtMillis < acceptsUntilMillis)
+        }
+    }
 
     /** Closes idle connections until [condition] is false, or until [untilMillis]. */
     private suspend fun awaitRequests(untilMillis: Long, condition: () -> Boolean) {
@@ -105,6 +121,12 @@
          * failures.
          */
         const val BALANCER_NOTICE_MILLIS = 2_800L
+
+        /**
+         * A load balancer that checks readiness late, once a second, still gets refusals instead of
+         * failed connections.
+         */
+        const val REFUSAL_MILLIS = 1_000L
         const val CHECK_INTERVAL_MILLIS = 20L
 
         /** Leaves time for the answers to be sent, also if the thread is delayed by 100 ms. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -48,7 +48,8 @@
     private val clock: Clock,
     private val maxHeaderBytes: () -> Int = { limits().maxHeaderBytes }
 ) {
-    private val openedAtMillis = clock.monotonicMillis()
+    /** When the connection was accepted, in ms on the monotonic clock. */
+    val openedAtMillis: Long = clock.monotonicMillis()
     private var hasServed = false
 
     /** Whether an answer tells the caller that the connection ends. */
