Let a request run again on a server whose kept connection was stale

Callers of streams over chains saw broken-off streams although a server was left that continues them. A response without an attempt id on a kept connection can belong to an earlier request, so the attempt counted as a run. With the attempt that it was to replace, the runs of a route with two attempts were used up, and the stream ended with its first chain.

The route bounds the number of servers, and a second run on the same server adds none. AttemptLimit now allows one attempt more at a server whose kept connection was stale, and RequestTargets selects no other server beyond the limit. The retry uses a new connection, so it cannot be stale again. The number of sends and the retry budget bound it as before, and requests that must run at most once are not retried.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
@@ -1,5 +1,6 @@
 package io.greengageport.gateway.forward
 
+import io.greengageport.common.RunnerId
 import io.greengageport.gateway.model.Repeatability
 
 /**
@@ -8,7 +9,8 @@
  * An attempt that certainly did not run can be retried for every kind of request. An attempt that
  * may have run can be retried only if the request may run more than once. The route bounds the
  * number of servers on which a request may run ([maxRuns]), not counting one that crashed
- * meanwhile; [maxSends] also bounds the number of sends, including those that servers refused.
+ * meanwhile. A second run on the same server adds none. [maxSends] also bounds the number of sends,
+ * including those that servers refused.
  */
 internal class AttemptLimit(
     private val repeatability: Repeatability,
@@ -22,8 +24,18 @@
     /** Attempts of [runs] whose server crashed meanwhile. */
     private var lostServers = 0
 
+    /** Servers on which an attempt ended with a response that may not have been its own. */
+    private val unansweredServers = HashSet<RunnerId>()
+
+    /** Attempts of [runs] at a server of [unansweredServers] after the first one there. */
+    private var repeatedRuns = 0
+
     /** Number of attempts that count towards [maxRuns]. */
-    val countedRuns: Int get() = runs - minOf(lostServers, MAX_UNCOUNTED_SERVERS)
+    val countedRuns: Int
+        get() = runs - minOf(lostServers, MAX_UNCOUNTED_SERVERS) - repeatedRuns
+
+    /** Whether a further attempt may be at a server where the request has not run. */
+    val canRunElsewhere: Boolean get() = countedRuns < maxRuns
 
     /** Number of attempts in which the request was sent, including refused ones. */
     var sends: Int = 0
@@ -32,8 +44,12 @@
     /** Whether the request may have run in at least one attempt. */
     val hasPossiblyRun: Boolean get() = runs > 0
 
-    /** Counts an attempt that ended with [end]. */
-    fun recordEnd(end: AttemptEnd) {
+    /** Counts an attempt at [server] that ended with [end]. */
+    fun recordEnd(end: AttemptEnd, server: RunnerId? = null) {
+        if (server != null && unansweredServers.remove(server) && mayHaveRun(end)) repeatedRuns++
+        if (server != null && end is AttemptEnd.Broken && end.isStaleConnection) {
+            unansweredServers += server
+        }
         when (end) {
             is AttemptEnd.NotConnected -> Unit
 
@@ -47,6 +63,9 @@
         }
     }
 
+    private fun mayHaveRun(end: AttemptEnd) =
+        end !is AttemptEnd.NotConnected && end !is AttemptEnd.NotRun
+
     /** Records that the server of the attempt that ends now has crashed. */
     fun recordServerLost() {
         lostServers++
@@ -57,7 +76,7 @@
         sends >= maxSends -> false
         runs == 0 -> true
         repeatability == Repeatability.AT_MOST_ONCE -> false
-        else -> countedRuns < maxRuns
+        else -> canRunElsewhere || unansweredServers.isNotEmpty()
     }
 
     /** Returns whether another attempt will be allowed after the current one, if that may run. */
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -165,7 +165,7 @@
     }
 
     private fun recordEnd(attempt: RunningAttempt, end: AttemptEnd) {
-        limit.recordEnd(end)
+        limit.recordEnd(end, attempt.selection.server.id)
         context.mayHaveRun = limit.hasPossiblyRun || running.any { it.isSent }
         observer.onAttempt(service.name, end)
         if (!isFinal(end)) logFailure(attempt, end)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestTargets.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestTargets.kt
@@ -37,6 +37,9 @@
      */
     private val avoided = HashSet<RunnerId>()
 
+    /** Servers of attempts that ended on a stale connection. */
+    private val staleMembers = HashSet<RunnerId>()
+
     /** Number of servers that are not selected again. */
     val excludedCount: Int get() = excluded.size
 
@@ -53,11 +56,18 @@
         } else {
             suspects.runnersWithMarkedRequests()
         }
-        val unavailable = excluded + busy + full + pauses.pausedServers()
+        val unavailable = excluded + busy + full + serversBeyondLimit() + pauses.pausedServers()
         return (if (avoided.isEmpty()) null else selector.select(context, unavailable + avoided))
             ?: selector.select(context, unavailable)
     }
 
+    /** The servers on which the request must not run because it has run on enough others. */
+    private fun serversBeyondLimit(): Set<RunnerId> = if (limit.canRunElsewhere) {
+        emptySet()
+    } else {
+        directory.usableServers(service.name).mapTo(HashSet()) { it.id } - staleMembers
+    }
+
     /** Whether the servers of a selection made some time ago still take requests. */
     fun isAvailable(selection: Selection): Boolean {
         val usable = directory.usableServers(service.name).mapTo(HashSet()) { it.id }
@@ -135,6 +145,7 @@
         val first = selection.server.id
         if (end.isStaleConnection) {
             avoided += first
+            staleMembers += selection.members
             health.recordFailure(service.name, listOf(first))
             return
         }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/AttemptLimitTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/AttemptLimitTest.kt
@@ -1,5 +1,6 @@
 package io.greengageport.gateway.forward
 
+import io.greengageport.common.RunnerId
 import io.greengageport.gateway.http.HttpReply
 import io.greengageport.gateway.model.Repeatability
 import io.netty.handler.codec.http.EmptyHttpHeaders
@@ -38,6 +39,14 @@
 
     @Nested
     inner class `A request that must run at most once` {
+        @Test
+        fun `is not retried after its kept connection was stale`() {
+            val limit = AttemptLimit(Repeatability.AT_MOST_ONCE, maxRuns = 3)
+            val stale = AttemptEnd.Broken("no attempt id", isStaleConnection = true)
+            limit.recordEnd(stale, RunnerId("a"))
+            expectThat(limit.canRetry()).isFalse()
+        }
+
         @Test
         fun `is not retried after its connection failed`() {
             expectThat(after(Repeatability.AT_MOST_ONCE, 3, broken).canRetry()).isFalse()
@@ -93,6 +102,18 @@
             expectThat(limit.hasPossiblyRun).isTrue()
         }
 
+        /** Guards against more than one retry because of a connection that was stale. */
+        @Test
+        fun `runs once more on a server whose kept connection was stale, and on no others`() {
+            val stale = AttemptEnd.Broken("no attempt id", isStaleConnection = true)
+            val limit = AttemptLimit(Repeatability.IDEMPOTENT, maxRuns = 1)
+            limit.recordEnd(stale, RunnerId("a"))
+            expectThat(limit.canRetry()).isTrue()
+            expectThat(limit.canRunElsewhere).isFalse()
+            limit.recordEnd(broken, RunnerId("a"))
+            expectThat(limit.canRetry()).isFalse()
+        }
+
         @Test
         fun `is not retried after repeated refusals by a full service`() {
             val limit = after(Repeatability.IDEMPOTENT, 2, refused, refused, refused, refused)
