Recognise a reset that a write of the body reports

Callers got a part of an answer as a whole one, with status 200, if the answer had no length and its connection was reset while the gateway still sent the body of the request.

The system reports a reset once, to the next read or write. If that is the write of the body, the read after it sees an orderly end, which ends an answer without length. Failed writes were ignored, because a server may answer and close before it has read the body.

A failed write now counts as a failure of the connection unless the system reports a broken pipe. It does so if the server had ended its output before the reset, and what was read is then whole. Framed answers are not affected: their own end is known.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -7,11 +7,13 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.socket.ChannelOutputShutdownException
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
+import java.nio.channels.ClosedChannelException
 import kotlin.coroutines.resume
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -128,13 +130,28 @@
     }
 
     private fun onWriteFailed(cause: Throwable) {
+        if (isClosing || isClosed) return
         // The system reports these; the peer may have answered before it closed the connection.
-        if (cause is IOException || isClosing || isClosed) return
+        if (cause is IOException) {
+            if (isReset(cause)) failure = failure ?: cause
+            return
+        }
         failure = failure ?: cause
         recordEvent("write_failed", "error" to cause)
         reset()
     }
 
+    /**
+     * Whether a write failed because the peer reset the connection before it ended its output. The
+     * system reports a reset once: to this write, after which the next read sees an orderly end. It
+     * reports a broken pipe if the peer had ended its output before, so what was read is whole.
+     */
+    private fun isReset(cause: IOException): Boolean {
+        val origin = generateSequence<Throwable>(cause) { it.cause }.last()
+        return origin is IOException && origin !is ClosedChannelException &&
+            origin !is ChannelOutputShutdownException && origin.message != BROKEN_PIPE
+    }
+
     /**
      * Marks the connection as waiting for its next request. It closes as soon as the peer sends a
      * byte, which would belong to no request.
@@ -270,5 +287,8 @@
 
         /** A peer that takes no byte for this long, in ms, does not read any more. */
         public const val STALL_MILLIS: Long = 10_000
+
+        /** Message of the system for EPIPE; the platform has no other way to tell it from a reset. */
+        private const val BROKEN_PIPE = "Broken pipe"
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
@@ -75,11 +75,10 @@
         expectReset { it.getOutputStream().write("nonsense\r\n\r\n".toByteArray()) }
 
     /** Makes a call whose response is [text], after which the connection is closed or reset. */
-    private fun call(text: String, isReset: Boolean) = runBlocking {
+    private fun call(text: String, isReset: Boolean, body: ByteArray = ByteArray(0)) = runBlocking {
         coroutineScope {
             val call = async {
-                val request =
-                    OutgoingRequest(HttpMethod.POST, "/", DefaultHttpHeaders(), ByteArray(0))
+                val request = OutgoingRequest(HttpMethod.POST, "/", DefaultHttpHeaders(), body)
                 withContext(loop.dispatcher) { caller.call(request, timeoutMillis = 2_000) }
             }
             withContext(Dispatchers.IO) {
@@ -121,6 +120,16 @@
         expectThat(call(text, isReset = true).isErr).isTrue()
     }
 
+    /**
+     * Guards against a part of a response that is taken for the whole one, because the reset shows
+     * in the write of a long body, and the next read sees an orderly end.
+     */
+    @Test
+    fun `a response without length that is reset during the request body is a failure`() {
+        val text = "HTTP/1.1 200 OK\r\n\r\nbody"
+        expectThat(call(text, isReset = true, body = ByteArray(LONG_BODY_BYTES)).isErr).isTrue()
+    }
+
     /** Guards against an informational response that is taken for the answer. */
     @Test
     fun `an informational response is skipped`() {
@@ -166,4 +175,9 @@
         }
         return true
     }
+
+    private companion object {
+        /** More than the buffers between two sockets hold. */
+        const val LONG_BODY_BYTES = 20_000_000
+    }
 }
