Reserve memory for each of two attempts that run at once

Callers of large answers (over 64 KiB) got none before their deadline, and large answers could wait for memory that nobody held any more, after a server had been silent.

Since a silent attempt and its replacement run at the same time, both used the one reservation of the request. If both waited for memory, each grant was counted but only the last one was released, so the first was lost until the instance ended. If one of them was granted, the other one waited for memory that the requests in front of it held for their own other attempt, up to the deadline. And an attempt that reserved released the memory of the other one, whose body stayed in memory uncounted.

Each attempt now has a reservation, which it releases when it ends, unless the caller may get its response. Once one attempt of a request holds memory, the other one gets its own at once, also beyond the capacity, so no request waits for itself or for one that waits. New requests wait until the excess is released.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -48,7 +48,8 @@
     private val answersUntilMillis = dependencies.answersUntilMillis
     private val retryAfterJitter = dependencies.retryAfterJitter
     private val firstEventTimes = dependencies.firstEventTimes
-    private val memory = dependencies.responseMemory.Reservation()
+    private val responseMemory = dependencies.responseMemory
+    private val memoryShare = ResponseMemory.RequestShare()
     private val service = context.service
     private val limit =
         AttemptLimit(context.route.repeatability, context.route.maxAttempts)
@@ -63,6 +64,9 @@
     /** The attempt of [running] that has the response, or gets it unless another one is first. */
     private var current: RunningAttempt? = null
     private var startedAttempts = 0
+
+    /** The memory of the last response that was read completely, which the caller may get. */
+    private var answerMemory: ResponseMemory.Reservation? = null
     private var lastEnd: AttemptEnd? = null
     private var hasSelected = false
     private var retryAfterMillis: Long? = null
@@ -102,7 +106,8 @@
         val id = context.id.value
         // Attempts that run at the same time must not share an id.
         val attemptId = if (startedAttempts == 1) id else "$id/$startedAttempts"
-        return RunningAttempt(RequestId(attemptId), selection)
+        val memory = responseMemory.Reservation(memoryShare)
+        return RunningAttempt(RequestId(attemptId), selection, memory)
     }
 
     /** The attempts that run at the same time, in [scope]. */
@@ -130,6 +135,7 @@
                     if (current === attempt) current = running.firstOrNull()
                     if (attempt.isSuperseded && attempt.isSent) end = AttemptEnd.Superseded
                     end?.let { recordEnd(attempt, it) }
+                    keepMemory(attempt, end)
                     attempt.hasReplaced.complete(false)
                     ends.trySend(end)
                 }
@@ -164,6 +170,16 @@
         running.filter { it !== attempt && !it.isReplaced }.forEach(::supersede)
     }
 
+    /** Releases the memory of [attempt] unless the caller may get the response to it. */
+    private fun keepMemory(attempt: RunningAttempt, end: AttemptEnd?) {
+        if (end is AttemptEnd.Answered) {
+            answerMemory?.close()
+            answerMemory = attempt.memory
+        } else {
+            attempt.memory.close()
+        }
+    }
+
     private fun recordEnd(attempt: RunningAttempt, end: AttemptEnd) {
         limit.recordEnd(end)
         context.mayHaveRun = limit.hasPossiblyRun || running.any { it.isSent }
@@ -207,7 +223,7 @@
                 context,
                 newDispatch(selection),
                 timeouts.headTimeoutMillis(),
-                memory,
+                attempt.memory,
                 AttemptSilence(attempt, group),
                 relay?.let { readerFor(attempt, it) },
                 monitored
@@ -485,7 +501,9 @@
     }
 
     /** Releases the memory of the response, once it was sent. */
-    fun release() = memory.close()
+    fun release() {
+        answerMemory?.close()
+    }
 
     /** Sends [error] without any attempt. */
     suspend fun refuse(error: RequestError) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ResponseMemory.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ResponseMemory.kt
@@ -10,6 +10,11 @@
  *
  * A reservation that does not fit waits until others are released, in order of arrival. Meanwhile
  * nothing is read from the backend server, so its connection holds the rest of the response back.
+ *
+ * Two attempts of a request that run at the same time have a reservation each. Once one of them
+ * holds memory, the other one gets its own at once, also beyond the capacity: if it waited,
+ * requests that each hold memory for one attempt could block each other. New ones wait meanwhile.
+ *
  * Must be used on the thread of the event loop only.
  */
 internal class ResponseMemory(private val capacityBytes: Long) {
@@ -22,8 +27,16 @@
     private val waiters = ArrayDeque<Waiter>()
     private var reservedBytes = 0L
 
-    /** The memory of one request; it holds nothing until [reserve] is called. */
-    inner class Reservation : AutoCloseable {
+    /** What the attempts of one request hold together. */
+    class RequestShare {
+        internal var bytes = 0L
+    }
+
+    /**
+     * The memory of one attempt of a request, or of several that follow each other; it holds
+     * nothing until [reserve] is called. Attempts that run at the same time have the same [share].
+     */
+    inner class Reservation(internal val share: RequestShare = RequestShare()) : AutoCloseable {
         internal var bytes = 0L
 
         /**
@@ -34,7 +47,8 @@
             require(bytes <= capacityBytes) { "$bytes B exceed the capacity of $capacityBytes B" }
             // Holding a part while it waits for more could block all reservations at once.
             close()
-            if (waiters.isEmpty() && reservedBytes + bytes <= capacityBytes) {
+            val fits = waiters.isEmpty() && reservedBytes + bytes <= capacityBytes
+            if (fits || share.bytes > 0) {
                 grant(this, bytes)
                 return
             }
@@ -50,6 +64,7 @@
         /** Releases all that is reserved; may be called repeatedly. */
         override fun close() {
             reservedBytes -= bytes
+            share.bytes -= bytes
             bytes = 0
             grantWaiting()
         }
@@ -57,14 +72,16 @@
 
     private fun grant(reservation: Reservation, bytes: Long) {
         reservation.bytes = bytes
+        reservation.share.bytes += bytes
         reservedBytes += bytes
     }
 
     private fun grantWaiting() {
         while (true) {
-            val next = waiters.firstOrNull() ?: return
-            if (reservedBytes + next.bytes > capacityBytes) return
-            waiters.removeFirst()
+            val next = waiters.firstOrNull { it.reservation.share.bytes > 0 }
+                ?: waiters.firstOrNull()?.takeIf { reservedBytes + it.bytes <= capacityBytes }
+                ?: return
+            waiters.remove(next)
             grant(next.reservation, next.bytes)
             next.continuation.resume(Unit)
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RunningAttempt.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RunningAttempt.kt
@@ -7,9 +7,13 @@
 /**
  * An attempt of a request at the servers of [selection], beside which another one may run.
  *
- * [id] identifies the attempt among those of all requests.
+ * [id] identifies the attempt among those of all requests. [memory] is for a large response to it.
  */
-internal class RunningAttempt(val id: RequestId, val selection: Selection) {
+internal class RunningAttempt(
+    val id: RequestId,
+    val selection: Selection,
+    val memory: ResponseMemory.Reservation
+) {
     /** The work on the attempt, from its start. */
     lateinit var job: Job
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/ResponseMemoryTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/ResponseMemoryTest.kt
@@ -84,4 +84,45 @@
                 .containsExactly("first", "second", "first again", "second again")
         }
     }
+
+    @Nested
+    inner class `Two attempts of a request` {
+        private fun CoroutineScope.reserveFor(
+            name: String,
+            bytes: Long,
+            share: ResponseMemory.RequestShare
+        ) = reserve(name, bytes, memory.Reservation(share))
+
+        /** Guards against a reservation that is lost when both attempts wait at the same time. */
+        @Test
+        fun `release all that they waited for`() = runBlocking {
+            val share = ResponseMemory.RequestShare()
+            val (first, _) = reserve("first", 10)
+            val attempts = listOf("a", "b").map { reserveFor(it, 5, share).first }
+            first.close()
+            yield()
+            expectThat(granted).containsExactly("first", "a", "b")
+            attempts.forEach { it.close() }
+            val (_, last) = reserve("last", 10)
+            expectThat(last.isCompleted).isTrue()
+        }
+
+        /** Guards against requests that each hold memory for one attempt and wait for the other. */
+        @Test
+        fun `do not wait for others while one of them holds memory`() = runBlocking {
+            val shares = List(2) { ResponseMemory.RequestShare() }
+            val held = shares.map { reserveFor("held", 5, it).first }
+            val added = shares.map { reserveFor("added", 5, it).first }
+            expectThat(granted).containsExactly("held", "held", "added", "added")
+            // Others wait until the memory that exceeds the capacity is released too.
+            val (last, _) = reserve("last", 1)
+            held.forEach { it.close() }
+            yield()
+            expectThat(granted).containsExactly("held", "held", "added", "added")
+            added.first().close()
+            yield()
+            expectThat(granted).containsExactly("held", "held", "added", "added", "last")
+            last.close()
+        }
+    }
 }
