--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -288,7 +288,7 @@
         /** A peer that takes no byte for this long, in ms, does not read any more. */
         public const val STALL_MILLIS: Long = 10_000
 
-        /** Message of the system for EPIPE; the platform has no other way to tell it from a reset. */
+        /** Message of the system for EPIPE; nothing else tells it from a reset. */
         private const val BROKEN_PIPE = "Broken pipe"
     }
 }
