Send a request again after a stale connection as its last resort

Callers of repeatable requests and streams got 502 although a sound server was left: an attempt on a kept connection got a response without attempt id, for example a refusal, or bytes that are no response, and the attempts of the route were used up.

Such bytes may belong to an earlier request, so the attempt ended as one that may have run. That is a sign only. The request now goes to the same server once more on a new connection, on which the next response is its own, if no other server may get it. This adds no server to the request, takes the retry budget, and counts as a send. If the server refuses the second send, the first one still counts as a run, so the caller is not told that nothing ran. Requests that run at most once never use a kept connection.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptLimit.kt
@@ -47,6 +47,14 @@
         }
     }
 
+    /** Records a send on a stale connection, after which the same server gets the request again. */
+    fun recordStaleConnection() {
+        sends++
+    }
+
+    /** Returns whether the same server may get the request again after a stale connection. */
+    fun canResend(): Boolean = repeatability != Repeatability.AT_MOST_ONCE && sends + 1 < maxSends
+
     /** Records that the server of the attempt that ends now has crashed. */
     fun recordServerLost() {
         lostServers++
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -219,16 +219,15 @@
         context.mayHaveRun = true
         try {
             val monitored = if (timeouts.canContinueElsewhere) selection.members else emptyList()
-            val end = exchange.run(
-                context,
-                newDispatch(selection),
-                timeouts.headTimeoutMillis(),
-                attempt.memory,
-                AttemptSilence(attempt, group),
-                relay?.let { readerFor(attempt, it) },
-                monitored
-            ) {
-                applyHeaders(selection.server, it)
+            val silence = AttemptSilence(attempt, group)
+            var end = send(attempt, silence, monitored)
+            if (shouldResend(end)) {
+                limit.recordStaleConnection()
+                health.recordFailure(service.name, listOf(selection.server.id))
+                logFailure(attempt, end)
+                val second = send(attempt, silence, monitored)
+                // The server may have run the first send, whatever it says about the second one.
+                if (second !is AttemptEnd.NotRun && second !is AttemptEnd.NotConnected) end = second
             }
             val millis = clock.monotonicMillis() - attempt.sentAtMillis
             return finish(attempt, end).also {
@@ -240,6 +239,36 @@
         }
     }
 
+    private suspend fun send(
+        attempt: RunningAttempt,
+        silence: SilencePolicy,
+        monitored: List<RunnerId>
+    ) = exchange.run(
+        context,
+        newDispatch(attempt.selection),
+        timeouts.headTimeoutMillis(),
+        attempt.memory,
+        silence,
+        relay?.let { readerFor(attempt, it) },
+        monitored
+    ) {
+        applyHeaders(attempt.selection.server, it)
+    }
+
+    /**
+     * Whether an attempt that ended with [end] is sent again to the same server, on a new
+     * connection. The bytes on a kept connection may belong to an earlier request, so the server
+     * may be sound. As it adds no server to the request, it is done once no other one may get it.
+     */
+    private suspend fun shouldResend(end: AttemptEnd): Boolean {
+        if (end !is AttemptEnd.Broken || !end.isStaleConnection) return false
+        if (limit.canRetryAfterRun() && running.size == 1) return false
+        if (!limit.canResend() || timeouts.remainingMillis <= 0) return false
+        val decision = tryRetry(limit.sends + 1)
+        if (decision is RetryDecision.Allowed) delay(decision.delayMillis)
+        return decision is RetryDecision.Allowed
+    }
+
     /** Completes the response if [end] is that of a whole stream; returns the actual end. */
     private suspend fun finish(attempt: RunningAttempt, end: AttemptEnd): AttemptEnd {
         if (end != AttemptEnd.Streamed) return end
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/AttemptLimitTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/AttemptLimitTest.kt
@@ -93,6 +93,19 @@
             expectThat(limit.hasPossiblyRun).isTrue()
         }
 
+        /** Guards against sends without end to a server whose connections are all stale. */
+        @Test
+        fun `is sent again after stale connections as often as after refusals`() {
+            val limit = AttemptLimit(Repeatability.IDEMPOTENT, maxRuns = 2)
+            repeat(3) {
+                expectThat(limit.canResend()).isTrue()
+                limit.recordStaleConnection()
+            }
+            expectThat(limit.canResend()).isFalse()
+            val once = AttemptLimit(Repeatability.AT_MOST_ONCE, maxRuns = 2)
+            expectThat(once.canResend()).isFalse()
+        }
+
         @Test
         fun `is not retried after repeated refusals by a full service`() {
             val limit = after(Repeatability.IDEMPOTENT, 2, refused, refused, refused, refused)
