--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -51,7 +51,7 @@
     private val retryAfterJitter = dependencies.retryAfterJitter
     private val firstEventTimes = dependencies.firstEventTimes
     private val responseMemory = dependencies.responseMemory
-    private var answerMemory: ResponseMemory.Reservation? = null
+    private val memoryShare = ResponseMemory.RequestShare()
     private val service = context.service
     private val limit =
         AttemptLimit(context.route.repeatability, context.route.maxAttempts)
@@ -66,6 +66,9 @@
     /** The attempt of [running] that has the stream; null if it has ended beside another one. */
     private var current: RunningAttempt? = null
     private var startedAttempts = 0
+
+    /** The memory of the last response that was read completely, which the caller may get. */
+    private var answerMemory: ResponseMemory.Reservation? = null
     private var lastEnd: AttemptEnd? = null
     private var hasSelected = false
     private var retryAfterMillis: Long? = null
@@ -104,7 +107,8 @@
         val id = context.id.value
         // Attempts that run at the same time must not share an id.
         val attemptId = if (startedAttempts == 1) id else "$id/$startedAttempts"
-        return RunningAttempt(RequestId(attemptId), selection)
+        val memory = responseMemory.Reservation(memoryShare)
+        return RunningAttempt(RequestId(attemptId), selection, memory)
     }
 
     /** The attempts that run at the same time, in [scope]. */
@@ -121,8 +125,6 @@
         fun launch(attempt: RunningAttempt, prepare: suspend () -> Boolean = { true }) {
             awaitedEnds++
             running += attempt
-            // What waits for memory must not hold some, or all could wait for each other.
-            keepAnswerMemory(null)
             updateInFlight(attempt.selection, inFlight::add)
             attempt.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 var end: AttemptEnd? = null
@@ -138,6 +140,7 @@
                     if (current === attempt) current = null
                     if (attempt.isSuperseded && attempt.isSent) end = AttemptEnd.Superseded
                     end?.let { recordEnd(attempt, it) }
+                    keepMemory(attempt, end)
                     attempt.hasReplaced.complete(false)
                     ends.trySend(end)
                 }
@@ -178,8 +181,18 @@
         running.filter { it !== attempt && !it.isReplaced }.forEach(::supersede)
     }
 
+    /** Releases the memory of [attempt] unless the caller may get the response to it. */
+    private fun keepMemory(attempt: RunningAttempt, end: AttemptEnd?) {
+        if (end is AttemptEnd.Answered) {
+            answerMemory?.close()
+            answerMemory = attempt.memory
+        } else {
+            attempt.memory.close()
+        }
+    }
+
     private fun recordEnd(attempt: RunningAttempt, end: AttemptEnd) {
-        limit.recordEnd(end, attempt.selection.server.id)
+        limit.recordEnd(end)
         context.mayHaveRun = limit.hasPossiblyRun || running.any { it.isSent }
         observer.onAttempt(service.name, end)
         if (!isFinal(end)) logFailure(attempt, end)
@@ -216,38 +229,56 @@
         attempt.stream = relay?.let { newStream(attempt, it) }
         context.isAtServer = true
         context.mayHaveRun = true
-        val memory = responseMemory.Reservation()
-        var answer: AttemptEnd? = null
         try {
             val monitored = if (timeouts.canContinueElsewhere) selection.members else emptyList()
-            val end = exchange.run(
-                context,
-                newDispatch(selection),
-                timeouts.headTimeoutMillis(),
-                memory,
-                AttemptSilence(attempt, group),
-                attempt.stream,
-                monitored
-            ) {
-                applyHeaders(selection.server, it)
+            val silence = AttemptSilence(attempt, group)
+            var end = send(attempt, silence, monitored)
+            if (shouldResend(end)) {
+                limit.recordStaleConnection()
+                health.recordFailure(service.name, listOf(selection.server.id))
+                logFailure(attempt, end)
+                val second = send(attempt, silence, monitored)
+                // The server may have run the first send, whatever it says about the second one.
+                if (second !is AttemptEnd.NotRun && second !is AttemptEnd.NotConnected) end = second
             }
             val millis = clock.monotonicMillis() - attempt.sentAtMillis
-            answer = end as? AttemptEnd.Answered
             return finish(attempt, end).also {
                 targets.recordEnd(attempt, it, millis, answerEvents())
             }
         } finally {
-            val isKept = answer != null && (isFinal(answer) || running.size == 1)
-            if (isKept) keepAnswerMemory(memory) else memory.close()
             context.isAtServer = running.any { it !== attempt && it.isSent }
             suspects.recordEnd(attempt.id)
         }
     }
 
-    /** Keeps the memory of the last answer until the response was sent. */
-    private fun keepAnswerMemory(memory: ResponseMemory.Reservation?) {
-        answerMemory?.close()
-        answerMemory = memory
+    private suspend fun send(
+        attempt: RunningAttempt,
+        silence: SilencePolicy,
+        monitored: List<RunnerId>
+    ) = exchange.run(
+        context,
+        newDispatch(attempt.selection),
+        timeouts.headTimeoutMillis(),
+        attempt.memory,
+        silence,
+        attempt.stream,
+        monitored
+    ) {
+        applyHeaders(attempt.selection.server, it)
+    }
+
+    /**
+     * Whether an attempt that ended with [end] is sent again to the same server, on a new
+     * connection. The bytes on a kept connection may belong to an earlier request, so the server
+     * may be sound. As it adds no server to the request, it is done once no other one may get it.
+     */
+    private suspend fun shouldResend(end: AttemptEnd): Boolean {
+        if (end !is AttemptEnd.Broken || !end.isStaleConnection) return false
+        if (limit.canRetryAfterRun() && running.size == 1) return false
+        if (!limit.canResend() || timeouts.remainingMillis <= 0) return false
+        val decision = tryRetry(limit.sends + 1)
+        if (decision is RetryDecision.Allowed) delay(decision.delayMillis)
+        return decision is RetryDecision.Allowed
     }
 
     /** Completes the response if [end] is that of a whole stream; returns the actual end. */
@@ -512,7 +543,9 @@
     }
 
     /** Releases the memory of the response, once it was sent. */
-    fun release() = keepAnswerMemory(null)
+    fun release() {
+        answerMemory?.close()
+    }
 
     /** Sends [error] without any attempt. */
     suspend fun refuse(error: RequestError) {
