Add fields for the path to servers to the reports of peers

An instance without a path to servers has to say so, and which instances accept tunnels. Nothing reads the fields yet. Reports encode default values, since the position of a field tells which one it is. PeerExchangeTest, PeerViewTest, RelayTrafficTest and QueuedReportTest pass.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerExchange.kt
@@ -177,7 +177,7 @@
 
             else -> report(reportSequence, emptyList()).withoutLoads()
         }
-        val bytes = Cbor.encodeToByteArray(report)
+        val bytes = format.encodeToByteArray(report)
         encoded[key] = Encoded(bytes, now)
         if (isWithSummaries) summaryInterval.recordSize(next.isRelay, bytes.size)
         return bytes
@@ -190,7 +190,7 @@
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
             val report = try {
-                Cbor.decodeFromByteArray<PeerReport>(ByteBufUtil.getBytes(packet.content()))
+                format.decodeFromByteArray<PeerReport>(ByteBufUtil.getBytes(packet.content()))
             } catch (e: Exception) {
                 // The decoder throws several unrelated exceptions on malformed input.
                 log.record("peers", "unreadable", "sender" to packet.sender(), "error" to e)
@@ -208,6 +208,9 @@
     }
 
     private companion object {
+        /** The position of a field in a report tells which one it is, so none may be left out. */
+        val format = Cbor { encodeDefaults = true }
+
         /** The largest payload of a UDP datagram over IPv4. */
         const val MAX_DATAGRAM_BYTES = 65_507
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerReport.kt
@@ -26,6 +26,10 @@
  * report; together they order reports that arrive out of order. [unreachable] lists servers that
  * attempts of [from] found unreachable. [suspects] contains marks of requests that crash engines;
  * they can be merged in any order.
+ *
+ * [hasServerPath] tells whether [from] reaches backend servers; without a path, its [unreachable]
+ * says nothing about them. [acceptsTunnels] tells whether it opens connections to servers for peers
+ * that have no path, and [notices] is what servers stated about themselves through such tunnels.
  */
 @Serializable
 @CborArray
@@ -46,7 +50,10 @@
     val configurationVersion: Long,
     @SerialName("news")
     val serverListDelta: ServerListDelta?,
-    val centres: List<DataCentreSummary>
+    val centres: List<DataCentreSummary>,
+    val hasServerPath: Boolean = true,
+    val acceptsTunnels: Boolean = false,
+    val notices: List<ServerNotice> = emptyList()
 ) {
     /**
      * Returns a copy of this report in which [summary] replaces the loads, requests, retries and
@@ -76,7 +83,10 @@
         readAgeMillis = readAgeMillis,
         configurationVersion = configurationVersion,
         serverListDelta = serverListDelta,
-        centres = centres
+        centres = centres,
+        hasServerPath = hasServerPath,
+        acceptsTunnels = acceptsTunnels,
+        notices = notices
     )
 }
 
@@ -85,6 +95,19 @@
 @CborArray
 internal class KnownPeer(val id: String, val dataCentre: String, val address: String)
 
+/**
+ * What a server stated about itself in a response: that it is leaving, or that it wants no requests
+ * for [pauseMillis] from now. [startedAtMillis] identifies its incarnation.
+ */
+@Serializable
+@CborArray
+internal class ServerNotice(
+    val server: String,
+    val startedAtMillis: Long,
+    val isLeaving: Boolean,
+    val pauseMillis: Long?
+)
+
 /** Requests in flight at a server and the memory that they hold, in tokens times layers. */
 @Serializable
 @CborArray
@@ -100,7 +123,7 @@
 
 /**
  * Sums over the reports of all instances of [dataCentre], as computed [ageMillis] ago by one of
- * them.
+ * them. [tunnelPeers] is a sample of those that accept tunnels.
  */
 @Serializable
 @CborArray
@@ -112,5 +135,6 @@
     val requestsByService: Map<String, Int>,
     val retries: Map<String, RetryUse>,
     val unreachable: List<String>,
-    val renewalAgeMillis: Long?
+    val renewalAgeMillis: Long?,
+    val tunnelPeers: List<KnownPeer> = emptyList()
 )
