State who observed that a server took no connection

A tunnel through a peer fails for reasons that say nothing about the server, and a peer with a path observes the server better than an instance without one. All ends still name this instance, so behaviour is unchanged; the module compiles.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/AttemptEnd.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway.forward
 
 import io.greengageport.common.HostPort
+import io.greengageport.gateway.http.ConnectionObserver
 import io.greengageport.gateway.http.HttpReply
 
 /**
@@ -16,7 +17,10 @@
     data object Streamed : AttemptEnd
 
     /** No connection could be opened, so nothing was sent. */
-    data class NotConnected(val reason: String) : AttemptEnd
+    data class NotConnected(
+        val reason: String,
+        val observer: ConnectionObserver = ConnectionObserver.THIS_INSTANCE
+    ) : AttemptEnd
 
     /**
      * The server states that it did not run the request. [stage] is the address of the chain stage
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -73,7 +73,7 @@
             !isFirstContact || context.route.repeatability == Repeatability.AT_MOST_ONCE
         val connectTimeoutMillis = minOf(CONNECT_TIMEOUT_MILLIS, headTimeoutMillis)
         val lease = pool.acquire(address, connectTimeoutMillis, shouldBeNew)
-            .getOrElse { return AttemptEnd.NotConnected(it.reason) }
+            .getOrElse { return AttemptEnd.NotConnected(it.reason, it.observer) }
         var isComplete = false
         var isReusable = false
         try {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpMessages.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpMessages.kt
@@ -25,8 +25,23 @@
 /** Why a call returned no complete response. */
 public sealed interface HttpFailure {
     /** No connection could be opened, so nothing was sent. */
-    public data class NotConnected(val reason: String) : HttpFailure
+    public data class NotConnected(
+        val reason: String,
+        val observer: ConnectionObserver = ConnectionObserver.THIS_INSTANCE
+    ) : HttpFailure
 
     /** The connection failed or timed out after at least part of the request was sent. */
     public data class Broken(val reason: String) : HttpFailure
 }
+
+/** Who observed that no connection could be opened, which decides what it says about the server. */
+public enum class ConnectionObserver {
+    /** This instance, which may have no path to servers itself. */
+    THIS_INSTANCE,
+
+    /** A peer that has a path to servers and did not reach this one. */
+    PEER,
+
+    /** Nobody: no tunnel to a peer was opened, which says nothing about the server. */
+    NOBODY
+}
