Give up all duties while an instance has no path to servers

An instance that held the placement duty kept it while it reached no server, and ordered sound engines to be replaced. suspendDuties ends all duties at once and leaves the group; resumeDuties joins it as a new member. The answer to a renewal that was in flight is not used, also in a planned stop. LayerPlacer checks the path and the duty before each call, drops orders that rest on withdrawn observations, and uses no pending order or plan of an earlier term. Peers without a path no longer count in the conclusion that the store is unreachable for all.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -41,6 +41,7 @@
 import io.greengageport.gateway.state.FleetIndex
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.ServerPath
 import io.greengageport.gateway.state.ServerPauses
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.gateway.state.StoreFollower
@@ -77,6 +78,7 @@
     private val directory = BackendDirectory(clock, log)
     private val fleetIndex = FleetIndex(directory) { configuration.current }
     private val peers = PeerView(settings.id, settings.dataCentre, clock, log)
+    private val serverPath: ServerPath = AssumedServerPath
     private val dutyLease: DutyLease = DutyLease(
         group = store.duties,
         epoch = store.epoch,
@@ -164,6 +166,7 @@
         connector = connector,
         protocol = protocol,
         findUnreachable = { health.unreachableServers() + peers.unreachableServers() },
+        isCutOff = { serverPath.isCutOff },
         log = log,
         clock = clock
     )
@@ -455,6 +458,13 @@
         )
     }
 
+    /** Assumes that this instance always has a path to servers. */
+    private object AssumedServerPath : ServerPath {
+        override val isCutOff = false
+
+        override suspend fun isFailureOfServer(server: RunnerId) = true
+    }
+
     private companion object {
         /**
          * Interval between reads of the list, as a share of the time in which a leaving server has
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -154,10 +154,15 @@
 
     private fun reports(): List<PeerReport> = directPeers().mapNotNull { it.report }
 
-    /** Whether there are live peers and none of them has had a recent answer from the store. */
+    /**
+     * Whether there are live peers that renew their membership, and none of them has had a recent
+     * answer from the store. A peer that has not had any answer yet (null) counts as one without a
+     * recent answer. A peer without a path to servers does not renew: it shows nothing about the
+     * store, and the store assigns it no duty.
+     */
     fun isStoreUnreachableForAll(): Boolean {
         val now = clock.monotonicMillis()
-        val live = peers.values.filter { it.isAlive && it.report != null }
+        val live = peers.values.filter { it.isAlive && it.report?.hasServerPath == true }
         val ages = live.map { p ->
             p.report?.renewalAgeMillis?.let { it + now - p.lastReportMillis }
         } + freshSummaries().map { it.renewalAgeMillis }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/LayerPlacer.kt
@@ -32,6 +32,13 @@
  * after a newer one has no effect. An engine is assumed to hold the layers that it was ordered to
  * load until it registers them or [PENDING_MILLIS] have passed; then its report is requested and it
  * is ordered again.
+ *
+ * An instance without a path to servers sends no order, also none that it planned before. What it
+ * ordered or was reported in an earlier term of the duty is not used in a later one.
+ *
+ * [findUnreachable] returns servers that were found unreachable by an instance that had a path. An
+ * observation that may be due to this instance's own network must not be among them: layers of a
+ * sound engine would be taken from another one.
  */
 internal class LayerPlacer(
     private val configuration: () -> Configuration?,
@@ -40,6 +47,7 @@
     private val connector: HttpConnector,
     private val protocol: BackendProtocol,
     private val findUnreachable: () -> Set<RunnerId>,
+    private val isCutOff: () -> Boolean,
     private val log: DecisionLog,
     private val clock: Clock
 ) {
@@ -50,6 +58,9 @@
     private class Pending(val layers: LayerRange?, val startedAtMillis: Long, val untilMillis: Long)
 
     private val pending = HashMap<RunnerId, Pending>()
+
+    /** The term of the placement duty to which [pending] belongs. */
+    private var pendingTerm = 0
     private var seenEngines = emptySet<RunnerId>()
     private var enginesChangedAtMillis = Long.MIN_VALUE
     private val redivisionPacer = RedivisionPacer(clock)
@@ -58,13 +69,21 @@
     suspend fun run() {
         while (true) {
             delay(PLACEMENT_INTERVAL_MILLIS)
-            val token = dutyLease.placementToken()
-            if (token == null) pending.clear()
+            val token = currentToken()
+            // The duty may have been lost and acquired again while orders were being sent.
+            if (token == null || dutyLease.placementTerm != pendingTerm) {
+                pending.clear()
+                redivisionPacer.reset()
+            }
+            pendingTerm = dutyLease.placementTerm
             val services = configuration()?.services?.values ?: continue
             for (s in services) s.engine?.let { placeIfSettled(s, it, token) }
         }
     }
 
+    /** The token under which orders can be sent now, or null if this instance must send none. */
+    private fun currentToken(): Long? = if (isCutOff()) null else dutyLease.placementToken()
+
     /**
      * Places the layers of [service] if its engines are settled. Without a [token] the list is only
      * observed, so that a new holder need not observe it again.
@@ -97,7 +116,7 @@
         )
         if (plan.isEmpty()) return
         coroutineScope {
-            for (a in plan) order(this, a, token)
+            for (a in plan) order(this, a, token, unreachable)
         }
     }
 
@@ -146,8 +165,16 @@
             clock.monotonicMillis() - enginesChangedAtMillis >= SETTLE_DELAY_MILLIS
     }
 
-    /** Launches the order in [scope] and assumes from now on that the engine carries it out. */
-    private fun order(scope: CoroutineScope, assignment: LayerAssignment, token: Long) {
+    /**
+     * Launches the order in [scope] and assumes from now on that the engine carries it out. It was
+     * planned without the [unreachable] servers.
+     */
+    private fun order(
+        scope: CoroutineScope,
+        assignment: LayerAssignment,
+        token: Long,
+        unreachable: Set<RunnerId>
+    ) {
         val server = directory.find(assignment.id) ?: return
         val plannedWith = pending[server.id].let { if (it == null) server.layers else it.layers }
         pending[server.id] = Pending(
@@ -156,7 +183,7 @@
             clock.monotonicMillis() + PENDING_MILLIS
         )
         scope.launch {
-            val result = send(server, plannedWith, assignment, token)
+            val result = send(server, plannedWith, assignment, token, unreachable)
             log.record(
                 "placement",
                 "ordered",
@@ -180,10 +207,12 @@
         server: BackendServer,
         plannedWith: LayerRange?,
         assignment: LayerAssignment,
-        token: Long
+        token: Long,
+        unreachable: Set<RunnerId>
     ): String {
         val caller = HttpCaller(connector, server.address)
         try {
+            if (currentToken() != token) return "duty_lost"
             val reply = caller.call(protocol.reportRequest(), CALL_TIMEOUT_MILLIS)
                 .getOrElse { return "no_report($it)" }
             val report = protocol.parseReport(reply) ?: return "unreadable_report"
@@ -198,7 +227,12 @@
                 )
                 return "holds_other(${report.layers})"
             }
-            if (dutyLease.placementToken() != token) return "duty_lost"
+            if (currentToken() != token) return "duty_lost"
+            if (!findUnreachable().containsAll(unreachable)) {
+                // A server that was to be replaced has been reached, or the observation withdrawn.
+                pending.remove(server.id)
+                return "plan_outdated"
+            }
             val order =
                 protocol.placementOrder(assignment.layers, token, report.acceptedOrders)
             return caller.call(order, CALL_TIMEOUT_MILLIS).fold(
--- a/gateway/src/main/kotlin/io/greengageport/gateway/placement/RedivisionPacer.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/placement/RedivisionPacer.kt
@@ -57,6 +57,12 @@
         return others + redivisions.filter { dataCentreOf(it.id) == next }
     }
 
+    /** Forgets the plans so far: they do not show that redivision is still needed. */
+    fun reset() {
+        neededSinceMillis = null
+        currentDataCentre = null
+    }
+
     private companion object {
         /** The losses of a rack are detected within about a second. */
         const val SETTLE_MILLIS = 1_200L
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -10,6 +10,8 @@
 import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.gateway.port.StoreEpoch
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
@@ -24,6 +26,9 @@
  * not prevent two holders from ordering different engines to load the same layers, so a new holder
  * waits until its peers have learned that the store has assigned it the duty. For the same reason
  * an instance that sees a restore places no layers until earlier leases have ended.
+ *
+ * An instance without a path to backend servers holds no duty: from [suspendDuties] to
+ * [resumeDuties] it is no member of the group, and only reads the list of members.
  */
 public class DutyLease(
     private val group: DutyGroup,
@@ -44,12 +49,35 @@
     private var lastRenewalMillis: Long? = null
     private var hasLastRenewalSucceeded = false
     private var isLeaving = false
+    private var isSuspended = false
+
+    /**
+     * Increases with each departure from the group. The answer to a renewal of an earlier
+     * membership is not used.
+     */
+    private var membership = 0
+
+    /** The generation of the last answer, also of an earlier membership. */
+    private var lastGeneration: Long? = null
+
+    /** Until when the store may execute a departure that it has not confirmed. */
+    private var lateLeaveUntilMillis = Long.MIN_VALUE
+
+    /** Whether the store has not answered a renewal since the duties were resumed. */
+    private var isRejoining = false
+
+    /** Increases each time the placement duty is acquired. Orders of earlier terms are void. */
+    internal var placementTerm: Int = 0
+        private set
 
-    /** Has an element while a restore of the store was not followed by a renewal. */
-    private val restores = Channel<Unit>(Channel.CONFLATED)
+    /** Has an element while a restore or a resumption was not followed by a renewal. */
+    private val renewalRequests = Channel<Unit>(Channel.CONFLATED)
+
+    /** Has an element while the store has not been told of a suspension. */
+    private val departures = Channel<Unit>(Channel.CONFLATED)
 
     init {
-        epoch.onRestored { restores.trySend(Unit) }
+        epoch.onRestored { renewalRequests.trySend(Unit) }
     }
 
     /** The fencing token under which this instance can place layers now, or null if it must not. */
@@ -61,7 +89,10 @@
         return if (isHeld && current.generation > highestFencedToken) current.generation else null
     }
 
-    /** Age of the last renewal that the store answered, in ms, or null before the first. */
+    /**
+     * Age of the last renewal that the store answered, in ms. Null before the first one, and while
+     * the duties are suspended: an instance that does not renew has no evidence about the store.
+     */
     fun renewalAgeMillis(): Long? = lastRenewalMillis?.let { clock.monotonicMillis() - it }
 
     /**
@@ -101,24 +132,73 @@
     /**
      * Renews the membership and reads the list of members periodically, until cancelled or leaving.
      * When the store is restored, the membership is renewed at once, since all duties have lapsed.
+     * While the duties are suspended, only the members are read.
      */
-    suspend fun run() {
+    suspend fun run(): Unit = coroutineScope {
+        // A departure that the store does not answer must not delay the next membership.
+        val departing = launch {
+            while (true) {
+                departures.receive()
+                leaveGroup()
+            }
+        }
         var rounds = 0
         while (!isLeaving) {
-            renew()
+            if (!isSuspended) renew()
             if (rounds in EARLY_READ_ROUNDS || rounds % MEMBER_READ_ROUNDS == 0) readMembers()
             rounds++
-            withTimeoutOrNull(RENEWAL_INTERVAL_MILLIS) { restores.receive() }
+            withTimeoutOrNull(RENEWAL_INTERVAL_MILLIS) { renewalRequests.receive() }
         }
+        departing.cancel()
     }
 
     /** Releases all duties before a planned stop. */
     public suspend fun leave() {
         isLeaving = true
+        // A suspended instance has left the group already.
+        if (endMembership()) leaveGroup()
+    }
+
+    /**
+     * Gives up all duties at once and leaves the group, because this instance has no path to
+     * backend servers. It does not join again before [resumeDuties].
+     */
+    public fun suspendDuties() {
+        if (isSuspended) return
+        isSuspended = true
+        log.record("duty", "suspended", "had_placement" to hadPlacement)
+        lastRenewalMillis = null
+        if (endMembership()) departures.trySend(Unit)
+    }
+
+    /** Joins the group again as a new member, after [suspendDuties]. */
+    public fun resumeDuties() {
+        if (!isSuspended) return
+        isSuspended = false
+        isRejoining = true
+        log.record("duty", "resumed")
+        renewalRequests.trySend(Unit)
+    }
+
+    /** Forgets the duties of this membership; returns whether the store has to be told. */
+    private fun endMembership(): Boolean {
+        val isMember = assignment != null
+        membership++
+        assignment = null
         heldUntilMillis = Long.MIN_VALUE
-        if (assignment == null) return
+        hasLastRenewalSucceeded = false
+        hadPlacement = false
+        return isMember
+    }
+
+    /** Tells the store that this instance leaves; if it does not answer, the lease expires there. */
+    private suspend fun leaveGroup() {
+        lateLeaveUntilMillis = clock.monotonicMillis() + LATE_LEAVE_MILLIS
         group.leave().fold(
-            { log.record("duty", "left") },
+            {
+                lateLeaveUntilMillis = Long.MIN_VALUE
+                log.record("duty", "left")
+            },
             { log.record("duty", "leave_failed", "error" to it) }
         )
     }
@@ -126,18 +206,15 @@
     /** Renews the membership once and updates the duties held. */
     internal suspend fun renew() {
         val sentAtMillis = clock.monotonicMillis()
-        group.renew(assignment?.generation ?: 0).fold(
-            { renewed ->
-                if (isFirstAfterRestore(renewed)) delayPlacement(renewed.timeToLiveMillis)
-                assignment = renewed
-                val wasUnreachable =
-                    sentAtMillis - (lastRenewalMillis ?: sentAtMillis) > OUTAGE_MILLIS
-                lastRenewalMillis = sentAtMillis
-                hasLastRenewalSucceeded = true
-                heldUntilMillis = sentAtMillis + renewed.timeToLiveMillis - SAFETY_MARGIN_MILLIS
-                updatePlacement(renewed)
-                if (wasUnreachable) onStoreRecovered()
-            },
+        val sentFor = membership
+        val result = group.renew(assignment?.generation ?: 0)
+        if (membership != sentFor) {
+            // The store may have executed the renewal after the departure.
+            if (result.isOk && (isSuspended || isLeaving)) leaveGroup()
+            return
+        }
+        result.fold(
+            { renewed -> onRenewed(renewed, sentAtMillis) },
             { error ->
                 hasLastRenewalSucceeded = false
                 if (clock.monotonicMillis() >= heldUntilMillis && hadPlacement) {
@@ -148,6 +225,20 @@
         )
     }
 
+    private fun onRenewed(renewed: DutyAssignment, sentAtMillis: Long) {
+        if (isFirstAfterRestore(renewed)) delayPlacement(renewed.timeToLiveMillis)
+        assignment = renewed
+        lastGeneration = renewed.generation
+        val wasUnreachable = sentAtMillis - (lastRenewalMillis ?: sentAtMillis) > OUTAGE_MILLIS
+        lastRenewalMillis = sentAtMillis
+        hasLastRenewalSucceeded = true
+        heldUntilMillis = sentAtMillis + renewed.timeToLiveMillis - SAFETY_MARGIN_MILLIS
+        updatePlacement(renewed)
+        // A peer may extend a duty that the store has just assigned to this new member.
+        if (wasUnreachable || isRejoining) onStoreRecovered()
+        isRejoining = false
+    }
+
     /**
      * Delays placement when the duty of it is acquired, and logs when it is acquired
      * or lost.
@@ -156,7 +247,11 @@
         val hasPlacement = PLACEMENT_DUTY in renewed.duties
         if (hasPlacement == hadPlacement) return
         hadPlacement = hasPlacement
-        if (hasPlacement) delayPlacement(TAKEOVER_DELAY_MILLIS)
+        if (hasPlacement) {
+            placementTerm++
+            delayPlacement(TAKEOVER_DELAY_MILLIS)
+            placementStartsAtMillis = maxOf(placementStartsAtMillis, lateLeaveUntilMillis)
+        }
         log.record(
             "duty",
             if (hasPlacement) "placement_taken" else "placement_given_up",
@@ -174,9 +269,8 @@
      * store is restored, and layers of lost engines would stay missing meanwhile.
      */
     private fun isFirstAfterRestore(renewed: DutyAssignment): Boolean {
-        val previous = assignment ?: return false
-        return EpochNumber.epochOf(renewed.generation) !=
-            EpochNumber.epochOf(previous.generation)
+        val previous = lastGeneration ?: return false
+        return EpochNumber.epochOf(renewed.generation) != EpochNumber.epochOf(previous)
     }
 
     private fun delayPlacement(millis: Long) {
@@ -212,6 +306,14 @@
          */
         const val TAKEOVER_DELAY_MILLIS = 200L
 
+        /**
+         * Delay of placement after a departure that the store has not confirmed. If the store
+         * executes it after this instance has joined again, it assigns the duty to another
+         * instance, and only the next renewal shows that. Covers the timeouts of both calls and the
+         * interval between renewals.
+         */
+        const val LATE_LEAVE_MILLIS = 2_500L
+
         /** Spans two renewals that the store did not answer. */
         const val OUTAGE_MILLIS = 2_500L
 
--- a/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/peer/PeerViewTest.kt
@@ -33,7 +33,9 @@
         known: List<KnownPeer> = emptyList(),
         unreachable: List<String> = listOf("dead"),
         dataCentre: String = "z",
-        centres: List<DataCentreSummary> = emptyList()
+        centres: List<DataCentreSummary> = emptyList(),
+        renewalAgeMillis: Long? = 500,
+        hasServerPath: Boolean = true
     ) = PeerReport(
         from = from,
         dataCentre = dataCentre,
@@ -46,11 +48,12 @@
         unreachable = unreachable,
         suspects = emptyList(),
         known = known,
-        renewalAgeMillis = 500,
+        renewalAgeMillis = renewalAgeMillis,
         readAgeMillis = null,
         configurationVersion = 0,
         serverListDelta = null,
-        centres = centres
+        centres = centres,
+        hasServerPath = hasServerPath
     )
 
     private fun requests() = view.load()?.get(RunnerId("s"))?.requests
@@ -199,6 +202,31 @@
         expectThat(view.isStoreUnreachableForAll()).isTrue()
     }
 
+    /** Guards against two holders: one extends its duty while the store answers everyone else. */
+    @Test
+    fun `peers without a path to servers do not show that the store is unreachable`() {
+        fun cutOff(from: String) =
+            report(from, 1, 3, renewalAgeMillis = null, hasServerPath = false)
+        view.onReport(cutOff("a"), address)
+        view.onReport(cutOff("b"), address)
+        expectThat(view.isStoreUnreachableForAll()).isFalse()
+        view.onReport(report("c", 1, 3, renewalAgeMillis = 3_500), address)
+        expectThat(view.isStoreUnreachableForAll()).isTrue()
+    }
+
+    /** Guards against a cut-off instance, which the store no longer lists, that peers forget. */
+    @Test
+    fun `a peer that has left the group is known while it reports`() {
+        view.onReport(report("a", 1, 3, hasServerPath = false), address)
+        repeat(40) {
+            clock.nowMillis += 1_000
+            view.onReport(report("a", it + 2L, 3, hasServerPath = false), address)
+            view.onMembers(emptyMap())
+            view.expire()
+            expectThat(view.liveInstanceCount).isEqualTo(2)
+        }
+    }
+
     @Test
     fun `a peer that reports nearly all servers unreachable is ignored`() {
         val all = List(30) { "s$it" }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/placement/RedivisionPacerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/placement/RedivisionPacerTest.kt
@@ -56,6 +56,17 @@
         expectThat(admit(redivisions)).isEqualTo(emptyList())
     }
 
+    /** Guards against redivision right after a term in which no plan was made. */
+    @Test
+    fun `the wait begins again with another term of the duty`() {
+        admit(redivisions)
+        clock.nowMillis += 3_000
+        pacer.reset()
+        expectThat(admit(redivisions)).isEqualTo(emptyList())
+        clock.nowMillis += 3_000
+        expectThat(admit(redivisions)).isEqualTo(listOf("b1", "b2"))
+    }
+
     @Test
     fun `other orders are not delayed`() {
         expectThat(admit(redivisions + replacement)).isEqualTo(listOf("b3"))
