Return retries that reached no server to the budget

Attempts that found no connection used up the retry budget that all instances share. A retry is now returned if its attempt opened no connection, was cancelled or found blocked before it was sent. If no other attempt runs, the request keeps it for its next attempt, so that every arrival beyond the first is charged; an attempt after one without a connection is free only if nothing was sent yet or a retry is held.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -43,7 +43,6 @@
     private val pauses = dependencies.pauses
     private val diagnosis = dependencies.diagnosis
     private val suspects = dependencies.suspects
-    private val retryBudget = dependencies.retryBudget
     private val observer = dependencies.observer
     private val log = dependencies.log
     private val clock = dependencies.clock
@@ -58,6 +57,10 @@
     private val timeouts = AttemptTimeouts(context, limit, firstEventTimes, clock)
     private val targets =
         RequestTargets(dependencies, context, limit, timeouts.canContinueElsewhere)
+    private val retries = RequestRetries(
+        budget = { dependencies.retryBudget(service.name) },
+        rank = RankName(context.priority.toString())
+    )
     private val relay = if (context.route.isStreaming) newRelay() else null
 
     /** The attempts that have not ended: one, and beside a silent one its replacement. */
@@ -75,6 +78,14 @@
 
     /** Runs attempts until the request is complete, cannot be retried or finds no server. */
     suspend fun runAttempts() {
+        try {
+            runUntilFinal()
+        } finally {
+            retries.close()
+        }
+    }
+
+    private suspend fun runUntilFinal() {
         while (true) {
             val selection = selectOrWait() ?: return
             hasSelected = true
@@ -125,6 +136,7 @@
         fun launch(attempt: RunningAttempt, prepare: suspend () -> Boolean = { true }) {
             awaitedEnds++
             running += attempt
+            attempt.retry = retries.use()
             updateInFlight(attempt.selection, inFlight::add)
             attempt.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 var end: AttemptEnd? = null
@@ -139,6 +151,14 @@
                     updateInFlight(attempt.selection, inFlight::remove)
                     if (current === attempt) current = null
                     if (attempt.isSuperseded && attempt.isSent) end = AttemptEnd.Superseded
+                    val isUnsent = if (end ==
+                        null
+                    ) {
+                        !attempt.isSent
+                    } else {
+                        end is AttemptEnd.NotConnected
+                    }
+                    if (isUnsent) retries.onUnsent(attempt.retry, isLast = running.isEmpty())
                     end?.let { recordEnd(attempt, it) }
                     keepMemory(attempt, end)
                     attempt.hasReplaced.complete(false)
@@ -237,7 +257,9 @@
                 limit.recordStaleConnection()
                 health.recordFailure(service.name, listOf(selection.server.id))
                 logFailure(attempt, end)
+                val retry = retries.use()
                 val second = send(attempt, silence, monitored)
+                if (second is AttemptEnd.NotConnected) retries.onUnsent(retry, isLast = true)
                 // The server may have run the first send, whatever it says about the second one.
                 if (second !is AttemptEnd.NotRun && second !is AttemptEnd.NotConnected) end = second
             }
@@ -434,8 +456,11 @@
     }
 
     private suspend fun budgetAllows(end: AttemptEnd): Boolean {
-        // The request was not sent, so the next attempt adds no load and needs no budget.
-        if (end is AttemptEnd.NotConnected) return targets.excludedCount <= MAX_UNREACHABLE_SERVERS
+        if (end is AttemptEnd.NotConnected) {
+            if (targets.excludedCount > MAX_UNREACHABLE_SERVERS) return false
+            // The first send adds no load to that of the request, and a retry that is held is paid.
+            if (limit.sends == 0 || retries.isHeld) return true
+        }
         return when (val decision = tryRetry(maxOf(1, limit.sends))) {
             is RetryDecision.Allowed -> {
                 delay(decision.delayMillis)
@@ -448,8 +473,7 @@
 
     /** Takes the budget of a retry after [attempts] attempts, if there is enough. */
     private fun tryRetry(attempts: Int, shouldLog: Boolean = true): RetryDecision {
-        val rank = RankName(context.priority.toString())
-        val decision = retryBudget(service.name).tryRetry(attempts, rank)
+        val decision = retries.tryRetry(attempts)
         if (shouldLog && decision is RetryDecision.Denied) {
             log.record("retry", "denied", "request" to context.id, "budget" to decision)
         }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RunningAttempt.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RunningAttempt.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway.forward
 
 import io.greengageport.common.RequestId
+import io.greengageport.routing.RetryDecision
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 
@@ -22,6 +23,9 @@
 
     val isSent: Boolean get() = sentAtMillis > 0
 
+    /** The retry that was taken from the budget for the attempt, or null if it needed none. */
+    var retry: RetryDecision.Allowed? = null
+
     /** The streamed response of the attempt, or null if the route has none or it was not sent. */
     var stream: AttemptStream? = null
 
--- a/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/RetryBudget.kt
@@ -21,7 +21,10 @@
  * only a few instances at a time, and these can then use what the others leave. Usage is known to
  * the other instances only after [USAGE_LAG_MILLIS], so each instance takes at most its part of the
  * remaining budget within that time. This keeps the total within the budget. [reserves], [minimum]
- * and [allowance] do not apply then; [FleetRetries] has an allowance of its own. Thread-safe.
+ * and [allowance] do not apply then; [FleetRetries] has an allowance of its own.
+ *
+ * A retry that surely reached no server adds no load and is returned with [returnRetry].
+ * Thread-safe.
  *
  * ```
  * when (val retry = budget.tryRetry(attempt = 1, rank)) {
@@ -87,6 +90,19 @@
         return allow(attempt, rank, cost, backoff)
     }
 
+    /**
+     * Returns [retry] to the budget, because its attempt surely reached no server. Has no effect if
+     * it has been returned before, or has left the window.
+     */
+    @Synchronized
+    public fun returnRetry(retry: RetryDecision.Allowed) {
+        val taken = retry.taken
+        if (taken.isReturned) return
+        taken.isReturned = true
+        retries[taken.rank]?.remove(taken.atMillis, taken.units)
+        if (taken.isDrawn && lastDrawAtMillis == taken.atMillis) lastDrawAtMillis = null
+    }
+
     /** Returns the usage of this instance in the current window, to report to the others. */
     @Synchronized
     public fun usage(): RetryUsage {
@@ -108,12 +124,13 @@
         val now = clock.monotonicMillis()
         val unreported = retries.values.sumOf { it.inLast(USAGE_LAG_MILLIS, now) } / UNITS
         val part = fleet.remaining(own) / fleet.instances
-        val isAllowed = unreported + cost <= part + ROUNDING ||
-            (unreported == 0.0 && drawRetry(part / cost))
-        return if (isAllowed) {
-            allow(attempt, rank, cost, backoff)
-        } else {
-            RetryDecision.Denied(own.used, own.earned)
+        return when {
+            unreported + cost <= part + ROUNDING -> allow(attempt, rank, cost, backoff)
+
+            unreported == 0.0 && drawRetry(part / cost) ->
+                allow(attempt, rank, cost, backoff, isDrawn = true)
+
+            else -> RetryDecision.Denied(own.used, own.earned)
         }
     }
 
@@ -128,10 +145,17 @@
         return random.nextDouble() < probability
     }
 
-    private fun allow(attempt: Int, rank: RankName, cost: Double, backoff: Backoff): RetryDecision {
-        retries.getOrPut(rank) { SlidingCounter() }
-            .add(clock.monotonicMillis(), ceil(cost * UNITS).toLong())
-        return RetryDecision.Allowed(backoff.delayMillis(attempt, random))
+    private fun allow(
+        attempt: Int,
+        rank: RankName,
+        cost: Double,
+        backoff: Backoff,
+        isDrawn: Boolean = false
+    ): RetryDecision {
+        val taken =
+            TakenRetry(rank, ceil(cost * UNITS).toLong(), clock.monotonicMillis(), isDrawn)
+        retries.getOrPut(rank) { SlidingCounter() }.add(taken.atMillis, taken.units)
+        return RetryDecision.Allowed(backoff.delayMillis(attempt, random), taken)
     }
 
     private fun shares(): Map<RankName, Double> {
@@ -157,13 +181,30 @@
 
 /** The result of [RetryBudget.tryRetry]. */
 public sealed interface RetryDecision {
-    /** The retry is allowed after [delayMillis]. */
-    public data class Allowed(val delayMillis: Long) : RetryDecision
+    /** The retry is allowed after [delayMillis]. [taken] is what it took from the budget. */
+    public class Allowed internal constructor(
+        public val delayMillis: Long,
+        internal val taken: TakenRetry
+    ) : RetryDecision
 
     /** The budget is exhausted: [used] retries were made and [earned] ones earned in the window. */
     public data class Denied(val used: Double, val earned: Double) : RetryDecision
 }
 
+/**
+ * The [units] that a retry of [rank] took from a budget at [atMillis] on the monotonic clock.
+ * [isDrawn] tells whether it was allowed at random.
+ */
+internal class TakenRetry(
+    val rank: RankName,
+    val units: Long,
+    val atMillis: Long,
+    val isDrawn: Boolean
+) {
+    /** Whether it was returned, which is possible only once. */
+    var isReturned = false
+}
+
 /** Exponential backoff with full jitter: a uniform delay below a bound that doubles. */
 public class Backoff(
     private val baseMillis: Long = DEFAULT_BASE_MILLIS,
@@ -210,6 +251,13 @@
         counts[i] += amount
     }
 
+    /** Removes an [amount] that was added at [addedAtMillis], unless it has left the window. */
+    fun remove(addedAtMillis: Long, amount: Long) {
+        val number = addedAtMillis / SLOT_MILLIS
+        val i = (number % SLOTS).toInt()
+        if (slotNumbers[i] == number) counts[i] = maxOf(0, counts[i] - amount)
+    }
+
     /** Count of the slots that lie entirely in the last 10 s, and of the current slot. */
     fun inWholeSlots(nowMillis: Long): Long = since(nowMillis / SLOT_MILLIS - WHOLE_SLOTS + 1)
 
