Serve through a peer while no server is reached

An instance that has lost its network path to all servers had to refuse its callers, although its peers still reach the servers. It now opens its connections to servers through a peer: the peer connects to the server, passes bytes on and tells an orderly end from a cut one. Without a peer that accepts tunnels, requests are refused at once. Peers learn from reports who accepts tunnels, and what servers stated through one. A stop of the peer waits for its tunnels.

The tests of the module platform were not run on this commit.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -31,19 +31,25 @@
 import io.greengageport.gateway.peer.RetryUse
 import io.greengageport.gateway.peer.ServerListRelay
 import io.greengageport.gateway.peer.ServerLoad
+import io.greengageport.gateway.peer.ServerNotices
 import io.greengageport.gateway.placement.LayerPlacer
 import io.greengageport.gateway.port.BackendProtocol
 import io.greengageport.gateway.port.PlatformStore
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.ConfigurationHolder
+import io.greengageport.gateway.state.ConnectedPath
 import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.DutyLease
 import io.greengageport.gateway.state.FleetIndex
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.ServerPath
 import io.greengageport.gateway.state.ServerPauses
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.gateway.state.StoreFollower
+import io.greengageport.gateway.tunnel.TunnelAdmission
+import io.greengageport.gateway.tunnel.TunnelConnector
+import io.greengageport.gateway.tunnel.TunnelListener
 import io.greengageport.routing.Backoff
 import io.greengageport.routing.FleetRetries
 import io.greengageport.routing.LinkEstimator
@@ -69,7 +75,9 @@
     private val connector: HttpConnector,
     private val store: PlatformStore,
     private val protocol: BackendProtocol,
-    private val clock: Clock = SystemClock
+    private val clock: Clock = SystemClock,
+    /** Replaces what this instance finds out about its path to servers; null except in tests. */
+    serverPath: ServerPath? = null
 ) {
     private val log = loop.log
     private val metrics = GatewayMetrics()
@@ -77,6 +85,7 @@
     private val directory = BackendDirectory(clock, log)
     private val fleetIndex = FleetIndex(directory) { configuration.current }
     private val peers = PeerView(settings.id, settings.dataCentre, clock, log)
+    private val path: ServerPath = serverPath ?: ConnectedPath
     private val dutyLease: DutyLease = DutyLease(
         group = store.duties,
         epoch = store.epoch,
@@ -90,8 +99,14 @@
     )
     private val inFlight =
         InFlightTable({ peers.liveInstanceCount }, peers::load, peers::requestsByService)
-    private val pool = ConnectionPool(connector, clock)
+    private val tunnelConnector =
+        TunnelConnector(settings.id, loop, clock, path::isCutOff, peers::tunnelPeers)
+    private val pool = ConnectionPool(connector, clock, tunnelConnector)
     private val pauses = ServerPauses(clock, log)
+    private val serverNotices: ServerNotices =
+        ServerNotices(directory, pauses, { peers.isRelay }, clock, log) {
+            sendReport(ReportReason.SERVER_NOTICE)
+        }
     private val health = ServerHealth(
         fleet = fleetIndex.fleet,
         directory = directory,
@@ -135,6 +150,7 @@
             admissionQueues = admissionQueues,
             health = health,
             pauses = pauses,
+            serverNotices = serverNotices,
             diagnosis =
                 StallDiagnosis(directory, connector, protocol, pauses::isPaused, log, clock),
             suspects = suspects,
@@ -143,6 +159,7 @@
             log = log,
             clock = clock,
             answersUntilMillis = { answersUntilMillis },
+            isWithoutServers = { path.isCutOff && !tunnelConnector.hasPeer },
             launchInBackground = { work -> loop.scope.launch { work() } }
         )
     )
@@ -157,6 +174,20 @@
             isReady = { storeFollower.isReady },
             isConfigurationOutdated = { storeFollower.isBehind }
         )
+    private val tunnelListener: TunnelListener = TunnelListener(
+        loop = loop,
+        admission = TunnelAdmission(
+            directory = directory,
+            isPaused = pauses::isPaused,
+            isCutOff = path::isCutOff,
+            isRefusing = { clock.monotonicMillis() >= acceptsUntilMillis },
+            isPeerAddress = peers::isPeerAddress
+        )
+    ) { server ->
+        path.isFailureOfServer(server.id).also {
+            if (it) health.markUnreachable(server.service, server.id)
+        }
+    }
     private val placer = LayerPlacer(
         configuration = { configuration.current },
         directory = directory,
@@ -245,6 +276,7 @@
         }
         suspects.onUrgentState = { peerExchange.send(ReportReason.CRASH_SUSPECTS) }
         peerExchange.listen(settings.peerAddress)
+        tunnelListener.listen(settings.peerAddress)
         listenForHealthChecks()
         // Listens for callers last, because the process ends with the requests that it has read if
         // another port is in use.
@@ -282,6 +314,7 @@
             connections = connections,
             // Callers' connections are accepted by the last listener, see start().
             listener = listeners.last(),
+            tunnels = tunnelListener,
             log = log,
             clock = clock,
             signalledAtMillis = signalledAtMillis,
@@ -295,11 +328,13 @@
             "in_flight" to router.inFlight,
             "grace_ms" to graceMillis
         )
+        sendReport(ReportReason.STOPPING)
         // A store that does not answer must not delay the stop.
         loop.scope.launch { dutyLease.leave() }
         try {
             sequence.run()
             listeners.forEach { it.close() }
+            tunnelListener.close()
             log.closeSuspending()
         } finally {
             stopped.complete(Unit)
@@ -342,6 +377,7 @@
                 storeFollower.checkPeers()
                 directory.expire()
                 pool.closeExpired()
+                if (path.isCutOff) pool.closeIdle()
                 suspects.expire()
             }
         }
@@ -399,6 +435,7 @@
      */
     private fun onPeerReport(report: PeerReport) {
         suspects.mergePeerStates(report.suspects)
+        serverNotices.onPeerNotices(report.from, report.notices)
         val unreachable = peers.unreachableServers()
         val newlyUnreachable = unreachable - previouslyUnreachable
         previouslyUnreachable = unreachable
@@ -436,7 +473,10 @@
         readAgeMillis = serverListRelay.readAgeMillis(),
         configurationVersion = configuration.current?.version ?: 0,
         serverListDelta = serverListRelay.deltaToReport(),
-        centres = centres
+        centres = centres,
+        hasServerPath = !path.isCutOff,
+        acceptsTunnels = !path.isCutOff && !isStopping && tunnelListener.hasRoom,
+        notices = serverNotices.toReport()
     )
 
     private fun retryBudget(service: ServiceName): RetryBudget = retryBudgets.getOrPut(service) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -6,6 +6,7 @@
 import io.greengageport.gateway.forward.RequestRouter
 import io.greengageport.gateway.http.HttpListener
 import io.greengageport.gateway.logging.DecisionLog
+import io.greengageport.gateway.tunnel.TunnelListener
 import kotlinx.coroutines.delay
 
 /**
@@ -16,10 +17,11 @@
  *    instance is not ready.
  * 2. Then new requests are refused, and so are those that no server has got yet: another instance
  *    has more time for them. Idle connections are closed. The phase ends when no accepted request
- *    is left; refusals prolong it until [refusesUntilMillis] at most.
+ *    is left; refusals prolong it until [refusesUntilMillis] at most. Tunnels that are open for
+ *    peers count as accepted requests.
  * 3. [ANSWER_MARGIN_MILLIS] before the end of the grace period, the requests that no answer has
- *    begun for are answered, and [BREAK_MARGIN_MILLIS] before it, the answers that have begun are
- *    broken off.
+ *    begun for are answered, and [BREAK_MARGIN_MILLIS] before it, the answers that have begun and
+ *    the open tunnels are broken off.
  * 4. The listener closes, the last connections send what they have, and close.
  *
  * A grace period below [FULL_MARGINS_GRACE_MILLIS] shortens the margins in proportion, so that most
@@ -32,6 +34,7 @@
     private val router: RequestRouter,
     private val connections: Set<CallerConnection>,
     private val listener: HttpListener,
+    private val tunnels: TunnelListener,
     private val log: DecisionLog,
     private val clock: Clock,
     private val signalledAtMillis: Long,
@@ -59,6 +62,7 @@
         router.interrupt { it.phase == Phase.WAITING || it.phase == Phase.AT_SERVER }
         awaitRequests(breakAtMillis) { isBusy() }
         router.interrupt { it.phase == Phase.ANSWERING }
+        tunnels.resetAll()
         closeAll()
     }
 
@@ -69,13 +73,13 @@
         marginMillis * minOf(graceMillis, FULL_MARGINS_GRACE_MILLIS) / FULL_MARGINS_GRACE_MILLIS
 
     /**
-     * Whether a request has no complete answer yet. Requests on connections opened after
-     * [acceptsUntilMillis] are all refused, and callers who retry at once would otherwise keep the
-     * instance running until its grace period ends.
+     * Whether a request has no complete answer yet, or a tunnel is open. Requests on connections
+     * opened after [acceptsUntilMillis] are all refused, and callers who retry at once would
+     * otherwise keep the instance running until its grace period ends.
      */
     private fun isBusy(): Boolean {
         val countsRefusals = clock.monotonicMillis() < refusesUntilMillis
-        return connections.any {
+        return tunnels.openTunnels > 0 || connections.any {
             it.isActive && (countsRefusals || it.openedAtMillis < acceptsUntilMillis)
         }
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -53,7 +53,8 @@
      * response with status 2xx goes to [reader] if there is one; other bodies are buffered, large
      * ones in [memory]. If one of [members] becomes unreachable, the response has to advance within
      * a short time.
-     * [onResponseHeaders] is called with the headers of the response to this attempt.
+     * [onResponseHeaders] is called with the headers of the response to this attempt, and whether it
+     * came through a tunnel.
      */
     suspend fun run(
         context: RequestContext,
@@ -63,7 +64,7 @@
         silencePolicy: SilencePolicy,
         reader: ResponseReader? = null,
         members: List<RunnerId> = emptyList(),
-        onResponseHeaders: (ResponseHeaders) -> Unit = {}
+        onResponseHeaders: (ResponseHeaders, isTunnelled: Boolean) -> Unit = { _, _ -> }
     ): AttemptEnd {
         val address = dispatch.server.address
         // On a connection that has carried the request before, the answer to that attempt could
@@ -72,7 +73,7 @@
         val shouldBeNew =
             !isFirstContact || context.route.repeatability == Repeatability.AT_MOST_ONCE
         val connectTimeoutMillis = minOf(CONNECT_TIMEOUT_MILLIS, headTimeoutMillis)
-        val lease = pool.acquire(address, connectTimeoutMillis, shouldBeNew)
+        val lease = pool.acquire(dispatch.server, connectTimeoutMillis, shouldBeNew)
             .getOrElse { return AttemptEnd.NotConnected(it.reason, it.observer) }
         var isComplete = false
         var isReusable = false
@@ -111,7 +112,7 @@
         private val memory: ResponseMemory.Reservation,
         private val silencePolicy: SilencePolicy,
         private val reader: ResponseReader?,
-        private val onResponseHeaders: (ResponseHeaders) -> Unit
+        private val onResponseHeaders: (ResponseHeaders, isTunnelled: Boolean) -> Unit
     ) : WaitingAttempt {
         private var silenceTimeout: Job? = null
         private var scope: CoroutineScope? = null
@@ -292,7 +293,7 @@
             status = response.status().code()
             headers = response.headers()
             currentResponse = responseHeaders
-            onResponseHeaders(responseHeaders)
+            onResponseHeaders(responseHeaders, lease.isTunnelled)
             if (isSuccess()) {
                 if (responseHeaders.attemptId == null || !responseHeaders.hasDigest) {
                     return AttemptEnd.Broken("$address: response without attempt id or digest")
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
@@ -3,6 +3,7 @@
 import io.greengageport.common.Clock
 import io.greengageport.common.ServiceName
 import io.greengageport.gateway.logging.DecisionLog
+import io.greengageport.gateway.peer.ServerNotices
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.InFlightTable
@@ -22,6 +23,7 @@
     val admissionQueues: AdmissionQueues,
     val health: ServerHealth,
     val pauses: ServerPauses,
+    val serverNotices: ServerNotices,
     val diagnosis: StallDiagnosis,
     val suspects: CrashSuspects,
     val retryBudget: (ServiceName) -> RetryBudget,
@@ -30,6 +32,8 @@
     val clock: Clock,
     /** Time on the monotonic clock, in ms, by which requests must have ended. */
     val answersUntilMillis: () -> Long = { Long.MAX_VALUE },
+    /** Whether neither this instance nor a peer that accepts tunnels reaches servers. */
+    val isWithoutServers: () -> Boolean = { false },
     /** Launches work that the request does not wait for. */
     val launchInBackground: (suspend () -> Unit) -> Unit
 ) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -41,6 +41,8 @@
     private val inFlight = dependencies.inFlight
     private val health = dependencies.health
     private val pauses = dependencies.pauses
+    private val serverNotices = dependencies.serverNotices
+    private val isWithoutServers = dependencies.isWithoutServers
     private val diagnosis = dependencies.diagnosis
     private val suspects = dependencies.suspects
     private val retryBudget = dependencies.retryBudget
@@ -76,6 +78,7 @@
     /** Runs attempts until the request is complete, cannot be retried or finds no server. */
     suspend fun runAttempts() {
         while (true) {
+            if (isWithoutServers()) return
             val selection = selectOrWait() ?: return
             hasSelected = true
             if (!hasTimeForAttempt()) return
@@ -263,8 +266,8 @@
         silence,
         attempt.stream,
         monitored
-    ) {
-        applyHeaders(attempt.selection.server, it)
+    ) { responseHeaders, isTunnelled ->
+        applyHeaders(attempt.selection.server, responseHeaders, isTunnelled)
     }
 
     /**
@@ -315,10 +318,21 @@
     }
 
     /** Applies the load, leaving state and pause that [server] reports in its response headers. */
-    private fun applyHeaders(server: BackendServer, responseHeaders: ResponseHeaders) {
+    private fun applyHeaders(
+        server: BackendServer,
+        responseHeaders: ResponseHeaders,
+        isTunnelled: Boolean
+    ) {
         if (responseHeaders.load != null) plainSelector.onLoad(server.id, responseHeaders.load)
         if (responseHeaders.isServerLeaving) directory.onLeaving(server.id, server.startedAtMillis)
         responseHeaders.pauseMillis?.let { pauses.onPause(server.id, it) }
+        if (isTunnelled) {
+            serverNotices.record(
+                server,
+                responseHeaders.isServerLeaving,
+                responseHeaders.pauseMillis
+            )
+        }
     }
 
     private inline fun updateInFlight(selection: Selection, change: (RunnerId, Long) -> Unit) {
@@ -418,6 +432,7 @@
     /** Returns the target of another attempt beside a silent one, or null if none is possible. */
     private fun selectReplacement(): Selection? {
         if (!limit.canRetryAfterRun() || relay?.canContinue == false) return null
+        if (isWithoutServers()) return null
         if (timeouts.remainingMillis <= 0 || !hasTimeForAttempt()) return null
         val isBlocked = suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED ||
             suspects.findBlockedPart(context.sharedPromptParts) != null
@@ -602,6 +617,8 @@
             RequestRouter.STOPPING_RETRY_MILLIS
         )
 
+        isWithoutServers() -> RequestForwarder.noPathError()
+
         else -> RequestError.NoCapacity(
             "no backend server accepted the request",
             noCapacityRetryMillis()
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -22,6 +22,7 @@
      */
     suspend fun forward(context: RequestContext, response: CallerResponse) {
         val attempts = RequestAttempts(dependencies, context, response)
+        if (dependencies.isWithoutServers()) return attempts.refuse(noPathError())
         if (dependencies.suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED) {
             return attempts.refuse(
                 RequestError.NoCapacity("the request crashes backend servers", BLOCKED_RETRY_MILLIS)
@@ -76,11 +77,18 @@
         }
     }
 
-    private companion object {
+    companion object {
+        /** Time in which a path to servers is often found again, or a peer with a path. */
+        private const val NO_PATH_RETRY_MILLIS = 1_000L
+
+        /** The error for a request that no server can get at the moment. */
+        fun noPathError(): RequestError =
+            RequestError.NoCapacity("no path to backend servers", NO_PATH_RETRY_MILLIS)
+
         /**
          * Retry time for a blocked request. It is blocked for an hour, but callers need not wait
          * that long.
          */
-        const val BLOCKED_RETRY_MILLIS = 60_000L
+        private const val BLOCKED_RETRY_MILLIS = 60_000L
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ConnectionPool.kt
@@ -5,35 +5,55 @@
 import com.github.michaelbull.result.map
 import io.greengageport.common.Clock
 import io.greengageport.common.HostPort
+import io.greengageport.gateway.model.BackendServer
 
 /**
  * Pool of keep-alive connections to backend servers.
  *
  * An idle connection is reused only for part of the keep-alive time of its server, and never after
- * bytes were received that belong to no request.
+ * bytes were received that belong to no request. While direct connections fail, connections are
+ * opened through [tunnels]; such a connection carries one request.
  */
-public class ConnectionPool(private val connector: HttpConnector, private val clock: Clock) {
+public class ConnectionPool
+internal constructor(
+    private val connector: HttpConnector,
+    private val clock: Clock,
+    private val tunnels: ServerTunnels? = null
+) {
     private class IdleConnection(val channel: HttpChannel, val expiresAtMillis: Long)
 
     private val idle = HashMap<HostPort, ArrayDeque<IdleConnection>>()
 
-    /** A connection taken from the pool; [isReused] tells whether it carried a request before. */
+    /**
+     * A connection taken from the pool; [isReused] tells whether it carried a request before, and
+     * [isTunnelled] whether it leads through a peer.
+     */
     public class Lease(
         public val address: HostPort,
         public val channel: HttpChannel,
-        public val isReused: Boolean
+        public val isReused: Boolean,
+        public val isTunnelled: Boolean = false
     )
 
+    private val needsTunnels: Boolean get() = tunnels?.isNeeded == true
+
     /**
-     * Takes an idle connection, or opens one within [timeoutMillis]. With [shouldBeNew], it always
-     * opens one: the server may close an idle connection while the request is being sent, and it is
-     * then unknown whether the request ran.
+     * Takes an idle connection to [server], or opens one within [timeoutMillis]. With
+     * [shouldBeNew], it always opens one: the server may close an idle connection while the request
+     * is being sent, and it is then unknown whether the request ran.
      */
     public suspend fun acquire(
-        address: HostPort,
+        server: BackendServer,
         timeoutMillis: Long,
         shouldBeNew: Boolean = false
     ): Result<Lease, HttpFailure.NotConnected> {
+        val address = server.address
+        if (tunnels != null && tunnels.isNeeded) {
+            closeIdle()
+            return tunnels.connect(server, timeoutMillis).map {
+                Lease(address, it, isReused = false, isTunnelled = true)
+            }
+        }
         if (!shouldBeNew) takeIdle(address)?.let { return Ok(Lease(address, it, isReused = true)) }
         return connector.connect(address, timeoutMillis).map {
             Lease(address, it, isReused = false)
@@ -41,11 +61,15 @@
     }
 
     /**
-     * Returns the connection of [lease] to the pool. [keepAliveMillis] is the idle timeout that the
-     * server stated, if any.
+     * Returns the connection of [lease] to the pool, or closes it if it is not to be reused.
+     * [keepAliveMillis] is the idle timeout that the server stated, if any.
      */
     public fun release(lease: Lease, keepAliveMillis: Long?) {
         val connection = lease.channel
+        if (lease.isTunnelled || needsTunnels) {
+            connection.close()
+            return
+        }
         val queue = idle.getOrPut(lease.address, ::ArrayDeque)
         if (!connection.isReusable || queue.size >= MAX_IDLE_PER_SERVER) {
             connection.close()
@@ -67,6 +91,14 @@
         idle.values.removeIf { it.isEmpty() }
     }
 
+    /** Closes all idle connections, which may be dead once new ones cannot be opened directly. */
+    public fun closeIdle() {
+        if (idle.isEmpty()) return
+        val connections = idle.values.flatten()
+        idle.clear()
+        connections.forEach { it.channel.close() }
+    }
+
     /** Closes the idle connections to [address], whose server was removed or restarted. */
     public fun forget(address: HostPort) {
         idle.remove(address)?.toList()?.forEach { it.channel.close() }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpChannel.kt
@@ -2,18 +2,14 @@
 
 import io.greengageport.gateway.logging.DecisionLog
 import io.netty.channel.Channel
-import io.netty.channel.ChannelException
 import io.netty.channel.ChannelHandler.Sharable
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.ChannelOption
-import io.netty.channel.socket.ChannelOutputShutdownException
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
-import java.nio.channels.ClosedChannelException
 import kotlin.coroutines.resume
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -141,17 +137,6 @@
         reset()
     }
 
-    /**
-     * Whether a write failed because the peer reset the connection before it ended its output. The
-     * system reports a reset once: to this write, after which the next read sees an orderly end. It
-     * reports a broken pipe if the peer had ended its output before, so what was read is whole.
-     */
-    private fun isReset(cause: IOException): Boolean {
-        val origin = generateSequence<Throwable>(cause) { it.cause }.last()
-        return origin is IOException && origin !is ClosedChannelException &&
-            origin !is ChannelOutputShutdownException && origin.message != BROKEN_PIPE
-    }
-
     /**
      * Marks the connection as waiting for its next request. It closes as soon as the peer sends a
      * byte, which would belong to no request.
@@ -204,14 +189,7 @@
      * nobody waits for.
      */
     public fun reset() {
-        if (channel.isOpen) {
-            try {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0)
-            } catch (e: ChannelException) {
-                // Some systems refuse the option once the peer has closed the connection.
-                recordEvent("reset_refused", "error" to e)
-            }
-        }
+        channel.resetOnClose(log)
         close()
     }
 
@@ -287,8 +265,5 @@
 
         /** A peer that takes no byte for this long, in ms, does not read any more. */
         public const val STALL_MILLIS: Long = 10_000
-
-        /** Message of the system for EPIPE; nothing else tells it from a reset. */
-        private const val BROKEN_PIPE = "Broken pipe"
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/HttpConnector.kt
@@ -21,16 +21,7 @@
 
 /** Opens connections to backend servers and to the store, which need to have IP addresses. */
 public class HttpConnector(private val loop: EventLoop) {
-    private val bootstrap = Bootstrap()
-        .group(loop.group)
-        .channel(NioSocketChannel::class.java)
-        .option(ChannelOption.ALLOCATOR, EventLoop.allocator)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.RECVBUF_ALLOCATOR, EventLoop.readAllocator)
-        .resolver(NoopAddressResolverGroup.INSTANCE)
-        // A peer may answer and close before it has read a long body. A write that fails then must
-        // not close the connection before the answer is read; the next read closes it.
-        .option(ChannelOption.AUTO_CLOSE, false)
+    private val bootstrap = newBootstrap(loop)
 
     /** Connects to [address]; fails after [timeoutMillis]. */
     public suspend fun connect(
@@ -42,9 +33,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis.toInt())
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(ch: Channel) {
-                    val decoder = ResponseDecoder(decoding)
-                    connection = HttpChannel(ch, loop.log, decoder)
-                    ch.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
+                    connection = addHttpHandlers(ch, loop)
                 }
             })
             .connect(socketAddress(address))
@@ -65,6 +54,26 @@
             .setMaxInitialLineLength(MAX_HEAD_BYTES)
             .setMaxHeaderSize(MAX_HEAD_BYTES)
 
+        /** Returns a bootstrap for connections to servers and, for tunnels to them, to peers. */
+        fun newBootstrap(loop: EventLoop): Bootstrap = Bootstrap()
+            .group(loop.group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.ALLOCATOR, EventLoop.allocator)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, EventLoop.readAllocator)
+            .resolver(NoopAddressResolverGroup.INSTANCE)
+            // A peer may answer and close before it has read a long body. A write that fails then
+            // must not close the connection before the answer is read; the next read closes it.
+            .option(ChannelOption.AUTO_CLOSE, false)
+
+        /** Adds the handlers of an HTTP client to [channel] and returns the last one. */
+        fun addHttpHandlers(channel: Channel, loop: EventLoop): HttpChannel {
+            val decoder = ResponseDecoder(decoding)
+            val connection = HttpChannel(channel, loop.log, decoder)
+            channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
+            return connection
+        }
+
         /**
          * Returns the socket address of [address], which is unresolved unless the host is an IP
          * address: the lookup of a name would block the thread.
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -10,6 +10,8 @@
 import io.greengageport.gateway.port.MemberAddress
 import io.greengageport.routing.InFlight
 import io.greengageport.routing.RetryUsage
+import io.netty.util.NetUtil
+import java.net.InetAddress
 
 /**
  * Tracks the last report of each peer and which peers are alive.
@@ -251,6 +253,29 @@
         return found.mapTo(HashSet(), ::RunnerId).also { cachedUnreachable = it }
     }
 
+    /** Whether [address] is the IP address of a known peer. */
+    fun isPeerAddress(address: InetAddress): Boolean = peers.values.any {
+        NetUtil.createByteArrayFromIpAddressString(it.address.host)
+            ?.contentEquals(address.address) == true
+    }
+
+    /**
+     * The live peers that accept tunnels, in random order, those of this data centre first. Of data
+     * centres that only send summaries, these name a sample.
+     */
+    fun tunnelPeers(): List<TunnelPeer> {
+        val (near, far) = peers.entries.filter { (_, p) -> p.isAlive && p.report.acceptsTunnels() }
+            .partition { (_, p) -> p.dataCentre == ownCentre }
+        val known = far.map { (id, p) -> TunnelPeer(id, p.address) }
+        val sampled = freshSummaries().flatMap { it.tunnelPeers }.mapNotNull { p ->
+            HostPort.parseOrNull(p.address)?.let { TunnelPeer(InstanceId(p.id), it) }
+        }
+        return near.map { (id, p) -> TunnelPeer(id, p.address) }.shuffled() +
+            (known + sampled).filter { it.id != self }.distinctBy { it.id }.shuffled()
+    }
+
+    private fun PeerReport?.acceptsTunnels() = this != null && hasServerPath && acceptsTunnels
+
     /** Summarises this data centre for the others; [ownReport] is this instance's own report. */
     fun summary(ownReport: PeerReport): DataCentreSummary {
         val reports = peers.values.filter { it.isAlive && it.dataCentre == ownCentre }
@@ -277,7 +302,9 @@
             unreachable = reports.map { it.unreachable }
                 .filter { it.size <= MAX_CREDIBLE_SERVERS }
                 .flatten().distinct(),
-            renewalAgeMillis = reports.mapNotNull { it.renewalAgeMillis }.minOrNull()
+            renewalAgeMillis = reports.mapNotNull { it.renewalAgeMillis }.minOrNull(),
+            tunnelPeers = reports.filter { it.acceptsTunnels() }.shuffled().take(TUNNEL_SAMPLE_SIZE)
+                .map { KnownPeer(it.from, it.dataCentre, it.address) }
         )
     }
 
@@ -294,7 +321,8 @@
                 requestsByService = s.requestsByService,
                 retries = s.retries,
                 unreachable = s.unreachable,
-                renewalAgeMillis = s.renewalAgeMillis?.let { it + now - computedAtMillis }
+                renewalAgeMillis = s.renewalAgeMillis?.let { it + now - computedAtMillis },
+                tunnelPeers = s.tunnelPeers
             )
         }
     }
@@ -343,5 +371,8 @@
 
         /** Large enough that all instances of a large fleet know each other after a few reports. */
         const val SAMPLE_SIZE = 8
+
+        /** Enough for a choice of two if some of them have stopped. */
+        const val TUNNEL_SAMPLE_SIZE = 4
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportReason.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportReason.kt
@@ -31,6 +31,12 @@
     /** A server crashed and requests or prompt parts are suspected, or a relay heard of that. */
     CRASH_SUSPECTS(ReportContent.BRIEF, ReportContent.BRIEF),
 
+    /** A server stated through a tunnel that it is leaving or wants a pause. */
+    SERVER_NOTICE(ReportContent.BRIEF, ReportContent.BRIEF),
+
+    /** This instance begins to stop and accepts no tunnels any more. */
+    STOPPING(ReportContent.BRIEF, ReportContent.WITH_SUMMARIES),
+
     /** The store answers again after an outage. */
     STORE_RECOVERED(ReportContent.WITH_SUMMARIES, ReportContent.WITH_SUMMARIES)
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPath.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPath.kt
@@ -8,13 +8,13 @@
  * A failed connection is evidence about both of its ends. Whether it counts as a failure of the
  * server is decided by connections to other servers, opened after it failed.
  */
-internal interface ServerPath {
+public interface ServerPath {
     /** Whether this instance has concluded that it reaches no server. */
-    val isCutOff: Boolean
+    public val isCutOff: Boolean
 
     /**
      * Whether a connection to [server] that has just failed shows a failure of the server. Opens
      * connections to other servers to find out, and returns within some hundred milliseconds.
      */
-    suspend fun isFailureOfServer(server: RunnerId): Boolean
+    public suspend fun isFailureOfServer(server: RunnerId): Boolean
 }
