Allow ejections and lost connections to be withdrawn

An instance that has lost its own network path to servers takes its failures for theirs. What it recorded since has to be taken back: errors, ejections, and lost connections that a later refusal would turn into a crash mark. A runner that was ejected before and failed a probe since goes on probation. Nothing calls this yet.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/CrashSuspects.kt
@@ -141,8 +141,20 @@
         unproven -= request
     }
 
-    /** Records that a connection to [server] was lost, or that a chain stalls on it. */
-    fun recordLostConnection(server: RunnerId): Unit = suspects.recordLostConnection(server)
+    /**
+     * Records that a connection to [server] was lost, or that a chain stalls on it. Returns false
+     * if an earlier loss is recorded already.
+     */
+    fun recordLostConnection(server: RunnerId): Boolean = suspects.recordLostConnection(server)
+
+    /** Discards the lost connection to [server], which shows no failure of the server. */
+    fun withdrawLostConnection(server: RunnerId): Unit = suspects.withdrawLostConnection(server)
+
+    /** Discards the connections lost since [sinceMillis] of the monotonic clock. */
+    fun withdrawLostConnections(sinceMillis: Long) {
+        val ageMillis = clock.monotonicMillis() - sinceMillis
+        suspects.withdrawLostConnections(clock.wallMillis() - ageMillis)
+    }
 
     /** Records that [server] accepts no connection. */
     fun recordRefusedConnection(server: RunnerId): Unit =
--- a/routing/src/main/kotlin/io/greengageport/routing/OutlierDetector.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/OutlierDetector.kt
@@ -38,13 +38,17 @@
     /** Records an error of the runner. */
     @Synchronized
     public fun recordFailure(runner: RunnerId) {
-        record(runner).consecutiveErrors++
+        val record = record(runner)
+        record.consecutiveErrors++
+        record.lastFailureMillis = clock.monotonicMillis()
     }
 
     /** Records that the runner has requests in flight but sent nothing within its timeout. */
     @Synchronized
     public fun recordTimeout(runner: RunnerId) {
-        record(runner).isSilent = true
+        val record = record(runner)
+        record.isSilent = true
+        record.lastFailureMillis = clock.monotonicMillis()
     }
 
     /** Returns the ejected runners whose ejection time is over; the caller must probe each. */
@@ -69,6 +73,19 @@
         return event
     }
 
+    /**
+     * Discards errors, timeouts and ejections recorded since [sinceMillis] of the monotonic clock,
+     * because the observer itself had failed. A runner that was ejected before and failed a probe
+     * since then is probed again at once. Returns the runners concerned.
+     */
+    @Synchronized
+    public fun withdrawSince(sinceMillis: Long): Set<RunnerId> {
+        val withdrawn = records.filterValues { it.lastFailureMillis >= sinceMillis }
+        withdrawn.values.forEach { it.withdrawSince(sinceMillis) }
+        updateEjectedRunners()
+        return withdrawn.keys
+    }
+
     /** Applies the rules to the runners of [fleet] and returns the changes. */
     @Synchronized
     public fun evaluate(fleet: ServiceFleet): List<OutlierEvent> {
@@ -159,9 +176,13 @@
     ): OutlierEvent {
         val doublings = minOf(record.ejections, MAX_DOUBLINGS)
         val durationMillis = minOf(rules.ejectionMillis shl doublings, rules.maxEjectionMillis)
+        val now = clock.monotonicMillis()
+        if (record.state == RunnerState.HEALTHY) record.ejectedAtMillis = now
+        record.lastEjectionMillis = now
+        record.lastFailureMillis = now
         record.ejections++
         record.state = RunnerState.EJECTED
-        record.untilMillis = clock.monotonicMillis() + durationMillis
+        record.untilMillis = now + durationMillis
         record.resetObservations()
         return OutlierEvent.Ejected(runner, reason, durationMillis)
     }
@@ -204,6 +225,13 @@
     var untilMillis = 0L
     var probes = 0
 
+    /** Time of the last error, timeout or ejection. */
+    var lastFailureMillis = Long.MIN_VALUE
+
+    /** Time of the last ejection of a healthy runner, and of the last ejection of all. */
+    var ejectedAtMillis = Long.MIN_VALUE
+    var lastEjectionMillis = Long.MIN_VALUE
+
     fun recordSuccess(latency: Double, weight: Double) {
         consecutiveErrors = 0
         isSilent = false
@@ -212,6 +240,15 @@
         samples++
     }
 
+    fun withdrawSince(sinceMillis: Long) {
+        consecutiveErrors = 0
+        isSilent = false
+        if (state == RunnerState.HEALTHY || lastEjectionMillis < sinceMillis) return
+        ejections--
+        probes = 0
+        state = if (ejectedAtMillis >= sinceMillis) RunnerState.HEALTHY else RunnerState.PROBATION
+    }
+
     fun resetObservations() {
         consecutiveErrors = 0
         isSilent = false
--- a/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
+++ b/routing/src/main/kotlin/io/greengageport/routing/SuspectRequests.kt
@@ -184,13 +184,32 @@
         activeAttempts.remove(request)
     }
 
-    /** Records a lost connection to [runner]; call before [recordEnd] for the requests on it. */
+    /**
+     * Records a lost connection to [runner]; call before [recordEnd] for the requests on it.
+     * Returns false if an earlier loss is recorded already.
+     */
     @Synchronized
-    public fun recordLostConnection(runner: RunnerId) {
+    public fun recordLostConnection(runner: RunnerId): Boolean {
         val now = clock.wallMillis()
         val earlier = lostConnections[runner]?.takeIf { now - it.atMillis < EVIDENCE_MILLIS }
         // Requests sent after the first loss may have reached a runner that had terminated.
         if (earlier == null) lostConnections[runner] = LostConnection(attemptsOn(runner, now), now)
+        return earlier == null
+    }
+
+    /** Discards the lost connection to [runner], because its cause is not at the runner. */
+    @Synchronized
+    public fun withdrawLostConnection(runner: RunnerId) {
+        lostConnections.remove(runner)
+    }
+
+    /**
+     * Discards the connections lost since [sinceMillis] of the wall clock, because their common
+     * cause is not at the runners.
+     */
+    @Synchronized
+    public fun withdrawLostConnections(sinceMillis: Long) {
+        lostConnections.values.removeIf { it.atMillis >= sinceMillis }
     }
 
     /**
