--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPath.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPath.kt
@@ -17,4 +17,19 @@
      * connections to other servers to find out, and returns within some hundred milliseconds.
      */
     suspend fun isFailureOfServer(server: RunnerId): Boolean
+
+    /**
+     * Whether this instance was cut off at any time since [sinceMillis] of the monotonic clock.
+     * Connections from before the end of a cut may still fail because of it.
+     */
+    fun wasCutOffSince(sinceMillis: Long): Boolean = isCutOff
+
+    companion object {
+        /** A path that is never lost, so that each failed connection is a failure of its server. */
+        val PERMANENT: ServerPath = object : ServerPath {
+            override val isCutOff = false
+
+            override suspend fun isFailureOfServer(server: RunnerId) = true
+        }
+    }
 }
