Ignore unreachable servers of a peer without a path

What such a peer cannot reach says nothing about the servers, whether it comes with its own report or in the summary of a data centre. The view also tells whether a live peer has a path, and there is a reason for reports that are sent when the own path is lost or back.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -239,18 +239,26 @@
     private fun total(uses: List<RetryUse>): RetryUsage =
         uses.fold(RetryUsage.NONE) { sum, u -> sum + RetryUsage(u.used, u.earned) }
 
+    /** Whether a live peer reports that it reaches backend servers. */
+    fun hasPeerWithPath(): Boolean =
+        peers.values.any { it.isAlive && it.report?.hasServerPath == true } ||
+            freshSummaries().any { it.tunnelPeers.isNotEmpty() }
+
     /**
      * Servers that at least one live peer found unreachable. The report of a peer that lists more
-     * than [MAX_CREDIBLE_SERVERS] is ignored, because that peer is more likely disconnected itself.
+     * than [MAX_CREDIBLE_SERVERS] is ignored, because that peer is more likely disconnected itself,
+     * and so is that of a peer without a path to servers.
      */
     fun unreachableServers(): Set<RunnerId> {
         cachedUnreachable?.let { return it }
-        val found = reports().map { it.unreachable }
-            .filter { it.size <= MAX_CREDIBLE_SERVERS }.flatten() +
-            freshSummaries().flatMap { it.unreachable }
+        val found = unreachableIn(reports()) + freshSummaries().flatMap { it.unreachable }
         return found.mapTo(HashSet(), ::RunnerId).also { cachedUnreachable = it }
     }
 
+    private fun unreachableIn(reports: List<PeerReport>): List<String> =
+        reports.filter { it.hasServerPath }.map { it.unreachable }
+            .filter { it.size <= MAX_CREDIBLE_SERVERS }.flatten()
+
     /** Summarises this data centre for the others; [ownReport] is this instance's own report. */
     fun summary(ownReport: PeerReport): DataCentreSummary {
         val reports = peers.values.filter { it.isAlive && it.dataCentre == ownCentre }
@@ -274,9 +282,7 @@
             load = load.values.toList(),
             requestsByService = requests,
             retries = retries,
-            unreachable = reports.map { it.unreachable }
-                .filter { it.size <= MAX_CREDIBLE_SERVERS }
-                .flatten().distinct(),
+            unreachable = unreachableIn(reports).distinct(),
             renewalAgeMillis = reports.mapNotNull { it.renewalAgeMillis }.minOrNull()
         )
     }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportReason.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportReason.kt
@@ -31,6 +31,9 @@
     /** A server crashed and requests or prompt parts are suspected, or a relay heard of that. */
     CRASH_SUSPECTS(ReportContent.BRIEF, ReportContent.BRIEF),
 
+    /** This instance lost its path to servers, or has it again. */
+    SERVER_PATH(ReportContent.WITH_SUMMARIES, ReportContent.WITH_SUMMARIES),
+
     /** The store answers again after an outage. */
     STORE_RECOVERED(ReportContent.WITH_SUMMARIES, ReportContent.WITH_SUMMARIES)
 }
