Record nothing against servers without a path to them

An instance whose connections to all servers failed ejected the servers, reported them as unreachable and blocked the requests and prompt parts that it had in flight, for up to seconds after the path was back.

A failed connection, health check, report request or silence now counts only if ServerPath takes it for a failure of the server. Otherwise nothing is excluded, marked or reported; a server whose connection was lost is avoided. Once the path is lost, what was recorded since the last control connection is withdrawn, and peers are told at once. Attempts that were sent before the path was back say nothing either, and kept connections are closed then. Attempts without a connection are counted, so that their bound holds although nothing is excluded.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -41,6 +41,7 @@
 import io.greengageport.gateway.state.FleetIndex
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.ServerPathMonitor
 import io.greengageport.gateway.state.ServerPauses
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.gateway.state.StoreFollower
@@ -92,6 +93,14 @@
         InFlightTable({ peers.liveInstanceCount }, peers::load, peers::requestsByService)
     private val pool = ConnectionPool(connector, clock)
     private val pauses = ServerPauses(clock, log)
+    private val path = ServerPathMonitor(
+        directory = directory,
+        connector = connector,
+        isPaused = pauses::isPaused,
+        hasPeerWithPath = peers::hasPeerWithPath,
+        log = log,
+        clock = clock
+    )
     private val health = ServerHealth(
         fleet = fleetIndex.fleet,
         directory = directory,
@@ -100,7 +109,8 @@
         unreachableByPeers = peers::unreachableServers,
         isPaused = pauses::isPaused,
         log = log,
-        clock = clock
+        clock = clock,
+        path = path
     )
     private val suspects = CrashSuspects(clock, log, isRelay = { peers.isRelay })
     private val retryBudgets = HashMap<ServiceName, RetryBudget>()
@@ -135,8 +145,9 @@
             admissionQueues = admissionQueues,
             health = health,
             pauses = pauses,
+            path = path,
             diagnosis =
-                StallDiagnosis(directory, connector, protocol, pauses::isPaused, log, clock),
+                StallDiagnosis(directory, connector, protocol, pauses::isPaused, path, log, clock),
             suspects = suspects,
             retryBudget = ::retryBudget,
             observer = MetricsObserver(metrics, clock),
@@ -243,6 +254,7 @@
             if (isFirstReport) peerExchange.send(ReportReason.UNREACHABLE)
             chainFailureNotifier.notifyUnreachable(id)
         }
+        path.onChanged = ::onPathChanged
         suspects.onUrgentState = { peerExchange.send(ReportReason.CRASH_SUSPECTS) }
         peerExchange.listen(settings.peerAddress)
         listenForHealthChecks()
@@ -330,6 +342,7 @@
         scope.launchSupervised("reports", log) { peerExchange.run() }
         scope.launchSupervised("placement", log) { placer.run() }
         scope.launchSupervised("health", log) { health.run() }
+        scope.launchSupervised("path", log) { path.run() }
         scope.launchSupervised("admission", log) { admissionQueues.run() }
         scope.launchSupervised("upkeep", log) {
             while (true) {
@@ -393,17 +406,30 @@
         response.respond(status, DefaultHttpHeaders(), ByteArray(0))
     }
 
+    private fun onPathChanged(isCutOff: Boolean) {
+        if (isCutOff) {
+            health.withdrawSince(path.cutOffSinceMillis)
+            suspects.withdrawLostConnections(path.cutOffSinceMillis)
+        } else {
+            // Kept connections may have been lost unnoticed with the path.
+            directory.all.forEach { pool.forget(it.address) }
+        }
+        peerExchange.send(ReportReason.SERVER_PATH)
+    }
+
     /**
      * Applies a peer's report. A relay forwards newly unreachable servers to other data centres at
-     * once.
+     * once, and that a peer without a path no longer reports some.
      */
     private fun onPeerReport(report: PeerReport) {
         suspects.mergePeerStates(report.suspects)
         val unreachable = peers.unreachableServers()
         val newlyUnreachable = unreachable - previouslyUnreachable
+        val hasWithdrawn =
+            !report.hasServerPath && !unreachable.containsAll(previouslyUnreachable)
         previouslyUnreachable = unreachable
         newlyUnreachable.forEach(chainFailureNotifier::notifyUnreachable)
-        if (newlyUnreachable.isNotEmpty() && peers.isRelay) {
+        if ((newlyUnreachable.isNotEmpty() || hasWithdrawn) && peers.isRelay) {
             val isLocal = report.dataCentre == settings.dataCentre.value
             peerExchange.send(
                 if (isLocal) {
@@ -430,6 +456,7 @@
             service.value to budget.usage().let { RetryUse(it.used, it.earned) }
         },
         unreachable = health.unreachableServers().map { it.value },
+        hasServerPath = !path.isCutOff,
         suspects = suspects.statesToReport(),
         known = peers.sampleLivePeers(),
         renewalAgeMillis = dutyLease.renewalAgeMillis(),
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
@@ -7,6 +7,7 @@
 import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.ServerPath
 import io.greengageport.gateway.state.ServerPauses
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.limits.RetryAfterJitter
@@ -22,6 +23,7 @@
     val admissionQueues: AdmissionQueues,
     val health: ServerHealth,
     val pauses: ServerPauses,
+    val path: ServerPath,
     val diagnosis: StallDiagnosis,
     val suspects: CrashSuspects,
     val retryBudget: (ServiceName) -> RetryBudget,
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -40,6 +40,7 @@
     private val directory = dependencies.directory
     private val inFlight = dependencies.inFlight
     private val health = dependencies.health
+    private val path = dependencies.path
     private val pauses = dependencies.pauses
     private val diagnosis = dependencies.diagnosis
     private val suspects = dependencies.suspects
@@ -363,22 +364,30 @@
     ) : SilencePolicy {
         private var examinations = 0
         private var cause: StallCause? = null
+        private var isRecorded = false
 
         override suspend fun examine() {
             examinations++
             val selection = attempt.selection
-            if (selection.members.size == 1) return
+            if (selection.members.size == 1) {
+                if (!isRecorded) cause = unlessCutOff(null)
+                return
+            }
             val unreachable = selection.members.filterTo(HashSet(), health::isUnreachable)
             // Whether a server is unreachable can be known from a slow connection only.
             cause = if (examinations == 1 && unreachable.isNotEmpty()) {
-                StallCause.Stages(unreachable)
+                unlessCutOff(StallCause.Stages(unreachable))
             } else {
                 diagnosis.findCause(selection.server)
             }
         }
 
+        private suspend fun unlessCutOff(cause: StallCause?): StallCause? =
+            if (path.isFailureOfServer(attempt.selection.server.id)) cause else StallCause.NoPath
+
         override suspend fun awaitReplacement(): Boolean {
-            targets.recordSilence(attempt, cause, isFirst = examinations == 1)
+            targets.recordSilence(attempt, cause, isFirst = !isRecorded)
+            if (cause != StallCause.NoPath) isRecorded = true
             if (running.size > 1 && current !== attempt) return false
             val other = running.firstOrNull { it !== attempt } ?: startReplacement()
             logDecision(other)
@@ -435,7 +444,9 @@
 
     private suspend fun budgetAllows(end: AttemptEnd): Boolean {
         // The request was not sent, so the next attempt adds no load and needs no budget.
-        if (end is AttemptEnd.NotConnected) return targets.excludedCount <= MAX_UNREACHABLE_SERVERS
+        if (end is AttemptEnd.NotConnected) {
+            return maxOf(targets.excludedCount, targets.unconnectedCount) <= MAX_UNREACHABLE_SERVERS
+        }
         return when (val decision = tryRetry(maxOf(1, limit.sends))) {
             is RetryDecision.Allowed -> {
                 delay(decision.delayMillis)
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestTargets.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestTargets.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway.forward
 
 import io.greengageport.common.RunnerId
+import io.greengageport.gateway.http.ConnectionObserver
 import io.greengageport.gateway.state.StallCause
 import io.greengageport.routing.SuspectVerdict
 
@@ -19,6 +20,7 @@
     private val plainSelector = dependencies.plainSelector
     private val directory = dependencies.directory
     private val health = dependencies.health
+    private val path = dependencies.path
     private val pauses = dependencies.pauses
     private val suspects = dependencies.suspects
     private val firstEventTimes = dependencies.firstEventTimes
@@ -32,14 +34,19 @@
     private val excluded = HashSet<RunnerId>()
 
     /**
-     * Members of chains that stalled for an unknown reason, and servers with stale connections;
-     * used only if there are no others.
+     * Members of chains that stalled for an unknown reason, servers with stale connections, and
+     * those that failed while this instance may have had no path to them; used only if there are no
+     * others.
      */
     private val avoided = HashSet<RunnerId>()
 
     /** Number of servers that are not selected again. */
     val excludedCount: Int get() = excluded.size
 
+    /** Number of attempts for which no connection was opened. */
+    var unconnectedCount: Int = 0
+        private set
+
     /** Selects the target of the next attempt, or returns null if none is available. */
     fun select(): Selection? = selectExcept(emptySet())
 
@@ -109,9 +116,8 @@
             }
 
             is AttemptEnd.NotConnected -> {
-                excluded += first
-                suspects.recordRefusedConnection(first)
-                health.markUnreachable(service.name, first)
+                unconnectedCount++
+                recordUnconnected(first, end.observer)
             }
 
             is AttemptEnd.NotRun -> {
@@ -123,45 +129,76 @@
                 }
             }
 
-            is AttemptEnd.Broken -> excludeFailed(selection, end)
+            is AttemptEnd.Broken -> excludeFailed(attempt, end)
 
             is AttemptEnd.CallerGone, is AttemptEnd.Superseded -> Unit
         }
     }
 
-    private suspend fun excludeFailed(selection: Selection, end: AttemptEnd.Broken) {
+    private suspend fun recordUnconnected(server: RunnerId, observer: ConnectionObserver) {
+        when (observer) {
+            ConnectionObserver.THIS_INSTANCE -> if (path.isFailureOfServer(server)) {
+                excluded += server
+                suspects.recordRefusedConnection(server)
+                health.markUnreachable(service.name, server)
+            }
+
+            // The peer marks the server itself and reports it.
+            ConnectionObserver.PEER -> {
+                excluded += server
+                suspects.recordRefusedConnection(server)
+            }
+
+            ConnectionObserver.NOBODY -> Unit
+        }
+    }
+
+    private suspend fun excludeFailed(attempt: RunningAttempt, end: AttemptEnd.Broken) {
         // The failure was recorded when the replacement was started.
         if (end.isSilent) return
-        val first = selection.server.id
+        val first = attempt.selection.server.id
+        if (path.wasCutOffSince(attempt.sentAtMillis)) {
+            avoided += first
+            return
+        }
         if (end.isStaleConnection) {
             avoided += first
             health.recordFailure(service.name, listOf(first))
             return
         }
-        suspects.recordLostConnection(first)
+        // Has to be recorded while the attempt is registered as running.
+        val isFirstLoss = suspects.recordLostConnection(first)
         if (canContinueElsewhere) {
-            checkForCrash(first)
+            checkForCrash(first, isFirstLoss)
         } else {
-            launchInBackground { checkForCrash(first) }
+            launchInBackground { checkForCrash(first, isFirstLoss) }
         }
-        excluded += first
-        health.recordFailure(service.name, listOf(first))
     }
 
     /**
      * Finds out whether [server] crashed after a lost connection. Other attempts avoid it from then
      * on, so none of them would notice, and the request that crashed it could crash further ones.
      */
-    private suspend fun checkForCrash(server: RunnerId) {
+    private suspend fun checkForCrash(server: RunnerId, isFirstLoss: Boolean) {
+        val isReachable = health.acceptsConnections(service.name, server)
+        if (isReachable == null && directory.find(server) != null) {
+            // Without a path to servers, this instance lost the connection, not the server.
+            if (isFirstLoss) suspects.withdrawLostConnection(server)
+            avoided += server
+            return
+        }
         // A server that accepts connections may have restarted, which its next list entry shows.
-        if (health.acceptsConnections(service.name, server) != false) return
-        suspects.recordRefusedConnection(server)
-        limit.recordServerLost()
+        if (isReachable == false) {
+            suspects.recordRefusedConnection(server)
+            limit.recordServerLost()
+        }
+        excluded += server
+        health.recordFailure(service.name, listOf(server))
     }
 
     /**
-     * Excludes the servers that caused a silence of [attempt]. [cause] is null for a plain server, and [isFirst]
-     * is false if the same silence was recorded before.
+     * Excludes the servers that caused a silence of [attempt]. [cause] is null for a plain server,
+     * and [isFirst] is false if the same silence was recorded before, other than without a path.
      */
     fun recordSilence(attempt: RunningAttempt, cause: StallCause?, isFirst: Boolean) {
         val selection = attempt.selection
@@ -182,6 +219,8 @@
                 health.markUnreachable(service.name, first)
             }
 
+            is StallCause.NoPath -> avoided += selection.members
+
             is StallCause.Unknown -> {
                 avoided += selection.members
                 // No stage failed, so the service is slow as a whole. A longer estimate prevents
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
@@ -28,6 +28,9 @@
  * recently succeeded there. In a large fleet each instance sends few requests to a server, and the
  * store lists a crashed server for seconds; without the peers' reports each instance would lose
  * requests before it detects the crash.
+ *
+ * A failed connection counts only if [path] takes it for a failure of the server. While this
+ * instance is cut off, nothing is recorded against a server.
  */
 internal class ServerHealth(
     private val fleet: Fleet,
@@ -37,11 +40,13 @@
     private val unreachableByPeers: () -> Set<RunnerId>,
     private val isPaused: (RunnerId) -> Boolean,
     private val log: DecisionLog,
-    private val clock: Clock
+    private val clock: Clock,
+    private val path: ServerPath = ServerPath.PERMANENT
 ) {
     private val detector = OutlierDetector(clock, RULES)
 
-    private val unreachable = HashSet<RunnerId>()
+    /** Unreachable servers, and the time at which each was found unreachable. */
+    private val unreachable = HashMap<RunnerId, Long>()
     private val checksInProgress = HashMap<RunnerId, CompletableDeferred<Boolean?>>()
     private val lastSuccessMillis = HashMap<RunnerId, Long>()
 
@@ -56,7 +61,7 @@
      * by this instance. A server stays in the set until an attempt or a health check there succeeds
      * or until it is removed or restarted.
      */
-    fun unreachableServers(): Set<RunnerId> = unreachable.toSet()
+    fun unreachableServers(): Set<RunnerId> = unreachable.keys.toSet()
 
     /** Whether this instance or a peer has found [server] unreachable. */
     fun isUnreachable(server: RunnerId): Boolean =
@@ -82,23 +87,42 @@
             detector.recordSuccess(s, millis.toDouble())
             lastSuccessMillis[s] = now
         }
-        if (unreachable.isNotEmpty()) unreachable -= servers.toSet()
+        if (unreachable.isNotEmpty()) unreachable -= servers
     }
 
     /** Records that an attempt failed because of one of [servers]; which one is unknown. */
     fun recordFailure(service: ServiceName, servers: Collection<RunnerId>) {
+        if (path.isCutOff) return
         for (s in servers) detector.recordFailure(s)
         evaluate(service)
     }
 
-    /** Records that [server] accepts no connection, or that a chain stalls on it. */
+    /**
+     * Records that [server] accepts no connection, or that a chain stalls on it. The caller has
+     * asked the path to servers whether this is a failure of the server.
+     */
     fun markUnreachable(service: ServiceName, server: RunnerId) {
+        if (path.isCutOff) return
         detector.recordTimeout(server)
         lastSuccessMillis.remove(server)
-        if (unreachable.add(server)) onServerUnreachable(server, server !in unreachableByPeers())
+        if (unreachable.put(server, clock.monotonicMillis()) == null) {
+            onServerUnreachable(server, server !in unreachableByPeers())
+        }
         evaluate(service)
     }
 
+    /**
+     * Discards ejections, errors and unreachable servers recorded since [sinceMillis] of the
+     * monotonic clock, because this instance has had no path to servers since then.
+     */
+    fun withdrawSince(sinceMillis: Long) {
+        val reachable = unreachable.filterValues { it >= sinceMillis }.keys
+        unreachable -= reachable
+        val withdrawn = detector.withdrawSince(sinceMillis) + reachable
+        if (withdrawn.isEmpty()) return
+        log.record("health", "withdrawn", "servers" to withdrawn.take(MAX_LOGGED_SERVERS))
+    }
+
     /**
      * Records that an attempt was refused because of the stage [server], which may be down, leaving
      * or short of memory. This counts as a failure of the stage. Opens a connection to find out
@@ -111,9 +135,11 @@
 
     /**
      * Opens a connection to [server] and marks it as unreachable if that fails. Returns whether it
-     * succeeded, or null if the server is not known. Concurrent calls share one connection.
+     * succeeded, or null if the server is not known or this instance may have no path to it.
+     * Concurrent calls share one connection.
      */
     suspend fun acceptsConnections(service: ServiceName, server: RunnerId): Boolean? {
+        if (path.isCutOff) return null
         // A check without a result was cancelled with the request that made it.
         checksInProgress[server]?.await()?.let { return it }
         val result = CompletableDeferred<Boolean?>()
@@ -122,8 +148,11 @@
         try {
             val address = directory.find(server)?.address ?: return null
             val connection = connector.connect(address, CONNECT_TIMEOUT_MILLIS)
-            connection.fold({ it.close() }) { markUnreachable(service, server) }
-            isReachable = connection.isOk
+            isReachable = connection.fold({
+                it.close()
+                true
+            }) { if (path.isFailureOfServer(server)) false else null }
+            if (isReachable == false) markUnreachable(service, server)
             log.record("health", "checked", "server" to server, "reachable" to isReachable)
             return isReachable
         } finally {
@@ -146,6 +175,7 @@
     suspend fun run() {
         while (true) {
             delay(PROBE_INTERVAL_MILLIS)
+            if (path.isCutOff) continue
             val ejected = detector.ejectedRunners()
             if (ejected.isEmpty()) continue
             ejected.mapNotNullTo(HashSet()) { directory.find(it)?.service }.forEach(::evaluate)
@@ -162,19 +192,25 @@
 
     private suspend fun probe(id: RunnerId) {
         val server = directory.find(id) ?: return forget(id)
-        val isHealthy = isHealthy(server)
+        val isHealthy = isHealthy(server) ?: return
         if (isHealthy) unreachable -= id
         val event = detector.recordProbe(id, isHealthy) ?: return
         log.record("health", "probed", "server" to id, "healthy" to isHealthy, "change" to event)
     }
 
-    private suspend fun isHealthy(server: BackendServer): Boolean {
+    /** Returns null if the health check failed and this says nothing about [server]. */
+    private suspend fun isHealthy(server: BackendServer): Boolean? {
         val caller = HttpCaller(connector, server.address)
-        val path = healthPath(server.service)
-        val request = OutgoingRequest(HttpMethod.GET, path, DefaultHttpHeaders())
+        val request = OutgoingRequest(
+            HttpMethod.GET,
+            healthPath(server.service),
+            DefaultHttpHeaders()
+        )
         val reply = caller.call(request, PROBE_TIMEOUT_MILLIS)
         caller.closeIdle()
-        return reply.fold({ it.status == STATUS_OK }, { false })
+        return reply.fold({ it.status == STATUS_OK }) {
+            if (path.isFailureOfServer(server.id)) false else null
+        }
     }
 
     private companion object {
@@ -199,5 +235,8 @@
         const val PROBE_INTERVAL_MILLIS = 250L
         const val PROBE_TIMEOUT_MILLIS = 400L
         const val STATUS_OK = 200
+
+        /** Limits the length of a log line. */
+        const val MAX_LOGGED_SERVERS = 20
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/StallDiagnosis.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/StallDiagnosis.kt
@@ -18,6 +18,9 @@
     /** The first stage itself does not respond. */
     data object FirstStage : StallCause
 
+    /** The instance may have no path to servers, so the silence says nothing about them. */
+    data object NoPath : StallCause
+
     /**
      * The cause was not found: the first stage asked for a pause and was not queried, or its report
      * is invalid or names no known stage that it is waiting for.
@@ -35,6 +38,7 @@
     private val connector: HttpConnector,
     private val protocol: BackendProtocol,
     private val isPaused: (RunnerId) -> Boolean,
+    private val path: ServerPath,
     private val log: DecisionLog,
     private val clock: Clock
 ) {
@@ -46,6 +50,7 @@
 
     /** Returns why chains that start at [first] are stalled. */
     suspend fun findCause(first: BackendServer): StallCause {
+        if (path.isCutOff) return StallCause.NoPath
         // A server that asked for a pause is not sent report requests either.
         if (isPaused(first.id)) return StallCause.Unknown
         val now = clock.monotonicMillis()
@@ -74,7 +79,13 @@
                     .mapNotNullTo(HashSet()) { directory.findByAddress(it)?.id }
                 if (stages.isEmpty()) StallCause.Unknown else StallCause.Stages(stages)
             },
-            { StallCause.FirstStage }
+            {
+                if (path.isFailureOfServer(first.id)) {
+                    StallCause.FirstStage
+                } else {
+                    StallCause.NoPath
+                }
+            }
         )
     }
 
