--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -37,13 +37,13 @@
 import io.greengageport.gateway.port.PlatformStore
 import io.greengageport.gateway.state.BackendDirectory
 import io.greengageport.gateway.state.ConfigurationHolder
-import io.greengageport.gateway.state.ConnectedPath
 import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.DutyLease
 import io.greengageport.gateway.state.FleetIndex
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
 import io.greengageport.gateway.state.ServerPath
+import io.greengageport.gateway.state.ServerPathMonitor
 import io.greengageport.gateway.state.ServerPauses
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.gateway.state.StoreFollower
@@ -85,7 +85,6 @@
     private val directory = BackendDirectory(clock, log)
     private val fleetIndex = FleetIndex(directory) { configuration.current }
     private val peers = PeerView(settings.id, settings.dataCentre, clock, log)
-    private val path: ServerPath = serverPath ?: ConnectedPath
     private val dutyLease: DutyLease = DutyLease(
         group = store.duties,
         epoch = store.epoch,
@@ -99,10 +98,19 @@
     )
     private val inFlight =
         InFlightTable({ peers.liveInstanceCount }, peers::load, peers::requestsByService)
+    private val pauses = ServerPauses(clock, log)
+    private val pathMonitor = ServerPathMonitor(
+        directory = directory,
+        connector = connector,
+        isPaused = pauses::isPaused,
+        hasPeerWithPath = peers::hasPeerWithPath,
+        log = log,
+        clock = clock
+    )
+    private val path: ServerPath = serverPath ?: pathMonitor
     private val tunnelConnector =
         TunnelConnector(settings.id, loop, clock, path::isCutOff, peers::tunnelPeers)
     private val pool = ConnectionPool(connector, clock, tunnelConnector)
-    private val pauses = ServerPauses(clock, log)
     private val serverNotices: ServerNotices =
         ServerNotices(directory, pauses, { peers.isRelay }, clock, log) {
             sendReport(ReportReason.SERVER_NOTICE)
@@ -115,7 +123,8 @@
         unreachableByPeers = peers::unreachableServers,
         isPaused = pauses::isPaused,
         log = log,
-        clock = clock
+        clock = clock,
+        path = path
     )
     private val suspects = CrashSuspects(clock, log, isRelay = { peers.isRelay })
     private val retryBudgets = HashMap<ServiceName, RetryBudget>()
@@ -151,8 +160,9 @@
             health = health,
             pauses = pauses,
             serverNotices = serverNotices,
+            path = path,
             diagnosis =
-                StallDiagnosis(directory, connector, protocol, pauses::isPaused, log, clock),
+                StallDiagnosis(directory, connector, protocol, pauses::isPaused, path, log, clock),
             suspects = suspects,
             retryBudget = ::retryBudget,
             observer = MetricsObserver(metrics, clock),
@@ -275,6 +285,7 @@
             if (isFirstReport) peerExchange.send(ReportReason.UNREACHABLE)
             chainFailureNotifier.notifyUnreachable(id)
         }
+        pathMonitor.onChanged = ::onPathChanged
         suspects.onUrgentState = { peerExchange.send(ReportReason.CRASH_SUSPECTS) }
         peerExchange.listen(settings.peerAddress)
         tunnelListener.listen(settings.peerAddress)
@@ -366,6 +377,7 @@
         scope.launchSupervised("reports", log) { peerExchange.run() }
         scope.launchSupervised("placement", log) { placer.run() }
         scope.launchSupervised("health", log) { health.run() }
+        scope.launchSupervised("path", log) { pathMonitor.run() }
         scope.launchSupervised("admission", log) { admissionQueues.run() }
         scope.launchSupervised("upkeep", log) {
             while (true) {
@@ -430,18 +442,33 @@
         response.respond(status, DefaultHttpHeaders(), ByteArray(0))
     }
 
+    private fun onPathChanged(isCutOff: Boolean) {
+        if (isCutOff) {
+            health.withdrawSince(pathMonitor.cutOffSinceMillis)
+            suspects.withdrawLostConnections(pathMonitor.cutOffSinceMillis)
+            dutyLease.suspendDuties()
+        } else {
+            // Kept connections may have been lost unnoticed with the path.
+            directory.all.forEach { pool.forget(it.address) }
+            dutyLease.resumeDuties()
+        }
+        peerExchange.send(ReportReason.SERVER_PATH)
+    }
+
     /**
      * Applies a peer's report. A relay forwards newly unreachable servers to other data centres at
-     * once.
+     * once, and that a peer without a path no longer reports some.
      */
     private fun onPeerReport(report: PeerReport) {
         suspects.mergePeerStates(report.suspects)
         serverNotices.onPeerNotices(report.from, report.notices)
         val unreachable = peers.unreachableServers()
         val newlyUnreachable = unreachable - previouslyUnreachable
+        val hasWithdrawn =
+            !report.hasServerPath && !unreachable.containsAll(previouslyUnreachable)
         previouslyUnreachable = unreachable
         newlyUnreachable.forEach(chainFailureNotifier::notifyUnreachable)
-        if (newlyUnreachable.isNotEmpty() && peers.isRelay) {
+        if ((newlyUnreachable.isNotEmpty() || hasWithdrawn) && peers.isRelay) {
             val isLocal = report.dataCentre == settings.dataCentre.value
             peerExchange.send(
                 if (isLocal) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/ForwardingDependencies.kt
@@ -8,6 +8,7 @@
 import io.greengageport.gateway.state.CrashSuspects
 import io.greengageport.gateway.state.InFlightTable
 import io.greengageport.gateway.state.ServerHealth
+import io.greengageport.gateway.state.ServerPath
 import io.greengageport.gateway.state.ServerPauses
 import io.greengageport.gateway.state.StallDiagnosis
 import io.greengageport.limits.RetryAfterJitter
@@ -24,6 +25,7 @@
     val health: ServerHealth,
     val pauses: ServerPauses,
     val serverNotices: ServerNotices,
+    val path: ServerPath,
     val diagnosis: StallDiagnosis,
     val suspects: CrashSuspects,
     val retryBudget: (ServiceName) -> RetryBudget,
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportReason.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/ReportReason.kt
@@ -37,6 +37,9 @@
     /** This instance begins to stop and accepts no tunnels any more. */
     STOPPING(ReportContent.BRIEF, ReportContent.WITH_SUMMARIES),
 
+    /** This instance lost its path to servers, or has it again. */
+    SERVER_PATH(ReportContent.WITH_SUMMARIES, ReportContent.WITH_SUMMARIES),
+
     /** The store answers again after an outage. */
     STORE_RECOVERED(ReportContent.WITH_SUMMARIES, ReportContent.WITH_SUMMARIES)
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPath.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPath.kt
@@ -17,4 +17,19 @@
      * connections to other servers to find out, and returns within some hundred milliseconds.
      */
     public suspend fun isFailureOfServer(server: RunnerId): Boolean
+
+    /**
+     * Whether this instance was cut off at any time since [sinceMillis] of the monotonic clock.
+     * Connections from before the end of a cut may still fail because of it.
+     */
+    public fun wasCutOffSince(sinceMillis: Long): Boolean = isCutOff
+
+    public companion object {
+        /** A path that is never lost, so that each failed connection is a failure of its server. */
+        internal val PERMANENT: ServerPath = object : ServerPath {
+            override val isCutOff = false
+
+            override suspend fun isFailureOfServer(server: RunnerId) = true
+        }
+    }
 }
