Mark no request as crashing runners if no runner can be reached

A stream that broke and whose runner then refused connections marked its request and ejected the runner, also if the instance itself had lost its network path.

--- a/entry/src/main/kotlin/io/greengageport/entry/FailureDiagnosis.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/FailureDiagnosis.kt
@@ -10,6 +10,9 @@
  * Determines which stages of a failed attempt have failed by probing each of them, and reports them
  * to the outlier detector, to the suspect requests and to the other instances.
  *
+ * If no stage answers, and no other runner does either, this instance has lost its own network
+ * path. That says nothing about runners or requests, so nothing is recorded.
+ *
  * ```
  * excluded += FailureDiagnosis(deps, context).diagnose(decision, end)
  * ```
@@ -23,6 +26,7 @@
 
     /** Returns the runners that the next attempt has to avoid. */
     suspend fun diagnose(decision: RoutingDecision, end: StreamEnd): Set<RunnerId> {
+        val failedAtMillis = deps.clock.monotonicMillis()
         val firstStage = decision.stages.first()
         if (end is StreamEnd.Refused) {
             if (end.leaving) backends.markLeaving(firstStage.id, firstStage.runner.address)
@@ -34,6 +38,12 @@
         val hops = decision.stages.map { RouteHop(it.id, it.runner.address, 0, 1) }
         val isBroken = end is StreamEnd.Broken
         val results = if (isBroken) deps.probe.probeBroken(hops) else deps.probe.probe(hops)
+        val stages = decision.stages.map { it.id }.toSet()
+        val hasAnswer = results.values.any { it is ProbeResult.Answered }
+        if (!hasAnswer && !deps.path.hasPath(failed = stages, failedAtMillis)) {
+            suspects.recordEnd(context.id)
+            return stages
+        }
         val refused = results.filterValues { it == ProbeResult.Refused }.keys.map { it.runner }
         if (refused.size > 1) suspects.recordMachineFailure(refused)
         val unreachable = results.filter { (hop, result) -> recordProbe(hop, result) }
--- a/entry/src/main/kotlin/io/greengageport/entry/ModelRequestHandler.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ModelRequestHandler.kt
@@ -42,7 +42,8 @@
     val retryPolicy: RetryPolicy,
     val times: TimesConfig,
     val decisions: DecisionLog,
-    val metrics: EntryMetrics
+    val metrics: EntryMetrics,
+    val path: PathCheck = PathCheck(probe, backends::listedRunners, clock)
 )
 
 /**
--- a/entry/src/test/kotlin/io/greengageport/entry/ModelRequestHandlerTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/ModelRequestHandlerTest.kt
@@ -48,6 +48,7 @@
 import io.greengageport.settings.Service
 import io.greengageport.settings.ServiceSettings
 import io.greengageport.settings.TimeoutSettings
+import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlinx.coroutines.CompletableDeferred
@@ -208,6 +209,51 @@
         expectThat(backends.suspects.recordRefusedConnection(engine.id)).isEmpty()
     }
 
+    /**
+     * Guards against requests that are marked as crashing runners, and runners that are ejected,
+     * because this instance has lost its own network path.
+     */
+    @Nested
+    inner class `A broken stream whose runner refuses connections` {
+        private val backends = backends()
+
+        private fun ended(id: String) = engine(id) { awaitCancellation() }.also { it.close() }
+
+        private fun runBeside(vararg others: ScriptedEngine) = runBlocking {
+            lateinit var crashing: ScriptedEngine
+            crashing = engine("a") {
+                send(frame(0))
+                thread { crashing.close() }
+                awaitCancellation()
+            }
+            val engines = listOf(crashing) + others
+            backends.fleet.setLayers(ServiceName("model"), LAYERS)
+            backends.onListing(InstanceListing(runners = engines.map { it.listed }))
+            backends.onLoads(engines.mapIndexed { i, e -> e.report(rate = 1_000.0 / (i + 1)) })
+            handler(backends).run(call(version = null), admission()) { _, _ -> }
+        }
+
+        private fun marks() = backends.suspects.state(Fingerprint("f"))?.marks.orEmpty()
+            .map { it.runner.value }
+
+        @Test
+        fun `shows nothing if no other runner answers either`() {
+            expectThat(runBeside(ended("b"), ended("c")).isErr).isEqualTo(true)
+            expectThat(marks()).isEmpty()
+            expectThat(outliers.ejectedRunners()).isEmpty()
+        }
+
+        @Test
+        fun `shows a crash if another runner answers`() {
+            val other = engine("b") {
+                send(frame(1))
+                awaitCancellation()
+            }
+            runBeside(ended("c"), other)
+            expectThat(marks()).isEqualTo(listOf("a"))
+        }
+    }
+
     @Nested
     inner class Versions {
         private val breaking = engine("a", "v1") { send(frame(0)) }
