--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -53,8 +53,8 @@
      * response with status 2xx goes to [reader] if there is one; other bodies are buffered, large
      * ones in [memory]. If one of [members] becomes unreachable, the response has to advance within
      * a short time.
-     * [onResponseHeaders] is called with the headers of the response to this attempt, and whether it
-     * came through a tunnel.
+     * [onResponseHeaders] is called with the headers of the response to this attempt, and whether
+     * it came through a tunnel.
      */
     suspend fun run(
         context: RequestContext,
