Try another server if a peer opened no tunnel to one

A server that only the peers knew to be leaving or paused was selected again until the request got 503: no tunnel was opened, which excluded nothing. Such a server is now avoided while there are others.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestTargets.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestTargets.kt
@@ -35,8 +35,8 @@
 
     /**
      * Members of chains that stalled for an unknown reason, servers with stale connections, and
-     * those that failed while this instance may have had no path to them; used only if there are no
-     * others.
+     * those that failed while this instance may have had no path to them, or to which no tunnel was
+     * opened; used only if there are no others.
      */
     private val avoided = HashSet<RunnerId>()
 
@@ -149,7 +149,8 @@
                 suspects.recordRefusedConnection(server)
             }
 
-            ConnectionObserver.NOBODY -> Unit
+            // The peer may know that the server is leaving, and would not connect to it again.
+            ConnectionObserver.NOBODY -> avoided += server
         }
     }
 
