Blame no server for a silence that began before the path was back

An attempt that a cut left hanging stays silent for a while after it. Its silence then ejected servers, and doubled the estimate of first events. It now counts as a silence without a path, as the end of such an attempt does. Found by the review, by reading; the tests of tunnels and of the path pass.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestAttempts.kt
@@ -155,13 +155,8 @@
                     updateInFlight(attempt.selection, inFlight::remove)
                     if (current === attempt) current = null
                     if (attempt.isSuperseded && attempt.isSent) end = AttemptEnd.Superseded
-                    val isUnsent = if (end ==
-                        null
-                    ) {
-                        !attempt.isSent
-                    } else {
-                        end is AttemptEnd.NotConnected
-                    }
+                    val isUnsent =
+                        end is AttemptEnd.NotConnected || (end == null && !attempt.isSent)
                     if (isUnsent) retries.onUnsent(attempt.retry, isLast = running.isEmpty())
                     end?.let { recordEnd(attempt, it) }
                     keepMemory(attempt, end)
@@ -404,6 +399,11 @@
 
         override suspend fun examine() {
             examinations++
+            // A connection from before the end of a cut stays silent for a while after it.
+            if (path.wasCutOffSince(attempt.sentAtMillis)) {
+                cause = StallCause.NoPath
+                return
+            }
             val selection = attempt.selection
             if (selection.members.size == 1) {
                 if (!isRecorded) cause = unlessCutOff(null)
