Withdraw all observations of the seconds before a loss of the path

A cut may take effect in steps: while one server is lost, a control connection to another one is accepted, and what was marked before that was not withdrawn. The last three seconds are now withdrawn in any case.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPathMonitor.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPathMonitor.kt
@@ -50,8 +50,8 @@
 
     /**
      * Time on the monotonic clock, in ms, since which observations of servers may rest on the lost
-     * path: the last accepted control connection, but at most [MAX_WITHDRAWN_MILLIS] before the
-     * conclusion.
+     * path: [WITHDRAWN_MILLIS] before the conclusion. A server may accept a control connection while
+     * others are already lost, so the last accepted one does not show when the loss began.
      */
     var cutOffSinceMillis: Long = 0
         private set
@@ -65,7 +65,6 @@
     /** Servers to which connections have failed since the last accepted control connection. */
     private val failures = HashMap<RunnerId, Failure>()
     private var lastAccepted: RunnerId? = null
-    private var lastAcceptedMillis = Long.MIN_VALUE / 2
     private var restoredAtMillis = Long.MIN_VALUE
 
     /** While cut off, the number of control connections to each server. */
@@ -133,14 +132,13 @@
 
     private fun onAccepted(server: RunnerId, checkNumber: Int) {
         lastAccepted = server
-        lastAcceptedMillis = clock.monotonicMillis()
         failures.values.removeIf { it.checkNumber < checkNumber }
     }
 
     private fun concludeCutOff(failed: Set<RunnerId>) {
         val now = clock.monotonicMillis()
         isCutOff = true
-        cutOffSinceMillis = maxOf(lastAcceptedMillis, now - MAX_WITHDRAWN_MILLIS)
+        cutOffSinceMillis = now - WITHDRAWN_MILLIS
         tries.clear()
         acceptances.clear()
         log.record(
@@ -190,7 +188,6 @@
         isCutOff = false
         restoredAtMillis = now
         lastAccepted = acceptances.keys.last()
-        lastAcceptedMillis = now
         failures.clear()
         log.record(
             "path",
@@ -289,7 +286,7 @@
         const val MAX_REPETITIONS = 5
 
         /** Longer than timeouts of connections and checks take to show a lost path. */
-        const val MAX_WITHDRAWN_MILLIS = 3_000L
+        const val WITHDRAWN_MILLIS = 3_000L
 
         const val RETURN_CHECK_INTERVAL_MILLIS = 250L
         const val MIN_PAUSE_MILLIS = 50L
