Let no short timeout of a tunnel mark a server as unreachable

An opener whose request is near its deadline leaves some ms for the connection to the server. A busy server that took longer was reported as unreachable to all instances. Below 80 ms the tunnel is refused without that. Found by the review, by reading; TunnelListenerTest and TunnelTest pass.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/tunnel/ServedTunnel.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/tunnel/ServedTunnel.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 import io.netty.util.ReferenceCountUtil
@@ -136,7 +137,12 @@
         future.addListener {
             when {
                 state != State.CONNECTING -> future.channel().close()
+
                 it.isSuccess -> open()
+
+                it.cause() is ConnectTimeoutException && millis < MIN_EVIDENT_MILLIS ->
+                    reply(TunnelStatus.REFUSED, "not connected within $millis ms")
+
                 else -> onConnectFailed(target, it.cause())
             }
         }
@@ -267,6 +273,12 @@
         const val REQUEST_TIMEOUT_MILLIS = 1_000L
         const val MAX_CONNECT_TIMEOUT_MILLIS = 1_000L
 
+        /**
+         * Shortest timeout whose end says something about the server. An opener whose request is
+         * near its deadline leaves less, in which a busy server may not accept a connection.
+         */
+        const val MIN_EVIDENT_MILLIS = 80
+
         /** As much as for large responses: a small part of the memory of an instance. */
         const val MAX_QUEUED_BYTES = 16L * 1_024 * 1_024
     }
