Open no connection to a server once the path is known to be lost

Callers that waited for the same check each opened a connection of their own when it gave no result. Found by the review; ServerHealthTest passes.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerHealth.kt
@@ -142,6 +142,7 @@
         if (path.isCutOff) return null
         // A check without a result was cancelled with the request that made it.
         checksInProgress[server]?.await()?.let { return it }
+        if (path.isCutOff) return null
         val result = CompletableDeferred<Boolean?>()
         checksInProgress[server] = result
         var isReachable: Boolean? = null
