Take tunnels during a stop if no other instance can

A stopping instance now takes tunnels that nobody else takes, until two seconds before it has to answer. The second peer that is tried is of another data centre, since a cut may affect a whole one.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -190,7 +190,7 @@
             directory = directory,
             isPaused = pauses::isPaused,
             isCutOff = path::isCutOff,
-            isRefusing = { clock.monotonicMillis() >= acceptsUntilMillis },
+            isRefusing = { clock.monotonicMillis() >= tunnelsUntilMillis },
             isPeerAddress = peers::isPeerAddress
         )
     ) { server ->
@@ -251,6 +251,9 @@
     /** Time on the monotonic clock, in ms, from which new requests are refused. */
     private var acceptsUntilMillis = Long.MAX_VALUE
 
+    /** Time on the monotonic clock, in ms, from which tunnels of peers are refused. */
+    private var tunnelsUntilMillis = Long.MAX_VALUE
+
     /** Time on the monotonic clock, in ms, by which requests must have ended. */
     private var answersUntilMillis = Long.MAX_VALUE
 
@@ -333,6 +336,7 @@
             graceMillis = graceMillis
         )
         acceptsUntilMillis = sequence.acceptsUntilMillis
+        tunnelsUntilMillis = sequence.tunnelsUntilMillis
         answersUntilMillis = sequence.answerAtMillis
         log.record(
             "entry",
--- a/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/StopSequence.kt
@@ -49,6 +49,13 @@
     val acceptsUntilMillis: Long =
         minOf(signalledAtMillis + BALANCER_NOTICE_MILLIS, answerAtMillis)
 
+    /**
+     * Time until which tunnels of peers are accepted that find no other instance. A request takes
+     * some seconds, which are left to it.
+     */
+    val tunnelsUntilMillis: Long =
+        maxOf(acceptsUntilMillis, answerAtMillis - scaled(TUNNEL_MARGIN_MILLIS))
+
     private val refusesUntilMillis = acceptsUntilMillis + REFUSAL_MILLIS
 
     /**
@@ -139,6 +146,9 @@
         /** Answers that have begun get more time, since nothing but their end is sent later. */
         const val BREAK_MARGIN_MILLIS = 500L
 
+        /** Time that is left to a request through a tunnel that was accepted last. */
+        const val TUNNEL_MARGIN_MILLIS = 2_000L
+
         /** Time for the end of the process, before the platform kills it. */
         const val END_MARGIN_MILLIS = 200L
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/peer/PeerView.kt
@@ -269,18 +269,28 @@
     }
 
     /**
-     * The live peers that accept tunnels, in random order, those of this data centre first. Of data
-     * centres that only send summaries, these name a sample.
+     * The live peers that accept tunnels, in random order: first one of this data centre, then one
+     * of another, since a cut may affect a whole data centre, then the rest. Of data centres that
+     * only send summaries, these name a sample. If none accepts tunnels, those that have a path are
+     * returned, since an instance that is stopping takes tunnels for a while if nobody else does.
      */
     fun tunnelPeers(): List<TunnelPeer> {
+        val accepting = acceptingPeers()
+        if (accepting.isNotEmpty()) return accepting
+        return peers.entries.filter { (_, p) -> p.isAlive && p.report?.hasServerPath == true }
+            .map { (id, p) -> TunnelPeer(id, p.address) }.shuffled()
+    }
+
+    private fun acceptingPeers(): List<TunnelPeer> {
         val (near, far) = peers.entries.filter { (_, p) -> p.isAlive && p.report.acceptsTunnels() }
             .partition { (_, p) -> p.dataCentre == ownCentre }
         val known = far.map { (id, p) -> TunnelPeer(id, p.address) }
         val sampled = freshSummaries().flatMap { it.tunnelPeers }.mapNotNull { p ->
             HostPort.parseOrNull(p.address)?.let { TunnelPeer(InstanceId(p.id), it) }
         }
-        return near.map { (id, p) -> TunnelPeer(id, p.address) }.shuffled() +
-            (known + sampled).filter { it.id != self }.distinctBy { it.id }.shuffled()
+        val nearPeers = near.map { (id, p) -> TunnelPeer(id, p.address) }.shuffled()
+        val farPeers = (known + sampled).filter { it.id != self }.distinctBy { it.id }.shuffled()
+        return nearPeers.take(1) + farPeers.take(1) + nearPeers.drop(1) + farPeers.drop(1)
     }
 
     private fun PeerReport?.acceptsTunnels() = this != null && hasServerPath && acceptsTunnels
