--- a/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/GatewayInstance.kt
@@ -3,7 +3,6 @@
 import io.greengageport.common.Clock
 import io.greengageport.common.HostPort
 import io.greengageport.common.RunnerId
-import io.greengageport.common.ServiceName
 import io.greengageport.common.SystemClock
 import io.greengageport.gateway.forward.AdmissionQueues
 import io.greengageport.gateway.forward.BackendExchange
@@ -28,7 +27,6 @@
 import io.greengageport.gateway.peer.PeerTraffic
 import io.greengageport.gateway.peer.PeerView
 import io.greengageport.gateway.peer.ReportReason
-import io.greengageport.gateway.peer.RetryUse
 import io.greengageport.gateway.peer.ServerListRelay
 import io.greengageport.gateway.peer.ServerLoad
 import io.greengageport.gateway.peer.ServerNotices
@@ -50,15 +48,10 @@
 import io.greengageport.gateway.tunnel.TunnelAdmission
 import io.greengageport.gateway.tunnel.TunnelConnector
 import io.greengageport.gateway.tunnel.TunnelListener
-import io.greengageport.routing.Backoff
-import io.greengageport.routing.FleetRetries
 import io.greengageport.routing.LinkEstimator
 import io.greengageport.routing.ModelCapacity
-import io.greengageport.routing.RetryBudget
-import io.greengageport.routing.RetryUsage
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpRequest
-import kotlin.random.Random
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -127,7 +120,7 @@
         path = path
     )
     private val suspects = CrashSuspects(clock, log, isRelay = { peers.isRelay })
-    private val retryBudgets = HashMap<ServiceName, RetryBudget>()
+    private val retryBudgets = ServiceRetryBudgets(settings, peers, clock)
     private val plainSelector =
         PlainSelector(directory, inFlight, health::ejectedServers, settings.dataCentre, clock)
     private val chainSelector = ChainSelector(
@@ -164,7 +157,7 @@
             diagnosis =
                 StallDiagnosis(directory, connector, protocol, pauses::isPaused, path, log, clock),
             suspects = suspects,
-            retryBudget = ::retryBudget,
+            retryBudget = retryBudgets::of,
             observer = MetricsObserver(metrics, clock),
             log = log,
             clock = clock,
@@ -495,9 +488,7 @@
             ServerLoad(id.value, load.requests, load.tokenLayers)
         },
         requestsByService = admissionQueues.admitted().mapKeys { it.key.value },
-        retries = retryBudgets.entries.associate { (service, budget) ->
-            service.value to budget.usage().let { RetryUse(it.used, it.earned) }
-        },
+        retries = retryBudgets.usage(),
         unreachable = health.unreachableServers().map { it.value },
         suspects = suspects.statesToReport(),
         known = peers.sampleLivePeers(),
@@ -511,22 +502,6 @@
         notices = serverNotices.toReport()
     )
 
-    private fun retryBudget(service: ServiceName): RetryBudget = retryBudgets.getOrPut(service) {
-        RetryBudget(
-            clock = clock,
-            random = Random.Default,
-            share = settings.retryShare,
-            fleet = {
-                FleetRetries(
-                    instances = peers.liveInstanceCount,
-                    allowance = settings.retryAllowance * ALLOWANCE_SHARE,
-                    others = peers.retries(service) ?: RetryUsage.NONE
-                )
-            },
-            backoff = Backoff(RETRY_BASE_MILLIS, RETRY_MAX_MILLIS)
-        )
-    }
-
     private companion object {
         /**
          * Interval between reads of the list, as a share of the time in which a leaving server has
@@ -549,13 +524,5 @@
         const val METRICS_PATH = "/metrics"
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
-
-        /**
-         * Share of the fleet's allowance that is used; the rest is a margin for instances that join
-         * or leave.
-         */
-        const val ALLOWANCE_SHARE = 0.6
-        const val RETRY_BASE_MILLIS = 10L
-        const val RETRY_MAX_MILLIS = 40L
     }
 }
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/DutyLease.kt
@@ -191,7 +191,7 @@
         return isMember
     }
 
-    /** Tells the store that this instance leaves; if it does not answer, the lease expires there. */
+    /** Tells the store that this instance leaves; without an answer the lease expires there. */
     private suspend fun leaveGroup() {
         lateLeaveUntilMillis = clock.monotonicMillis() + LATE_LEAVE_MILLIS
         group.leave().fold(
--- a/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPathMonitor.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/state/ServerPathMonitor.kt
@@ -50,8 +50,8 @@
 
     /**
      * Time on the monotonic clock, in ms, since which observations of servers may rest on the lost
-     * path: [WITHDRAWN_MILLIS] before the conclusion. A server may accept a control connection while
-     * others are already lost, so the last accepted one does not show when the loss began.
+     * path: [WITHDRAWN_MILLIS] before the conclusion. A server may accept a control connection
+     * while others are already lost, so the last accepted one does not show when the loss began.
      */
     var cutOffSinceMillis: Long = 0
         private set
