Count the deadline of a request from its head

A request whose body arrived slowly reached a server after its caller's deadline, and the server was told more time than was left: the time of arrival was taken once the body was read. It is now that of the head, and a request whose deadline has passed by then is answered 504 without an attempt.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerConnection.kt
@@ -116,6 +116,7 @@
         isBusy = true
         val response = CallerResponse(
             channel = channel,
+            requestedAtMillis = clock.monotonicMillis(),
             // Requests that the caller sent without waiting for this answer are answered too.
             isLast = { (isStopping() && !hasUnreadInput) || !HttpUtil.isKeepAlive(head) },
             isHeadRequest = head.method() == HttpMethod.HEAD
@@ -278,7 +279,7 @@
 
     private suspend fun refuse(status: Int) {
         isAnswered = true
-        val response = CallerResponse(channel, isLast = { true })
+        val response = CallerResponse(channel, clock.monotonicMillis(), isLast = { true })
         response.respond(status, DefaultHttpHeaders(), ByteArray(0))
     }
 
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerResponse.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/CallerResponse.kt
@@ -20,10 +20,12 @@
 /**
  * The response to one request of a caller, sent whole or streamed in chunks.
  *
- * [isLast] tells whether the connection is to be closed after this response.
+ * [isLast] tells whether the connection is to be closed after this response. The request's head
+ * was read at [requestedAtMillis] on the monotonic clock; its body may have arrived later.
  */
 internal class CallerResponse(
     private val channel: HttpChannel,
+    val requestedAtMillis: Long,
     private val isLast: () -> Boolean,
     private val isHeadRequest: Boolean = false
 ) {
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestForwarder.kt
@@ -1,6 +1,7 @@
 package io.greengageport.gateway.forward
 
 import com.github.michaelbull.result.getOrElse
+import io.greengageport.common.Execution
 import io.greengageport.common.RequestError
 import io.greengageport.routing.SuspectVerdict
 import kotlinx.coroutines.currentCoroutineContext
@@ -22,6 +23,9 @@
      */
     suspend fun forward(context: RequestContext, response: CallerResponse) {
         val attempts = RequestAttempts(dependencies, context, response)
+        if (context.deadlineAtMillis <= dependencies.clock.monotonicMillis()) {
+            return attempts.refuse(RequestError.DeadlineExceeded(Execution.NOT_RUN))
+        }
         if (dependencies.isWithoutServers()) return attempts.refuse(noPathError())
         if (dependencies.suspects.verdict(context.fingerprint) == SuspectVerdict.BLOCKED) {
             return attempts.refuse(
--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/RequestRouter.kt
@@ -49,7 +49,8 @@
     override suspend fun handle(head: HttpRequest, body: ByteArray, response: CallerResponse) {
         var active: ActiveRequest? = null
         try {
-            val arrivedAtMillis = clock.monotonicMillis()
+            // The caller's deadline counts from its request, also while the body arrives.
+            val arrivedAtMillis = response.requestedAtMillis
             val caller = protocol.parseCallerHeaders(head)
             val request = ActiveRequest(caller.attemptId, arrivedAtMillis, response)
             active = request
