Let no notice of a lost stage keep an attempt that has ended

A caller got all events of a stream and not its end: the stream was broken off at its deadline. A notice of a lost stage that arrived while an attempt ended began another examination of its silence, for which the attempt then waited.

The new test of SilenceDecidedTwiceTest fails without the change and passes with it.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/forward/BackendExchange.kt
@@ -151,6 +151,9 @@
                 sendRequest()
                 receiveResponse()
             } finally {
+                // A notice of a lost stage that comes now must not start another examination, for
+                // which the attempt would wait.
+                scope = null
                 silenceTimeout?.cancel()
             }
         }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/forward/SilenceDecidedTwiceTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/forward/SilenceDecidedTwiceTest.kt
@@ -28,10 +28,15 @@
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 
 /**
@@ -90,6 +95,45 @@
         expectThat(decisions).isEqualTo(1)
     }
 
+    /**
+     * Guards against a complete stream whose end the caller does not get: the attempt waited for a
+     * decision about its silence that began after its end.
+     */
+    @Test
+    fun `A stage that is lost when an attempt ends does not keep the attempt`() {
+        val ending = object : SilencePolicy by policy {
+            override suspend fun examine() = try {
+                awaitCancellation()
+            } finally {
+                notifier.notifyUnreachable(stage.id)
+            }
+        }
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { closing ->
+            val target = stage.copy(address = HostPort("127.0.0.1", closing.localPort))
+            val pool = ConnectionPool(HttpConnector(loop), SystemClock)
+            val exchange = BackendExchange(pool, NoResponseProtocol, SystemClock, notifier)
+            thread(isDaemon = true) {
+                closing.accept().use { TimeUnit.MILLISECONDS.sleep(300) }
+            }
+            val end = runBlocking {
+                withContext(loop.dispatcher) {
+                    withTimeoutOrNull(3_000) {
+                        exchange.run(
+                            context(),
+                            Dispatch(target, 20_000, null),
+                            headTimeoutMillis = 100,
+                            memory = ResponseMemory(1).Reservation(),
+                            silencePolicy = ending,
+                            members = listOf(stage.id)
+                        )
+                    }
+                }
+            }
+            expectThat(end).isA<AttemptEnd.Broken>()
+        }
+        loop.close()
+    }
+
     private object NoResponseProtocol : BackendProtocol {
         override fun requestHeaders(original: HttpHeaders, dispatch: Dispatch): HttpHeaders =
             DefaultHttpHeaders()
