Review: a garbled status line is passed on (case 8)

A runner's answer whose status has four digits, two or is 0 reaches the client as it is, which is no answer in the protocol.

Case: review/8/run.sh.

--- a/review/src-2/GarbledStatus.java
+++ b/review/src-2/GarbledStatus.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A runner hands out wrong bytes: the status in the first line of its answer has lost a digit, or has
@@ -11,6 +12,11 @@
 final class GarbledStatus {
     private static final List<String> GARBLED = List.of("2000", "20", "0");
 
+    /** One of two runners spoils answers, and of these two in a hundred. */
+    private static final int RUNNERS = 2;
+    private static final int SPOILT_EACH = 50;
+    private static final int MAX_REQUESTS = 1_000;
+
     private GarbledStatus() {
     }
 
@@ -20,25 +26,35 @@
 
     private static int run(Rig rig, boolean hasTrouble) throws Exception {
         rig.writeConfiguration(1, Rig.route("/order/", "non_idempotent", 10_000, 1));
-        String[] status = {"200"};
-        Runner[] self = new Runner[1];
-        self[0] = rig.startRunner("i-1", "app", (request, channel) -> {
-            String head = "HTTP/1.1 " + status[0] + " OK\r\n" + self[0].headers(request)
-                + "Content-Length: 4\r\n\r\n";
-            rig.record("runner i-1 runs " + request.header("Attempt-Id") + " and answers: "
-                + head.lines().findFirst().orElse(""));
-            channel.write(head + "done");
-        });
+        AtomicInteger answers = new AtomicInteger();
+        AtomicInteger spoilt = new AtomicInteger();
+        for (int i = 1; i <= RUNNERS; i++) {
+            boolean isFaulty = i == 1;
+            Runner[] self = new Runner[1];
+            self[0] = rig.startRunner("i-" + i, "app", (request, channel) -> {
+                boolean isSpoilt = isFaulty && answers.incrementAndGet() % SPOILT_EACH == 0;
+                int number = isSpoilt ? spoilt.getAndIncrement() : 0;
+                String status = isSpoilt && hasTrouble && number < GARBLED.size()
+                    ? GARBLED.get(number) : "200";
+                String head = "HTTP/1.1 " + status + " OK\r\n" + self[0].headers(request)
+                    + "Content-Length: 4\r\n\r\n";
+                rig.record("runner " + self[0].id + " runs " + request.header("Attempt-Id")
+                    + " and answers: HTTP/1.1 " + status + " OK");
+                channel.write(head + "done");
+            });
+        }
         Gateway gateway = rig.startGateway(1);
         gateway.awaitReady();
         List<String> wrong = new ArrayList<>();
-        for (String garbled : GARBLED) {
-            status[0] = hasTrouble ? garbled : "200";
+        for (int i = 0; i < MAX_REQUESTS && spoilt.get() < GARBLED.size(); i++) {
             String line = statusLineOf(rig, gateway);
             if (!line.matches("HTTP/1\\.1 [1-5][0-9][0-9]( .*)?")) {
                 wrong.add(line);
             }
         }
+        if (spoilt.get() < GARBLED.size()) {
+            return Rig.NOT_RUN;
+        }
         rig.record("status lines that are none: " + wrong);
         return wrong.isEmpty() ? Rig.HELD : Rig.BROKEN;
     }
