--- a/review/src-2/Gateway.java
+++ b/review/src-2/Gateway.java
@@ -59,6 +59,12 @@
         return Http.send(ip, READY_PORT, request.getBytes(), 1_000).status;
     }
 
+    /** Sends SIGHUP, as the platform does when the settings file has changed. */
+    void hangUp() throws Exception {
+        rig.record("gateway " + index + " gets SIGHUP");
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
