--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -84,47 +84,20 @@
         return runner;
     }
 
-    void startEngine(String id, String service) throws IOException {
-        started.add(new Engine(this, id, service));
-    }
-
     String gatewayIp(int index) {
         return "127." + net + ".7." + index;
     }
 
     /** Writes the configuration with one plain service `app` and [routes] to it. */
     void writeConfiguration(int version, String... routes) {
-        writeConfiguration(version, List.of(plainService()), List.of(routes));
-    }
-
-    /** Writes the configuration with [services] and [routes]; the return is the store's ack. */
-    void writeConfiguration(int version, List<String> services, List<String> routes) {
         store.put("keyed.op", "config", """
-            {"Version":%d,"Routes":[%s],"Services":[%s],
+            {"Version":%d,"Routes":[%s],
+             "Services":[{"Name":"app","HealthPath":"/healthz","MaxConns":110,"Protocol":"h1",
+              "Tls":false}],
              "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
               "IdleTimeoutMs":15000},
              "Tenants":[{"Name":"tenant-one","ApiKeys":["%s"],"Priority":1}]}
-            """.formatted(version, String.join(",", routes), String.join(",", services), KEY));
-    }
-
-    static String plainService() {
-        return """
-            {"Name":"app","HealthPath":"/healthz","MaxConns":110,"Protocol":"h1","Tls":false}
-            """;
-    }
-
-    /** A service of model runners. A model of [layers] layers fits on one runner. */
-    static String modelService(String name, int layers) {
-        return """
-            {"Name":"%1$s","HealthPath":"/healthz","MaxConns":1068,"Protocol":"h1","Tls":false,
-             "Engine":{"Slots":134,"KvCapacity":69791,"KvBytes":845373,"LinkMbps":480000.0,
-              "Stride":2,"Models":[{"Name":"m-%1$s","pace":1.0,"LoadS":1.0,"WarmS":1.0}],
-              "step_ms":0.85,"per_seq_ms":0.0055,"context_per_k":0.0073,"read_per_s":196000.0,
-              "pairs_per_m":0.166,"chunk":512,"report_lag_ms":200.0,"LoadPerS":0.0,
-              "loads_at_once":6,"delays":[],"usual":{"prompt":772,"answer":174},"Layers":%2$d,
-              "LayerMb":1750.0,"ActBytes":42268,"PipeMbps":11000.0,
-              "Kinds":[{"Name":"h100","SizeMb":72000.0,"pace":1.4,"ReadFactor":1.0}]}}
-            """.formatted(name, layers);
+            """.formatted(version, String.join(",", routes), KEY));
     }
 
     static String route(String prefix, String kind, int timeoutMillis, int maxAttempts) {
@@ -134,15 +107,6 @@
             """.formatted(prefix, HOST, kind, timeoutMillis, maxAttempts);
     }
 
-    /** A route to a service of model runners, with the values of the site's first kind of request. */
-    static String modelRoute(String prefix, String service) {
-        return """
-            {"Name":"r%1$s","Host":"%2$s","PathPrefix":"%1$s","RouteKind":"streaming",
-             "TimeoutMs":20000,"LatencyTargetMs":500,"Priority":0,"Service":"%3$s","MaxAttempts":2,
-             "Public":false,"Sticky":true,"Resumable":true,"GapGoalMs":200}
-            """.formatted(prefix, HOST, service);
-    }
-
     static String newId() {
         return String.format("%016x", lastId.incrementAndGet());
     }
