--- a/review/src-2/SlowReaders.java
+++ b/review/src-2/SlowReaders.java
@@ -43,7 +43,10 @@
             });
         }
         Gateway gateway = rig.startGateway(1);
+        // Only one of two machines gets the signal.
+        Gateway other = rig.startGateway(2);
         gateway.awaitReady();
+        other.awaitReady();
         CountDownLatch kept = new CountDownLatch(CLIENTS);
         CountDownLatch hangup = new CountDownLatch(1);
         CountDownLatch ended = new CountDownLatch(CLIENTS);
--- a/review/src-2/UploadsAtOnce.java
+++ b/review/src-2/UploadsAtOnce.java
@@ -3,7 +3,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,10 +10,17 @@
  * must still answer ordinary requests.
  */
 final class UploadsAtOnce {
-    /** The sheet has 36, 34 and 32 in its three zones. */
-    private static final int CLIENTS = 70;
+    /** Clients that upload, with and without the disruption. */
+    private static final int CLIENTS = 29;
+
+    /** The largest burst of the site file: 2.4 times as many for 6.8 s. */
+    private static final double BURST = 2.4;
+    private static final long BURST_MILLIS = 6_800;
+
+    /** Bursts may come more than once. */
+    private static final int BURSTS = 7;
+    private static final long PAUSE_MILLIS = 1_000;
     private static final int BODY_BYTES = 4_000_000;
-    private static final long UPLOAD_MILLIS = 20_000;
     private static final int UPLOAD_DEADLINE_MILLIS = 10_000;
     private static final int TIMEOUT_MILLIS = 2_000;
     private static final int LATE_MILLIS = 500;
@@ -42,32 +48,41 @@
         }
         Gateway gateway = rig.startGateway(1);
         gateway.awaitReady();
-        // Without the disruption, the same clients send the same bodies one after another.
-        upload(rig, gateway, new Semaphore(hasTrouble ? CLIENTS : 1));
+        long endMillis = Rig.now() + BURSTS * (BURST_MILLIS + PAUSE_MILLIS);
+        Thread base = Rig.newThread(() -> upload(rig, gateway, CLIENTS, endMillis));
+        base.start();
+        while (Rig.now() < endMillis) {
+            if (hasTrouble) {
+                rig.record("a burst begins");
+                int more = (int) (BURST * CLIENTS) - CLIENTS;
+                upload(rig, gateway, more, Rig.now() + BURST_MILLIS);
+            }
+            Rig.sleep(PAUSE_MILLIS);
+        }
+        base.join();
         rig.record("the uploads have ended");
         Rig.sleep(QUIET_MILLIS);
         return sendRequests(rig, gateway);
     }
 
-    private static void upload(Rig rig, Gateway gateway, Semaphore atOnce) throws Exception {
+    private static void upload(Rig rig, Gateway gateway, int clients, long endMillis) {
         byte[] body = new byte[BODY_BYTES];
         Arrays.fill(body, (byte) 'x');
-        long endMillis = Rig.now() + UPLOAD_MILLIS;
-        CountDownLatch ended = new CountDownLatch(CLIENTS);
-        for (int i = 0; i < CLIENTS; i++) {
+        CountDownLatch ended = new CountDownLatch(clients);
+        for (int i = 0; i < clients; i++) {
             Rig.startThread(() -> {
                 while (Rig.now() < endMillis) {
-                    atOnce.acquireUninterruptibly();
-                    if (Rig.now() < endMillis) {
-                        uploadOnce(rig, gateway, body);
-                    }
-                    atOnce.release();
+                    uploadOnce(rig, gateway, body);
                     Rig.sleep(200);
                 }
                 ended.countDown();
             });
         }
-        ended.await();
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     private static void uploadOnce(Rig rig, Gateway gateway, byte[] body) {
