Review case 11: records are skipped when the reader of the list changes

An instance that was partitioned from the store for 5.5 s sends requests to runners that reported draining meanwhile, long after it is in touch again.

Cause, by reading: an instance records its own reads of the list without their changes while it is not the reader, and sends them as an empty delta once it is. Peers that have missed the records skip them.

Case: review/11/run.sh, whose stand-ins review/build-2.sh builds into review/src-3/target.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,9 @@
 rm -rf target
 mkdir -p target
 javac -Xlint:all -d target ./*.java
+
+# Case 11 has stand-ins of its own.
+cd ../src-3
+rm -rf target
+mkdir -p target
+javac -Xlint:all -d target ./*.java
--- a/review/11/Site.java
+++ b/review/src-3/Site.java
@@ -1,10 +1,14 @@
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.stream.Stream;
 
 /** A small deployment on loopback addresses: the store, its operator, instances of the gateway. */
@@ -16,16 +20,18 @@
     final Path folder;
     final Store store;
 
-    /** The first three numbers of the addresses of the instances; each case has its own. */
+    /** The first three numbers of the addresses of the instances; each run has its own. */
     private final String network;
     final List<Kit.Gateway> gateways = new ArrayList<>();
     private final List<Runner> runners = new ArrayList<>();
+    private final Map<String, Link> links = new HashMap<>();
     private volatile boolean beats = true;
 
     /** [caseFolder] is the folder of the case; the root of the repository is two above it. */
     Site(Path caseFolder) throws IOException {
         root = caseFolder.toAbsolutePath().normalize().getParent().getParent();
-        network = "127.0." + caseFolder.toAbsolutePath().normalize().getFileName() + ".";
+        Random random = new Random();
+        network = "127." + (64 + random.nextInt(128)) + "." + random.nextInt(256) + ".";
         folder = Files.createTempDirectory("review-");
         Kit.openRecord(caseFolder.resolve("record.txt"));
         store = new Store("127.0.0.1", 0);
@@ -61,6 +67,25 @@
             + "'Tls':false}";
     }
 
+    /** The path of the instance [name] to the store. */
+    Link link(String name) {
+        return links.get(name);
+    }
+
+    /** Has [r] report that it drains. */
+    synchronized void drain(Runner r) {
+        r.leave();
+        long offset = store.put("keyed.servers", r.id, r.entry());
+        Kit.log("list", r.id + " reports draining, offset " + offset);
+    }
+
+    /** Removes the entry of [r]. */
+    synchronized void remove(Runner r) {
+        runners.remove(r);
+        long offset = store.put("keyed.servers", r.id, "");
+        Kit.log("list", "the entry of " + r.id + " is removed, offset " + offset);
+    }
+
     synchronized Runner add(Runner r) {
         runners.add(r);
         long offset = store.put("keyed.servers", r.id, r.entry());
@@ -84,8 +109,10 @@
     }
 
     Kit.Gateway gateway(int number) throws IOException {
-        Kit.Gateway g = new Kit.Gateway(root, folder, "edge-" + number, network + number,
-            "127.0.0.1:" + store.port());
+        String name = "edge-" + number;
+        Link link = new Link(new InetSocketAddress("127.0.0.1", store.port()));
+        links.put(name, link);
+        Kit.Gateway g = new Kit.Gateway(root, folder, name, network + number, link.address());
         gateways.add(g);
         g.start();
         return g;
--- a/review/11/Store.java
+++ b/review/src-3/Store.java
@@ -67,6 +67,14 @@
         return item.offset();
     }
 
+    /** The member that holds partition [part] of the first duty topic, or "". */
+    synchronized String owner(int part) {
+        for (Map.Entry<String, String> e : owners.entrySet()) {
+            if (e.getKey().endsWith("-0 " + part)) return e.getValue();
+        }
+        return "";
+    }
+
     private void handle(HttpExchange x) throws IOException {
         try (x) {
             Map<String, String> q = query(x.getRequestURI().getRawQuery());
