--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,6 +4,6 @@
 # deploy/system.toml.
 folder="$(cd "$(dirname "$0")" && pwd)"
 repository="$(cd "$folder/../.." && pwd)"
-classes="$repository/review/src-2/target"
-[[ -f "$classes/Rig.class" && -f "$repository/cli/target/greengageport" ]] || exit 2
-exec java -Xmx500m -cp "$classes" RefusalAfterRun "$repository" "$folder"
+classes="$repository/review/src-3/target"
+[[ -f "$classes/ReaderCut.class" && -f "$repository/cli/target/greengageport" ]] || exit 2
+exec java -Xmx500m -cp "$classes" ReaderCut "$folder"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 mkdir -p target
 javac -Xlint:all -d target ./*.java
 
-# Case 11 has stand-ins of its own.
+# Case 8 has stand-ins of its own.
 cd ../src-3
 rm -rf target
 mkdir -p target
