--- a/review/src-3/Kit.java
+++ b/review/src-3/Kit.java
@@ -73,6 +73,10 @@
         }
     }
 
+    static void sleepUntil(long millis) {
+        sleep(Math.max(0, millis - now()));
+    }
+
     static int freePort(String host) throws IOException {
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(host))) {
             return s.getLocalPort();
--- a/review/src-3/Runner.java
+++ b/review/src-3/Runner.java
@@ -14,6 +14,7 @@
  */
 class Runner {
     private static final String HOST = "127.0.0.1";
+    private static final String LEAVING = "Server-Leaving: 1\r\nConnection: close\r\n";
     final String id;
     private final String service;
     private final int slots;
@@ -83,7 +84,9 @@
             InputStream in = new BufferedInputStream(s.getInputStream(), 65_536);
             Kit.Message request;
             while ((request = Kit.read(in)) != null) {
+                boolean isLast = isLeaving;
                 s.getOutputStream().write(answer(request));
+                if (isLast) break;
             }
         } catch (IOException e) {
             Kit.log("channel", id + " lost a channel: " + e.getMessage());
@@ -126,7 +129,7 @@
         String body = status == 200 ? "answer to " + r.header("Attempt-Id") : "";
         return ("HTTP/1.1 " + status + " Status\r\nAttempt-Id: " + r.header("Attempt-Id")
             + "\r\nRunner-Stamp: stamp-" + id + "\r\nRunner-Load: " + running + "," + waiting + ","
-            + slots + "\r\n" + (isLeaving ? "Server-Leaving: 1\r\n" : "") + header
+            + slots + "\r\n" + (isLeaving ? LEAVING : "") + header
             + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes();
     }
 }
--- a/review/src-3/Site.java
+++ b/review/src-3/Site.java
@@ -5,6 +5,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,9 @@
     static final String HOST = "service.example";
     static final String KEY = "key-of-the-tenant";
 
+    /** The number of the duty to read the list of runners for all instances. */
+    private static final int READER_DUTY = 1;
+
     final Path root;
     final Path folder;
     final Store store;
@@ -93,6 +97,26 @@
         return r;
     }
 
+    /**
+     * Starts [instances] instances and a plain service of [runners] runners, which are added to
+     * [ready], and the clients of [watch]; returns the number of the next runner.
+     */
+    int startDesk(DrainWatch watch, int instances, int runners, Deque<Runner> ready)
+        throws IOException {
+        configure(1, route("order", "non_idempotent", "desk", 5_000, 800), service("desk"));
+        for (int i = 0; i < runners; i++) ready.add(add(watch.newRunner(i)));
+        for (int i = 1; i <= instances; i++) gateway(i);
+        for (Kit.Gateway g : gateways) g.awaitReady(20_000);
+        watch.startCallers();
+        Kit.sleep(4_000);
+        return runners;
+    }
+
+    /** The name of the instance that has the duty to read the list for all. */
+    String reader() {
+        return store.owner(READER_DUTY).split("@")[0];
+    }
+
     private void heartbeats() {
         int round = 0;
         while (beats) {
