Reject responses whose status line is malformed

Callers got answers with the status 0, 20, 99 or 2000, with the digest and the body of the server, on all routes and also through tunnels and from chains; a status 0200 reached them as 200, and so did a response of HTTP/9.9. The retry of an idempotent request was not made.

Cause: Netty's HttpResponseDecoder parses the second word of the first line with Integer.parseInt and any version, and the code after it takes each status below 500 for a final answer.

ResponseDecoder decodes all responses of servers, engines and the store. It now demands HTTP/1.x and three digits from 100, the grammar of RFC 9112. Anything else is a decoder failure, which ends an attempt as broken already: the connection is reset, and a request that is not idempotent is answered 502.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ResponseDecoder.kt
@@ -15,6 +15,10 @@
 /**
  * Decodes the responses on one connection and detects bytes that belong to none of them.
  *
+ * The library parses more than the grammar of a status line (RFC 9112, section 4) allows: any
+ * number as the status code, and any version. What it would pass on as a response is marked as a
+ * decoder failure.
+ *
  * A faulty server may send additional bytes after a complete response. If they are the start of
  * another response, the decoder would take the next one for their continuation, and a failure could
  * become a success. Bytes that arrive before the next request is sent show in [hasExcessBytes]. A
@@ -43,6 +47,13 @@
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean =
         isHeadRequest || super.isContentAlwaysEmpty(msg)
 
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val (version, status) = initialLine
+        require(VERSION.matches(version)) { "not an HTTP/1 response" }
+        require(STATUS_CODE.matches(status)) { "status code is not three digits from 100" }
+        return super.createMessage(initialLine)
+    }
+
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (isComplete) {
             hasDecodedExcess = true
@@ -72,6 +83,8 @@
             }
 
     private companion object {
+        val VERSION = Regex("""HTTP/1\.\d""")
+        val STATUS_CODE = Regex("[1-9][0-9]{2}")
         val STATUS_LINE = Regex("""HTTP/1\.\d \d{3}""")
     }
 }
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
@@ -53,7 +53,7 @@
                         it.soTimeout = 2_000
                         readHead(it)
                         answer(it)
-                        call.await()
+                        expectThat(call.await().isErr).isTrue()
                         assertThrows<SocketException> { it.getInputStream().read() }
                     }
                 }
@@ -74,6 +74,22 @@
     fun `an undecodable response resets the connection`() =
         expectReset { it.getOutputStream().write("nonsense\r\n\r\n".toByteArray()) }
 
+    /** Guards against a response that is read although its head is invalid, and a reused connection. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 000 OK",
+            "HTTP/1.1 099 OK",
+            "HTTP/1.1 2000 OK",
+            "HTTP/1.1 0200 OK",
+            "HTTP/9.9 200 OK",
+            "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK"
+        ]
+    )
+    fun `a response with a malformed head resets the connection`(head: String) = expectReset {
+        it.getOutputStream().write("$head\r\nContent-Length: 2\r\n\r\nok".toByteArray())
+    }
+
     /** Makes a call whose response is [text], after which the connection is closed or reset. */
     private fun call(text: String, isReset: Boolean, body: ByteArray = ByteArray(0)) = runBlocking {
         coroutineScope {
