Reject responses with a field name that is no token

Callers got a response in whose head a blank or a tab stood in a field name as a success: `X Note: a` reached them as `X: a`, and `Content-Length : 3` cut the body of the server to three bytes, which were passed on as a whole one. A line without a colon passed too if it had a blank. `Content Length: 3` was read until the deadline.

Cause: in responses, Netty's HttpObjectDecoder ends a field name at the first blank and skips the bytes up to the colon, so its check of names sees only the first part. Other bytes that are not allowed were rejected before.

ResponseDecoder now demands that the name is a token and that the colon follows it, for all lines of heads, informational heads and trailers, since the library splits all of them in one place. Anything else is a decoder failure, which ends the attempt as broken and resets the connection.

--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ResponseDecoder.kt
@@ -5,19 +5,22 @@
 import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderValidationUtil
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 
 /**
  * Decodes the responses on one connection and detects bytes that belong to none of them.
  *
- * The library parses more than the grammar of a status line (RFC 9112, section 4) allows: any
- * number as the status code, and any version. What it would pass on as a response is marked as a
- * decoder failure.
+ * The library parses more than the grammar of HTTP/1.1 (RFC 9112, sections 4 and 5) allows: any
+ * number as the status code, any version, and blanks in a field name, which it ends at the first
+ * one, so that `Content-Length : 3` shortens the body. Such a head or trailer is marked as a decoder
+ * failure.
  *
  * A faulty server may send additional bytes after a complete response. If they are the start of
  * another response, the decoder would take the next one for their continuation, and a failure could
@@ -54,6 +57,14 @@
         return super.createMessage(initialLine)
     }
 
+    override fun splitHeaderName(line: ByteArray, start: Int, length: Int): AsciiString {
+        val name = super.splitHeaderName(line, start, length)
+        // The library ends the name at a blank or at the colon, and drops what is between them.
+        val isToken = name.isNotEmpty() && HttpHeaderValidationUtil.validateToken(name) == VALID
+        require(isToken && line[start + length] == COLON) { "field name is not a token" }
+        return name
+    }
+
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (isComplete) {
             hasDecodedExcess = true
@@ -83,6 +94,10 @@
             }
 
     private companion object {
+        const val COLON = ':'.code.toByte()
+
+        /** The result of the library's validation of a valid text; others are positions in it. */
+        const val VALID = -1
         val VERSION = Regex("""HTTP/1\.\d""")
         val STATUS_CODE = Regex("[1-9][0-9]{2}")
         val STATUS_LINE = Regex("""HTTP/1\.\d \d{3}""")
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/HttpCallerTest.kt
@@ -83,7 +83,11 @@
             "HTTP/1.1 2000 OK",
             "HTTP/1.1 0200 OK",
             "HTTP/9.9 200 OK",
-            "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK"
+            "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK",
+            "HTTP/1.1 200 OK\r\nX Note: a",
+            "HTTP/1.1 200 OK\r\nX-Note\t: a",
+            "HTTP/1.1 103 Hints\r\nX Note: a\r\n\r\nHTTP/1.1 200 OK",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Note: a"
         ]
     )
     fun `a response with a malformed head resets the connection`(head: String) = expectReset {
--- a/gateway/src/test/kotlin/io/greengageport/gateway/http/ResponseDecoderTest.kt
+++ b/gateway/src/test/kotlin/io/greengageport/gateway/http/ResponseDecoderTest.kt
@@ -6,12 +6,14 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 
@@ -24,16 +26,17 @@
     private val channel = EmbeddedChannel(decoder)
 
     private fun receive(text: String) {
-        channel.writeInbound(Unpooled.wrappedBuffer(text.toByteArray()))
+        channel.writeInbound(Unpooled.wrappedBuffer(text.toByteArray(Charsets.ISO_8859_1)))
     }
 
-    /** The status codes of the heads received so far that are valid. */
-    private fun takeStatuses(): List<Int> =
+    private fun takeParts(): List<HttpObject> =
         generateSequence { channel.readInbound<HttpObject>() }.toList()
             .onEach { ReferenceCountUtil.release(it) }
-            .filterIsInstance<HttpResponse>()
-            .filter { it.decoderResult().isSuccess }
-            .map { it.status().code() }
+
+    /** The status codes of the heads received so far that are valid. */
+    private fun takeStatuses(): List<Int> = takeParts().filterIsInstance<HttpResponse>()
+        .filter { it.decoderResult().isSuccess }
+        .map { it.status().code() }
 
     private fun receiveFirst(method: HttpMethod = HttpMethod.GET, text: String = FIRST) {
         decoder.expectResponse(method)
@@ -141,6 +144,55 @@
         }
     }
 
+    @Nested
+    inner class `A field name` {
+        /** The names of the fields of a head that begins with [line], or null if it is invalid. */
+        private fun namesInHead(line: String): List<String>? = ResponseDecoderTest().run {
+            receiveFirst(text = "HTTP/1.1 200 OK\r\n$line\r\n\r\n")
+            channel.close()
+            takeParts().filterIsInstance<HttpResponse>().singleOrNull()
+                ?.takeIf { it.decoderResult().isSuccess }?.headers()?.map { it.key }
+        }
+
+        /** The same for the trailers of a chunked response. */
+        private fun namesInTrailers(line: String): List<String>? = ResponseDecoderTest().run {
+            val head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            receiveFirst(text = "${head}2\r\nok\r\n0\r\n$line\r\n\r\n")
+            channel.close()
+            takeParts().filterIsInstance<LastHttpContent>().singleOrNull()
+                ?.takeIf { it.decoderResult().isSuccess }?.trailingHeaders()?.map { it.key }
+        }
+
+        private fun expectNames(line: String, names: List<String>?) {
+            val bytes = line.map { it.code }
+            expectThat(namesInHead(line)).describedAs("$bytes").isEqualTo(names)
+            expectThat(namesInTrailers(line)).describedAs("$bytes").isEqualTo(names)
+        }
+
+        @Test
+        fun `is valid only if it is a token`() {
+            // A colon ends the name.
+            for (c in (0..255).map { it.toChar() }.filter { it != ':' }) {
+                for (name in listOf("$c", "${c}Note", "X${c}Note", "X$c", "X$c ", "X $c")) {
+                    expectNames("$name: a", listOf(name).takeIf { name.all(::isTokenCharacter) })
+                }
+            }
+        }
+
+        @Test
+        fun `may be followed by blanks only after its colon`() {
+            expectNames("", emptyList())
+            val valid = listOf("X:", "X:a", "X: a", "X:\t a \t", "X::a", "X: a : b", "X: a\r\n b")
+            for (line in valid) expectNames(line, listOf("X"))
+            val invalid = listOf("X :a", "X\t: a", "X \t : a", "X a", "X a b:", "X", ":", ": a")
+            for (line in invalid) expectNames(line, null)
+        }
+
+        /** RFC 9110, section 5.6.2. */
+        private fun isTokenCharacter(c: Char) =
+            c in 'a'..'z' || c in 'A'..'Z' || c in '0'..'9' || c in "!#$%&'*+-.^_`|~"
+    }
+
     private companion object {
         const val FIRST = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         const val EXCESS = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Digest: s\r\n"
