Reject malformed status lines at the product's own interface too

A status 000, 20 or 2000 without a reason phrase, and 099 with one, reached callers of plain services as an answer; with 000 or HTTP/9.9 a chain's stream ended with an exception instead of another attempt, as did a call with 2OO.

Cause: Ktor checks the range of a status only if a reason phrase follows, from 1 on, and its parser throws exceptions that are no IOException, which the calling code takes for errors of its own.

ResponseGrammar is installed in all clients of the instance. It accepts a status from 100 to 999, and turns what the parser throws into an IOException, which ends the attempt as lost or broken and closes its connection.

--- a/entry/src/main/kotlin/io/greengageport/entry/Http.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/Http.kt
@@ -55,6 +55,7 @@
         fun createClient(): HttpClient = HttpClient(CIO) {
             expectSuccess = false
             install(HttpTimeout)
+            install(ResponseGrammar)
             engine {
                 maxConnectionsCount = MAX_CONNECTIONS
                 endpoint.maxConnectionsPerRoute = MAX_CONNECTIONS
