Reject field names that are no tokens at the product's own interface too

Cause: Ktor's parser rejects blanks, control bytes and delimiters in a field name, but no other bytes that a token cannot have.

ResponseGrammar checks all names of a head. On the code before, 2 of the 9 new cases of MalformedHeadTest on plain services and the new one on streams failed; all pass now.

--- a/entry/src/main/kotlin/io/greengageport/entry/ResponseGrammar.kt
+++ b/entry/src/main/kotlin/io/greengageport/entry/ResponseGrammar.kt
@@ -16,8 +16,8 @@
  * whose connection breaks, and closes the connection.
  *
  * The library rejects some of these heads with exceptions that do not derive from [IOException]. It
- * accepts any number as the status if no reason phrase follows, and numbers from 1 to 99. It drops
- * zeros at the start of a status, which this cannot detect.
+ * accepts any number as the status if no reason phrase follows, numbers from 1 to 99 and some names
+ * of fields that are no tokens. It drops zeros at the start of a status, which this cannot detect.
  */
 internal val ResponseGrammar = createClientPlugin("ResponseGrammar") {
     on(Send) { request ->
@@ -39,8 +39,14 @@
 
 private fun findFault(response: HttpResponse): String? = when {
     response.status.value !in MIN_STATUS..MAX_STATUS -> "status code is not three digits from 100"
+    !response.headers.names().all(::isToken) -> "field name is not a token"
     else -> null
 }
 
+/** Whether [name] is a token (RFC 9110, section 5.6.2). */
+private fun isToken(name: String) = name.isNotEmpty() &&
+    name.all { it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in TOKEN_PUNCTUATION }
+
 private const val MIN_STATUS = 100
 private const val MAX_STATUS = 999
+private const val TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~"
--- a/entry/src/test/kotlin/io/greengageport/entry/MalformedHeadTest.kt
+++ b/entry/src/test/kotlin/io/greengageport/entry/MalformedHeadTest.kt
@@ -128,7 +128,16 @@
                 "HTTP/1.1 2000",
                 "HTTP/1.1 +20 OK",
                 "HTTP/1.1 2OO OK",
-                "HTTP/9.9 200 OK"
+                "HTTP/9.9 200 OK",
+                "HTTP/1.1 200 OK\r\nX Note: a",
+                "HTTP/1.1 200 OK\r\nX\tNote: a",
+                "HTTP/1.1 200 OK\r\nX-Note : a",
+                "HTTP/1.1 200 OK\r\nX Note a",
+                "HTTP/1.1 200 OK\r\n: a",
+                "HTTP/1.1 200 OK\r\nX\u0001Note: a",
+                "HTTP/1.1 200 OK\r\nX\u007fNote: a",
+                "HTTP/1.1 200 OK\r\nX\u00e9Note: a",
+                "HTTP/1.1 200 OK\r\nX(Note): a"
             ]
         )
         fun `has no answer if the head is malformed`(head: String) {
@@ -192,7 +201,7 @@
         /** Guards against a refusal, after which the request is said not to have run. */
         @ParameterizedTest
         @ValueSource(
-            strings = ["HTTP/1.1 000 OK", "HTTP/9.9 503 Full"]
+            strings = ["HTTP/1.1 000 OK", "HTTP/1.1 503 Full\r\nX\u007f: a", "HTTP/9.9 503 Full"]
         )
         fun `is broken if the head is malformed`(head: String) {
             expectThat(stream(head)).isA<StreamEnd.Broken>()
