Test the command line with malformed responses

The commands read answers of an instance with the JDK's HTTP client, whose own checks reject nine of eleven malformed heads, so nothing changes here.

--- a/cli/src/test/kotlin/io/greengageport/cli/CommandLineTest.kt
+++ b/cli/src/test/kotlin/io/greengageport/cli/CommandLineTest.kt
@@ -3,18 +3,25 @@
 import com.sun.net.httpserver.HttpServer
 import java.io.ByteArrayOutputStream
 import java.io.PrintStream
+import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.net.ServerSocket
 import java.nio.file.Path
+import kotlin.concurrent.thread
 import kotlin.io.path.writeText
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import picocli.CommandLine
 import picocli.CommandLine.Model.CommandSpec
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.startsWith
 
 class CommandLineTest {
     @TempDir
@@ -96,6 +103,46 @@
                 .isEqualTo("4 the instance returned status 404; is this its admin port?")
         }
 
+        /** Expects that a response that begins with [head] counts as no response. */
+        private fun expectNoResult(head: String) {
+            val body = """{"fate":{"type":"accepted","version":7}}"""
+            val answer = "$head\r\nContent-Length: ${body.length}\r\n\r\n$body"
+            ServerSocket(0, 10, InetAddress.getLoopbackAddress()).use { listener ->
+                thread(isDaemon = true) {
+                    listener.accept().use {
+                        it.getInputStream().read(ByteArray(REQUEST_BYTES))
+                        it.getOutputStream().write(answer.toByteArray())
+                    }
+                }
+                val malformed = "127.0.0.1:${listener.localPort}"
+                expectThat(run("settings", "fate", "a", "--admin", malformed))
+                    .startsWith("4 instance $malformed cannot be reached")
+            }
+        }
+
+        /** Guards against a result that is read from a response that is no HTTP. */
+        @ParameterizedTest
+        @ValueSource(
+            strings = [
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 099 OK",
+                "HTTP/1.1 20 OK",
+                "HTTP/1.1 +20 OK",
+                "HTTP/1.1 0200 OK",
+                "HTTP/9.9 200 OK",
+                "HTTP/1.1 200 OK\r\nX Note: a",
+                "HTTP/1.1 200 OK\r\nX-Note : a",
+                "HTTP/1.1 200 OK\r\nX\u0001Note: a"
+            ]
+        )
+        fun `a response with a malformed head is no result`(head: String) = expectNoResult(head)
+
+        /** The library reads three digits of a status, and drops fields without a name. */
+        @ParameterizedTest
+        @Tag("known-red")
+        @ValueSource(strings = ["HTTP/1.1 2000 OK", "HTTP/1.1 200 OK\r\n: a"])
+        fun `a response that the library misreads is no result`(head: String) = expectNoResult(head)
+
         /** Guards against a stack trace or a message without the path for a mistyped file name. */
         @Test
         fun `a missing file is reported with its path`() {
@@ -160,4 +207,9 @@
 
     private fun all(c: CommandLine): List<CommandSpec> =
         listOf(c.commandSpec) + c.subcommands.values.flatMap(::all)
+
+    private companion object {
+        /** More bytes than a request of a command has. */
+        const val REQUEST_BYTES = 4_096
+    }
 }
