--- a/gateway/src/main/kotlin/io/greengageport/gateway/http/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/greengageport/gateway/http/ResponseDecoder.kt
@@ -19,8 +19,8 @@
  *
  * The library parses more than the grammar of HTTP/1.1 (RFC 9112, sections 4 and 5) allows: any
  * number as the status code, any version, and blanks in a field name, which it ends at the first
- * one, so that `Content-Length : 3` shortens the body. Such a head or trailer is marked as a decoder
- * failure.
+ * one, so that `Content-Length : 3` shortens the body. Such a head or trailer is marked as a
+ * decoder failure.
  *
  * A faulty server may send additional bytes after a complete response. If they are the start of
  * another response, the decoder would take the next one for their continuation, and a failure could
