--- a/review/src-4/bed/Gateway.java
+++ b/review/src-4/bed/Gateway.java
@@ -13,6 +13,9 @@
 
 /** A gateway as a separate process, with the command of the deploy file. */
 public final class Gateway implements AutoCloseable {
+    /** Runs of cases beside each other use loopback addresses of their own. */
+    private static final long NET = 1 + ProcessHandle.current().pid() % 250;
+
     private final Path root;
     private final Path directory;
     private final String ip;
@@ -31,7 +34,7 @@
             throws IOException {
         this.root = root;
         this.directory = directory;
-        this.ip = "127.0." + Integer.getInteger("net", 0) + "." + (10 + index);
+        this.ip = "127.0." + NET + "." + (10 + index);
         this.name = "edge-" + index;
         this.zone = zone;
         this.storeAddress = storeAddress;
--- a/review/src-4/bed/Runner.java
+++ b/review/src-4/bed/Runner.java
@@ -29,7 +29,6 @@
     private volatile boolean isDark;
     private volatile boolean isClosed;
     private volatile boolean beats = true;
-    private volatile String state = "ready";
     private volatile int sequence;
     public volatile long workMillis = 21;
     public volatile int answerBytes = 800;
@@ -67,41 +66,63 @@
     public void crash(long downMillis) throws IOException {
         if (!tryEnd("crashes")) return;
         server.abort();
-        int port = server.port();
-        startAfter(downMillis, () -> server = new Server("127.0.0.1", port, false, this::handle));
+        startAfter(downMillis, () -> server = new Server("127.0.0.1", server.port(), false, this::handle));
     }
 
     /**
-     * The machine goes dark at once: nothing is answered any more. The entry expires after three beats, and
-     * the runner is back under a new id after a while.
+     * Ends the process at once: its channels are reset. Its entry expires, and the runner is back under a
+     * new id after a while.
+     */
+    public void crashAndChangeId(long downMillis, long expiryMillis) throws IOException {
+        if (!tryEnd("crashes")) return;
+        server.abort();
+        expireAfter(expiryMillis);
+        String before = id;
+        startAfter(downMillis, () -> {
+            server = new Server("127.0.0.1", server.port(), false, this::handle);
+            id = nextId(before);
+        });
+    }
+
+    /**
+     * The machine goes dark at once: nothing is answered any more. The entry expires, and the runner is
+     * back under a new id after a while.
      */
     public void goDark(long darkMillis, long expiryMillis) throws IOException {
         if (!tryEnd("goes dark")) return;
         isDark = true;
-        String before = id;
-        int port = server.port();
         AutoCloseable darkness = server.goDark();
+        expireAfter(expiryMillis);
+        String before = id;
+        startAfter(darkMillis, () -> {
+            darkness.close();
+            present.set(0);
+            free.drainPermits();
+            free.release(slots);
+            server = new Server("127.0.0.1", server.port(), false, this::handle);
+            id = nextId(before);
+        });
+    }
+
+    private static String nextId(String id) {
+        int mark = id.indexOf('.');
+        return mark < 0 ? id + ".1"
+                : id.substring(0, mark + 1) + (Integer.parseInt(id.substring(mark + 1)) + 1);
+    }
+
+    private void expireAfter(long millis) {
+        String expiring = id;
         Thread thread = new Thread(() -> {
             try {
-                Thread.sleep(expiryMillis);
-                store.put("keyed.servers", before, null);
-                log.line("%s: its entry has expired", before);
+                Thread.sleep(millis);
+                store.put("keyed.servers", expiring, null);
+                log.line("%s: its entry has expired", expiring);
             } catch (InterruptedException e) {
                 // The run is over.
             }
-        }, "expire-" + before);
+        }, "expire-" + expiring);
         thread.setDaemon(true);
         thread.start();
-        startAfter(darkMillis, () -> {
-            darkness.close();
-            present.set(0);
-            free.drainPermits();
-            free.release(slots);
-            server = new Server("127.0.0.1", port, false, this::handle);
-            int mark = before.indexOf('.');
-            id = mark < 0 ? before + ".1" : before.substring(0, mark + 1)
-                    + (Integer.parseInt(before.substring(mark + 1)) + 1);
-        });
     }
 
     private synchronized boolean tryEnd(String how) {
@@ -120,8 +141,7 @@
             try {
                 Thread.sleep(millis);
                 start.run();
-                state = "ready";
-        born = System.currentTimeMillis();
+                born = System.currentTimeMillis();
                 sequence = 0;
                 isDark = false;
                 isDown = false;
@@ -145,22 +165,15 @@
         }
     }
 
-    /** Announces that the runner leaves; it goes on serving. */
-    public void drain() {
-        state = "draining";
-        putEntry();
-        log.line("%s: draining, acknowledged", id);
-    }
-
     private synchronized void putEntry() {
         store.put("keyed.servers", id, "{\"Service\":\"" + service + "\",\"Addr\":\"" + address()
-                + "\",\"Zone\":\"" + zone + "\",\"Version\":\"v1\",\"Slots\":" + slots + ",\"State\":\"" + state
-                + "\",\"ColdLeftMs\":0,\"born\":" + born + ",\"Seq\":" + (++sequence) + "}");
+                + "\",\"Zone\":\"" + zone + "\",\"Version\":\"v1\",\"Slots\":" + slots
+                + ",\"State\":\"ready\",\"ColdLeftMs\":0,\"born\":" + born + ",\"Seq\":" + (++sequence) + "}");
     }
 
     private String load() {
         int all = present.get();
-        return (state.equals("draining") ? "Server-Leaving: 1\r\n" : "") + "Runner-Load: " + Math.min(all, slots) + "," + Math.max(0, all - slots) + "," + slots + "\r\n";
+        return "Runner-Load: " + Math.min(all, slots) + "," + Math.max(0, all - slots) + "," + slots + "\r\n";
     }
 
     private void handle(Http.Message request, Server.Connection connection) throws Exception {
