--- a/review/src-4/bed/Runner.java
+++ b/review/src-4/bed/Runner.java
@@ -30,6 +30,7 @@
     private volatile boolean isClosed;
     private volatile boolean beats = true;
     private volatile int sequence;
+    private volatile long lastBeatNanos = System.nanoTime();
     public volatile long workMillis = 21;
     public volatile int answerBytes = 800;
     public volatile Script script = (request, connection) -> false;
@@ -110,8 +111,10 @@
                 : id.substring(0, mark + 1) + (Integer.parseInt(id.substring(mark + 1)) + 1);
     }
 
-    private void expireAfter(long millis) {
+    /** The entry expires when the last beat is so long ago. */
+    private void expireAfter(long silenceMillis) {
         String expiring = id;
+        long millis = Math.max(0, silenceMillis - (System.nanoTime() - lastBeatNanos) / 1_000_000);
         Thread thread = new Thread(() -> {
             try {
                 Thread.sleep(millis);
@@ -145,6 +148,7 @@
                 sequence = 0;
                 isDark = false;
                 isDown = false;
+                putEntry();
                 log.line("%s: started again", id);
             } catch (Exception e) {
                 log.line("%s: did not start again: %s", id, e);
@@ -166,6 +170,7 @@
     }
 
     private synchronized void putEntry() {
+        lastBeatNanos = System.nanoTime();
         store.put("keyed.servers", id, "{\"Service\":\"" + service + "\",\"Addr\":\"" + address()
                 + "\",\"Zone\":\"" + zone + "\",\"Version\":\"v1\",\"Slots\":" + slots
                 + ",\"State\":\"ready\",\"ColdLeftMs\":0,\"born\":" + born + ",\"Seq\":" + (++sequence) + "}");
